--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,11 @@
+# Libraries from the distribution's packages; scripts/install-packages lists them.
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(OpenSSL REQUIRED)
+set(Boost_NO_WARN_NEW_VERSIONS ON)
+find_package(Boost 1.81 REQUIRED COMPONENTS json)
+pkg_check_modules(GRPC REQUIRED IMPORTED_TARGET grpc++ protobuf)
+pkg_check_modules(ABSL_FLAGS REQUIRED IMPORTED_TARGET absl_flags absl_flags_parse absl_flags_usage)
+pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
+pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+pkg_check_modules(TOMLPLUSPLUS REQUIRED IMPORTED_TARGET tomlplusplus)
--- /dev/null
+++ b/modules/foundation/foundation.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/**
+    foundation holds what every other module builds on: time in milliseconds, outcomes as values, typed
+    identifiers, a hash that is the same on every VM, bounded rings between threads, and the JSON-lines log.
+
+    It depends on Boost and glog only and knows nothing of gateways.
+*/
+
+#include "foundation/concurrency/Ring.h"
+#include "foundation/hashing/StableHash.h"
+#include "foundation/identity/Identifier.h"
+#include "foundation/logging/JsonLog.h"
+#include "foundation/outcomes/Outcome.h"
+#include "foundation/time/Clock.h"
--- /dev/null
+++ b/modules/foundation/time/Clock.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <limits>
+
+namespace papayashelf {
+
+/**
+    A point on one process's monotonic clock, or a length of time, in whole milliseconds.
+
+    Points are never compared between VMs: clocks there need not agree.
+*/
+class Milliseconds {
+public:
+    constexpr Milliseconds() = default;
+    constexpr explicit Milliseconds(std::int64_t value)
+        : value(value)
+    {
+    }
+
+    static constexpr Milliseconds fromSeconds(std::int64_t seconds) { return Milliseconds(seconds * 1000); }
+
+    /** A point later than every other. */
+    static constexpr Milliseconds never() { return Milliseconds(std::numeric_limits<std::int64_t>::max() / 4); }
+
+    /** The count of milliseconds. */
+    constexpr std::int64_t count() const { return this->value; }
+
+    /** The same length in seconds, with its fraction. */
+    constexpr double seconds() const { return static_cast<double>(this->value) / 1000.0; }
+
+    constexpr auto operator<=>(const Milliseconds&) const = default;
+    constexpr Milliseconds operator+(Milliseconds other) const { return Milliseconds(this->value + other.value); }
+    constexpr Milliseconds operator-(Milliseconds other) const { return Milliseconds(this->value - other.value); }
+    constexpr Milliseconds operator*(std::int64_t factor) const { return Milliseconds(this->value * factor); }
+    constexpr Milliseconds operator/(std::int64_t divisor) const { return Milliseconds(this->value / divisor); }
+
+    constexpr Milliseconds& operator+=(Milliseconds other)
+    {
+        this->value += other.value;
+        return *this;
+    }
+
+private:
+    std::int64_t value = 0;
+};
+
+/**
+    Reads this process's monotonic clock.
+
+    Only the runtime owns a Clock; decision code is handed the time with each event.
+    Thread safety: any thread may call now().
+*/
+class Clock {
+public:
+    /** The time since an arbitrary start that never moves back. */
+    Milliseconds now() const
+    {
+        const auto elapsed = std::chrono::steady_clock::now().time_since_epoch();
+        return Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
+    }
+};
+
+} // namespace papayashelf
