--- a/modules/foundation/foundation.h
+++ b/modules/foundation/foundation.h
@@ -9,6 +9,7 @@
 
 #include "foundation/concurrency/Ring.h"
 #include "foundation/hashing/StableHash.h"
+#include "foundation/identity/Addressed.h"
 #include "foundation/identity/Identifier.h"
 #include "foundation/logging/JsonLog.h"
 #include "foundation/outcomes/Outcome.h"
--- a/modules/platform/store/StoreCall.h
+++ b/modules/platform/store/StoreCall.h
@@ -33,6 +33,14 @@
     bool operator==(const StoreRequest&) const = default;
 };
 
+/** A request with the number by which its sender recognises the reply; unique within the sending decision part. */
+struct StoreCall {
+    std::uint64_t call = 0;
+    StoreRequest request;
+
+    bool operator==(const StoreCall&) const = default;
+};
+
 /** One key as read, listed or written. A version of 0 says that it does not exist. */
 struct StoreEntry {
     std::string key;
