--- a/modules/membership/Membership.cpp
+++ b/modules/membership/Membership.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-Membership::Membership(Member self, const MembershipSettings& settings, std::uint64_t seed)
+Membership::Membership(const Member& self, const MembershipSettings& settings, std::uint64_t seed)
     : selfId(self.vm)
     , settings(settings)
     , random(seed)
--- a/modules/membership/Membership.h
+++ b/modules/membership/Membership.h
@@ -55,7 +55,7 @@
         @param self  this VM in this life, with its endpoints; its incarnation is larger than in every earlier life
         @param seed  spreads heartbeats and probes of different VMs over time
     */
-    Membership(Member self, const MembershipSettings& settings, std::uint64_t seed);
+    Membership(const Member& self, const MembershipSettings& settings, std::uint64_t seed);
 
     /** Sets what the next heartbeats report. */
     void setFacts(const HeartbeatFacts& facts) { this->facts = facts; }
--- a/modules/membership/table/MemberTable.cpp
+++ b/modules/membership/table/MemberTable.cpp
@@ -38,10 +38,11 @@
     const auto orderOf = [](const Member& member) {
         return std::make_tuple(member.incarnation, member.refutation, rankOf(member.state));
     };
-    const auto order = orderOf(left) <=> orderOf(right);
-    if (order == 0)
+    const auto leftOrder = orderOf(left);
+    const auto rightOrder = orderOf(right);
+    if (leftOrder == rightOrder)
         return 0;
-    return order < 0 ? -1 : 1;
+    return leftOrder < rightOrder ? -1 : 1;
 }
 
 Member withoutSuspicion(Member member)
--- a/tests/membership/VirtualCluster.h
+++ b/tests/membership/VirtualCluster.h
@@ -53,12 +53,12 @@
     void setLoss(double share) { this->loss = share; }
 
     /** Says which links are down, by sender and receiver. */
-    void setCut(std::function<bool(const VmId&, const VmId&)> isCut) { this->isCut = std::move(isCut); }
+    void setCut(const std::function<bool(const VmId&, const VmId&)>& isCut) { this->isCut = isCut; }
 
     /** Called with the sender for every message sent; for measurement. */
-    void setObserver(std::function<void(const VmId&, const Addressed<Message>&)> observer)
+    void setObserver(const std::function<void(const VmId&, const Addressed<Message>&)>& observer)
     {
-        this->observer = std::move(observer);
+        this->observer = observer;
     }
 
     void send(const VmId& from, const Sends& sends)
