--- /dev/null
+++ b/modules/peers/transport/ControlStream.cpp
@@ -0,0 +1,81 @@
+#include "peers/transport/ControlStream.h"
+
+#include <grpcpp/channel.h>
+
+namespace papayashelf {
+
+ControlStream::ControlStream(std::size_t capacity)
+    : queue(capacity)
+{
+}
+
+std::shared_ptr<ControlStream> ControlStream::open(
+    const std::shared_ptr<grpc::Channel>& channel, std::size_t capacity, std::chrono::system_clock::time_point deadline)
+{
+    std::shared_ptr<ControlStream> stream(new ControlStream(capacity));
+    stream->self = stream;
+    stream->stub = wire::PeerControl::NewStub(channel);
+    stream->context.set_deadline(deadline);
+    stream->stub->async()->Send(&stream->context, &stream->summary, stream.get());
+    // Writes start from send(), outside the reactor's own callbacks, so the call must be held open for them.
+    stream->AddHold();
+    stream->StartCall();
+    return stream;
+}
+
+bool ControlStream::send(wire::Envelope&& envelope)
+{
+    const std::scoped_lock lock(this->mutex);
+    if (this->ended || this->queue.full())
+        return false;
+    this->queue.push_back(std::move(envelope));
+    this->writeNext();
+    return true;
+}
+
+void ControlStream::cancel()
+{
+    this->context.TryCancel();
+    const std::scoped_lock lock(this->mutex);
+    // A write in progress fails and ends the stream by itself; an idle one has no callback to come.
+    if (!this->isWriting)
+        this->end();
+}
+
+void ControlStream::OnWriteDone(bool isOk)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->isWriting = false;
+    this->queue.pop_front();
+    if (isOk && !this->ended) {
+        this->writeNext();
+        return;
+    }
+    this->end();
+}
+
+void ControlStream::OnDone(const grpc::Status&)
+{
+    std::shared_ptr<ControlStream> last;
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->ended = true;
+        last = std::move(this->self);
+    }
+}
+
+void ControlStream::end()
+{
+    if (!this->ended.exchange(true))
+        this->RemoveHold();
+}
+
+void ControlStream::writeNext()
+{
+    if (this->isWriting || this->queue.empty())
+        return;
+    this->isWriting = true;
+    this->StartWrite(&this->queue.front());
+}
+
+} // namespace papayashelf
