--- a/modules/foundation/foundation.h
+++ b/modules/foundation/foundation.h
@@ -7,7 +7,10 @@
     It depends on Boost and glog only and knows nothing of gateways.
 */
 
+#include "foundation/concurrency/Doorbell.h"
 #include "foundation/concurrency/Ring.h"
+#include "foundation/concurrency/SharedRing.h"
+#include "foundation/hashing/Sha256.h"
 #include "foundation/hashing/StableHash.h"
 #include "foundation/identity/Addressed.h"
 #include "foundation/identity/Identifier.h"
