--- a/modules/settings/reading/Fault.cpp
+++ b/modules/settings/reading/Fault.cpp
@@ -1,5 +1,8 @@
 #include "settings/reading/Fault.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace papayashelf {
 
 std::string Fault::string() const
@@ -13,4 +16,12 @@
     return text;
 }
 
+void sortByPlace(Faults& faults)
+{
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault& left, const Fault& right) {
+        return std::tie(left.file, left.position.line, left.position.column)
+            < std::tie(right.file, right.position.line, right.position.column);
+    });
+}
+
 } // namespace papayashelf
--- a/modules/settings/reading/Fault.h
+++ b/modules/settings/reading/Fault.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "foundation/outcomes/Outcome.h"
-#include <compare>
 #include <string>
 #include <vector>
 
@@ -12,7 +11,6 @@
     int line = 0;
     int column = 0;
 
-    auto operator<=>(const Position&) const = default;
     bool operator==(const Position&) const = default;
 };
 
@@ -23,7 +21,6 @@
     std::string found; /**< What stands there, or what is missing. */
     std::string allowed; /**< What would be accepted. */
 
-    auto operator<=>(const Fault&) const = default;
     bool operator==(const Fault&) const = default;
 
     /** "file:line:column: found; allowed: ..." */
@@ -33,6 +30,9 @@
 /** Every fault of one or several files, in the order of their places. */
 using Faults = std::vector<Fault>;
 
+/** Sorts by file, line and column; faults of one place keep their order. */
+void sortByPlace(Faults& faults);
+
 /** A checked value, or every fault that kept it from being one. */
 template <typename Value>
 using Checked = boost::outcome_v2::basic_result<Value, Faults, boost::outcome_v2::policy::all_narrow>;
