--- /dev/null
+++ b/modules/dispatch/claims/ClaimBook.cpp
@@ -0,0 +1,403 @@
+#include "dispatch/claims/ClaimBook.h"
+
+#include "foundation/hashing/StableHash.h"
+#include <algorithm>
+#include <cassert>
+#include <cstdio>
+
+namespace papayashelf {
+
+namespace {
+
+constexpr Milliseconds storeRetryPause { 200 };
+constexpr Milliseconds settleLimit { 600000 };
+constexpr double allowanceSeconds = 2;
+
+std::string toHexadecimal(std::uint64_t number)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(number));
+    return text;
+}
+
+} // namespace
+
+ClaimBook::ClaimBook(const DispatchSettings& settings, VmId self, Incarnation incarnation, Milliseconds wallClockAtZero)
+    : settings(settings)
+    , self(std::move(self))
+    , incarnation(incarnation)
+    , wallClockAtZero(wallClockAtZero)
+    , allowance(settings.claimsPerSecond * allowanceSeconds)
+{
+}
+
+std::string ClaimBook::storeKey(const ClaimSubject& subject)
+{
+    // The workspace stands in the key itself, so that no workspace can collide with another one's operations.
+    const std::string text = subject.method + '\n' + subject.path + '\n' + subject.idempotencyKey;
+    return "claims/" + subject.workspace.string() + '/' + toHexadecimal(stableHash(text, 1))
+        + toHexadecimal(stableHash(text, 2));
+}
+
+ClaimOutput ClaimBook::claim(Milliseconds now, RequestId request, const ClaimSubject& subject)
+{
+    ClaimOutput output;
+    const std::string key = storeKey(subject);
+    const auto standing = this->claims.find(key);
+    if (standing != this->claims.end()) {
+        output.verdicts.push_back(this->judgeRepeat(request, standing->second));
+        return output;
+    }
+    if (!this->takeAllowance(now)) {
+        output.verdicts.push_back({ request, ClaimState::Unavailable, {} });
+        return output;
+    }
+    Claim claim;
+    claim.request = request;
+    claim.value.vm = this->self;
+    claim.value.incarnation = this->incarnation;
+    claim.value.nonce = ++this->lastNonce;
+    claim.value.claimedAt = this->wallClockAtZero + now;
+    claim.giveUpAt = now + this->settings.claimTimeout;
+    const auto placed = this->claims.emplace(key, std::move(claim)).first;
+    this->keys[request] = key;
+    this->send(now, placed, StoreOperation::CompareAndSwap, output);
+    return output;
+}
+
+ClaimVerdict ClaimBook::judgeRepeat(RequestId request, const Claim& claim) const
+{
+    if (claim.step == Step::Releasing)
+        return { request, ClaimState::Unavailable, {} };
+    if (claim.value.isConfirmed)
+        return { request, ClaimState::Confirmed, claim.value };
+    return { request, ClaimState::Unknown, claim.value };
+}
+
+ClaimOutput ClaimBook::confirm(
+    Milliseconds now, RequestId request, int status, bool isBodyHeld, std::string contentType, std::string body)
+{
+    ClaimOutput output;
+    const auto key = this->keys.find(request);
+    assert(key != this->keys.end());
+    const auto claim = this->claims.find(key->second);
+    assert(claim->second.step == Step::Held);
+    claim->second.value.isConfirmed = true;
+    claim->second.value.status = status;
+    claim->second.value.isBodyHeld = isBodyHeld && body.size() <= this->settings.keptAnswerBytes;
+    if (claim->second.value.isBodyHeld) {
+        claim->second.value.contentType = std::move(contentType);
+        claim->second.value.body = std::move(body);
+    }
+    claim->second.step = Step::Confirming;
+    claim->second.giveUpAt = now + settleLimit;
+    this->send(now, claim, StoreOperation::CompareAndSwap, output);
+    return output;
+}
+
+ClaimOutput ClaimBook::release(Milliseconds now, RequestId request)
+{
+    ClaimOutput output;
+    const auto key = this->keys.find(request);
+    if (key == this->keys.end())
+        return output;
+    const auto claim = this->claims.find(key->second);
+    const bool isHeld = claim->second.step == Step::Held;
+    assert(isHeld || claim->second.step == Step::Writing || claim->second.step == Step::Reading);
+    claim->second.step = Step::Releasing;
+    claim->second.giveUpAt = now + settleLimit;
+    if (claim->second.call == 0)
+        this->send(now, claim, isHeld ? StoreOperation::Remove : StoreOperation::Get, output);
+    return output;
+}
+
+void ClaimBook::leaveUnknown(Milliseconds now, RequestId request)
+{
+    const auto key = this->keys.find(request);
+    if (key != this->keys.end())
+        this->keep(now, this->claims.find(key->second));
+}
+
+ClaimOutput ClaimBook::handleReply(Milliseconds now, std::uint64_t call, const StoreReply& reply)
+{
+    ClaimOutput output;
+    const auto found = this->calls.find(call);
+    if (found == this->calls.end())
+        return output;
+    const auto claim = this->claims.find(found->second);
+    this->calls.erase(found);
+    // A call that was given up on is answered for nobody.
+    if (claim == this->claims.end() || claim->second.call != call)
+        return output;
+    claim->second.call = 0;
+    switch (claim->second.operation) {
+    case StoreOperation::CompareAndSwap:
+        this->applySwapped(now, claim, reply, output);
+        break;
+    case StoreOperation::Remove:
+        this->applyRemoved(now, claim, reply, output);
+        break;
+    default:
+        this->applyRead(now, claim, reply, output);
+        break;
+    }
+    return output;
+}
+
+void ClaimBook::applySwapped(Milliseconds now, Claims::iterator claim, const StoreReply& reply, ClaimOutput& output)
+{
+    Claim& record = claim->second;
+    if (reply && !reply.value().empty()) {
+        record.version = reply.value().front().version;
+        if (record.step == Step::Writing)
+            this->grant(claim, output);
+        else if (record.step == Step::Releasing)
+            this->send(now, claim, StoreOperation::Remove, output);
+        else
+            this->keep(now, claim);
+        return;
+    }
+    const ErrorCode code = reply ? ErrorCode::Damaged : reply.error().code;
+    if (code == ErrorCode::Unavailable) {
+        this->setWake(claim, now + storeRetryPause);
+        return;
+    }
+    record.sawConflict = record.sawConflict || code == ErrorCode::Conflict;
+    record.mayBeWritten = record.mayBeWritten || code != ErrorCode::Conflict;
+    if (record.step == Step::Writing)
+        record.step = Step::Reading;
+    this->send(now, claim, StoreOperation::Get, output);
+}
+
+void ClaimBook::applyRead(Milliseconds now, Claims::iterator claim, const StoreReply& reply, ClaimOutput& output)
+{
+    if (!reply && reply.error().code != ErrorCode::NotFound) {
+        this->setWake(claim, now + storeRetryPause);
+        return;
+    }
+    if (!reply || reply.value().empty() || reply.value().front().version == 0) {
+        this->applyAbsent(now, claim, output);
+        return;
+    }
+    const StoreEntry& entry = reply.value().front();
+    const Outcome<ClaimValue> found = decodeClaim(entry.value);
+    if (!found || !this->isOurs(claim->second, found.value())) {
+        this->applyForeign(now, claim, found, output);
+        return;
+    }
+    claim->second.version = entry.version;
+    this->applyOwn(now, claim, found.value(), output);
+}
+
+void ClaimBook::applyOwn(Milliseconds now, Claims::iterator claim, const ClaimValue& found, ClaimOutput& output)
+{
+    if (claim->second.step == Step::Reading)
+        this->grant(claim, output);
+    else if (claim->second.step == Step::Releasing)
+        this->send(now, claim, StoreOperation::Remove, output);
+    else if (found.isConfirmed)
+        this->keep(now, claim);
+    else
+        this->send(now, claim, StoreOperation::CompareAndSwap, output);
+}
+
+void ClaimBook::applyForeign(
+    Milliseconds now, Claims::iterator claim, const Outcome<ClaimValue>& found, ClaimOutput& output)
+{
+    switch (claim->second.step) {
+    case Step::Confirming:
+        this->keep(now, claim);
+        return;
+    case Step::Reading: {
+        // What cannot be read may have been run, so it counts as unknown.
+        const bool isConfirmed = found && found.value().isConfirmed;
+        const ClaimState state = isConfirmed ? ClaimState::Confirmed : ClaimState::Unknown;
+        output.verdicts.push_back({ claim->second.request, state, found ? found.value() : ClaimValue() });
+        break;
+    }
+    default:
+        break;
+    }
+    this->erase(claim);
+}
+
+void ClaimBook::applyAbsent(Milliseconds now, Claims::iterator claim, ClaimOutput& output)
+{
+    claim->second.version = 0;
+    if (claim->second.step == Step::Releasing) {
+        this->erase(claim);
+        return;
+    }
+    if (claim->second.step == Step::Reading)
+        claim->second.step = Step::Writing;
+    this->send(now, claim, StoreOperation::CompareAndSwap, output);
+}
+
+void ClaimBook::applyRemoved(Milliseconds now, Claims::iterator claim, const StoreReply& reply, ClaimOutput& output)
+{
+    const bool isGone = reply || reply.error().code == ErrorCode::NotFound;
+    if (isGone || claim->second.step == Step::Kept) {
+        this->erase(claim);
+        return;
+    }
+    if (reply.error().code == ErrorCode::Unavailable)
+        this->setWake(claim, now + storeRetryPause);
+    else
+        this->send(now, claim, StoreOperation::Get, output);
+}
+
+ClaimOutput ClaimBook::tick(Milliseconds now)
+{
+    ClaimOutput output;
+    while (!this->timers.empty() && this->timers.begin()->first <= now) {
+        const auto claim = this->claims.find(this->timers.begin()->second);
+        this->setWake(claim, Milliseconds::never());
+        this->proceed(now, claim, output);
+    }
+    return output;
+}
+
+void ClaimBook::proceed(Milliseconds now, Claims::iterator claim, ClaimOutput& output)
+{
+    Claim& record = claim->second;
+    const bool isLate = now >= record.giveUpAt;
+    switch (record.step) {
+    case Step::Writing:
+    case Step::Reading:
+        if (isLate)
+            this->giveUp(now, claim, output);
+        else
+            this->send(now, claim, record.step == Step::Writing ? StoreOperation::CompareAndSwap : StoreOperation::Get,
+                output);
+        break;
+    case Step::Confirming:
+        if (isLate)
+            this->keep(now, claim);
+        else
+            this->send(now, claim, StoreOperation::Get, output);
+        break;
+    case Step::Releasing:
+        if (isLate)
+            this->erase(claim);
+        else
+            this->send(now, claim, StoreOperation::Get, output);
+        break;
+    case Step::Kept:
+        if (record.version == 0)
+            this->erase(claim);
+        else
+            this->send(now, claim, StoreOperation::Remove, output);
+        break;
+    case Step::Held:
+        break;
+    }
+}
+
+void ClaimBook::grant(Claims::iterator claim, ClaimOutput& output)
+{
+    claim->second.step = Step::Held;
+    this->setWake(claim, Milliseconds::never());
+    output.verdicts.push_back({ claim->second.request, ClaimState::Granted, {} });
+}
+
+void ClaimBook::giveUp(Milliseconds now, Claims::iterator claim, ClaimOutput& output)
+{
+    Claim& record = claim->second;
+    // After a conflict another request with this key may have run, so "not run" would be a guess.
+    const ClaimState state = record.sawConflict ? ClaimState::Unknown : ClaimState::Unavailable;
+    output.verdicts.push_back({ record.request, state, {} });
+    this->keys.erase(record.request);
+    const bool isWriting = record.call != 0 && record.operation == StoreOperation::CompareAndSwap;
+    if (!record.mayBeWritten && !isWriting) {
+        this->erase(claim);
+        return;
+    }
+    record.step = Step::Releasing;
+    record.giveUpAt = now + settleLimit;
+    this->setWake(claim, now + storeRetryPause);
+}
+
+void ClaimBook::send(Milliseconds now, Claims::iterator claim, StoreOperation operation, ClaimOutput& output)
+{
+    Claim& record = claim->second;
+    StoreCall call;
+    call.call = ++this->lastCall;
+    call.request.operation = operation;
+    call.request.key = claim->first;
+    call.request.expectedVersion = record.version;
+    if (operation == StoreOperation::CompareAndSwap)
+        call.request.value = encodeClaim(record.value);
+    record.call = call.call;
+    record.operation = operation;
+    this->calls[call.call] = claim->first;
+    // A call that is never answered is given up on and the key read instead.
+    this->setWake(claim, std::max(now + storeRetryPause, std::min(record.giveUpAt, now + this->settings.claimTimeout)));
+    output.calls.push_back(std::move(call));
+}
+
+void ClaimBook::keep(Milliseconds now, Claims::iterator claim)
+{
+    this->keys.erase(claim->second.request);
+    claim->second.step = Step::Kept;
+    claim->second.giveUpAt = Milliseconds::never();
+    this->setWake(claim, now + this->settings.claimRetention);
+    this->forgetOldest();
+}
+
+void ClaimBook::forgetOldest()
+{
+    constexpr std::size_t mostClaims = 20000;
+    if (this->claims.size() <= mostClaims)
+        return;
+    const auto oldest = std::find_if(this->timers.begin(), this->timers.end(),
+        [&](const auto& timer) { return this->claims.at(timer.second).step == Step::Kept; });
+    if (oldest != this->timers.end())
+        this->erase(this->claims.find(oldest->second));
+}
+
+void ClaimBook::setWake(Claims::iterator claim, Milliseconds at)
+{
+    this->timers.erase({ claim->second.wakeAt, claim->first });
+    claim->second.wakeAt = at;
+    if (at != Milliseconds::never())
+        this->timers.emplace(at, claim->first);
+}
+
+void ClaimBook::erase(Claims::iterator claim)
+{
+    this->timers.erase({ claim->second.wakeAt, claim->first });
+    const auto key = this->keys.find(claim->second.request);
+    if (key != this->keys.end() && key->second == claim->first)
+        this->keys.erase(key);
+    this->claims.erase(claim);
+}
+
+bool ClaimBook::isOurs(const Claim& claim, const ClaimValue& value) const
+{
+    return value.vm == this->self && value.incarnation == this->incarnation && value.nonce == claim.value.nonce;
+}
+
+bool ClaimBook::takeAllowance(Milliseconds now)
+{
+    const double earned = (now - this->allowanceAt).seconds() * this->settings.claimsPerSecond;
+    this->allowance = std::min(this->settings.claimsPerSecond * allowanceSeconds, this->allowance + earned);
+    this->allowanceAt = now;
+    if (this->allowance < 1)
+        return false;
+    this->allowance -= 1;
+    return true;
+}
+
+Milliseconds ClaimBook::getNextDeadline() const
+{
+    return this->timers.empty() ? Milliseconds::never() : this->timers.begin()->first;
+}
+
+bool ClaimBook::hasUnsettled() const
+{
+    return std::any_of(this->claims.begin(), this->claims.end(), [](const auto& entry) {
+        return entry.second.step == Step::Confirming || entry.second.step == Step::Releasing;
+    });
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/dispatch/dispatcher/Dispatcher.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "dispatch/claims/ClaimBook.h"
+#include "dispatch/dispatcher/DispatchMessages.h"
+#include "dispatch/dispatcher/Flight.h"
+#include "dispatch/queues/FairQueue.h"
+#include "dispatch/retries/RetryBudget.h"
+#include "dispatch/settings/DispatchSettings.h"
+#include "routing/choice/Router.h"
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace papayashelf {
+
+/**
+    Carries each admitted request through its attempts to exactly one final directive.
+
+    A request waits in a fair queue, is sent, tried again or resumed where that is allowed, and ends in
+    FinishRequest, RefuseRequest or a StoredAnswer. A request that is not idempotent is sent at most once.
+
+    Thread safety: none; owned by one thread, together with its Router.
+*/
+class Dispatcher {
+public:
+    /** @param wallClockAtZero  wall-clock time, in milliseconds, at which this process's clock stood at 0 */
+    Dispatcher(DispatchSettings settings, const VmId& self, Incarnation incarnation, Milliseconds wallClockAtZero,
+        std::uint64_t seed);
+
+    //==================================================================================================================
+    /** Takes a request that passed admission. Precondition: its id is not in use. */
+    DispatchOutput submit(Milliseconds now, const AdmittedRequest& request, Router& router);
+
+    /** Takes what the entrance reports. Reports of ended requests or earlier attempts are discarded. */
+    DispatchOutput handle(Milliseconds now, const AttemptBegan& began, Router& router);
+    DispatchOutput handle(Milliseconds now, const AttemptEnded& ended, Router& router);
+    DispatchOutput handle(Milliseconds now, const CallerGone& gone, Router& router);
+    DispatchOutput handle(Milliseconds now, const AnswerToKeep& answer);
+
+    /** Takes the reply to one of its store calls. */
+    DispatchOutput handleStoreReply(Milliseconds now, std::uint64_t call, const StoreReply& reply, Router& router);
+
+    /** Ends every waiting and running request of a withdrawn key. */
+    DispatchOutput withdrawKey(Milliseconds now, const KeyDigest& key, Router& router);
+
+    //==================================================================================================================
+    /** Does what is due. Call at getNextDeadline() or later, and when capacity may have come. */
+    DispatchOutput tick(Milliseconds now, Router& router);
+
+    /** When tick() is next needed; never() when nothing waits. */
+    Milliseconds getNextDeadline() const;
+
+    //==================================================================================================================
+    /** Stops taking requests; those that are here finish within the leaving limit. */
+    void beginLeaving(Milliseconds now);
+
+    /** True once it is leaving and has no request left and no claim to settle. */
+    bool isDrained() const;
+
+    //==================================================================================================================
+    /** Requests waiting here, by service. */
+    std::map<ServiceId, std::int64_t> countQueued() const;
+    std::size_t countRequests() const { return this->flights.size(); }
+
+private:
+    using Flights = std::map<RequestId, Flight>;
+
+    /** How fast one service has been going. */
+    struct ServicePace {
+        std::int64_t running = 0; /**< Attempts of this VM under way in this region. */
+        double meanDuration = 0; /**< Of a completed attempt, in milliseconds; 0 until one completed. */
+    };
+
+    void takeIn(Milliseconds now, Flight& flight, Router& router, DispatchOutput& output);
+    void enqueue(Flight& flight, bool inFront, DispatchOutput& output);
+    void pumpAll(Milliseconds now, Router& router, DispatchOutput& output);
+    void pump(Milliseconds now, const ServiceId& service, Router& router, DispatchOutput& output);
+    bool pumpOne(Milliseconds now, FairQueue& queue, Router& router, DispatchOutput& output);
+    bool trySpill(Milliseconds now, Flight& flight, Milliseconds wait, Router& router, DispatchOutput& output);
+    RoutingChoice ask(Milliseconds now, const Flight& flight, Milliseconds queueWait, Router& router);
+    bool applyChoice(
+        Milliseconds now, Flight& flight, const RoutingChoice& choice, Router& router, DispatchOutput& output);
+
+    void start(Milliseconds now, Flight& flight, const UpstreamChoice& choice, Router& router, DispatchOutput& output);
+    void start(Milliseconds now, Flight& flight, const RegionChoice& choice, Router& router, DispatchOutput& output);
+    void beginAttempt(Milliseconds now, Flight& flight, const std::string& where, DispatchOutput& output);
+    void releaseTarget(Milliseconds now, Flight& flight, AttemptSignal signal, Router& router);
+    void endAttempt(
+        Milliseconds now, Flight& flight, const AttemptEnded& ended, Router& router, DispatchOutput& output);
+    void tryAgain(Milliseconds now, Flight& flight, bool isImmediate, bool hasProgressed, DispatchOutput& output);
+    Milliseconds drawBackoff(int attempts);
+
+    void finish(Milliseconds now, Flight& flight, int status, DispatchOutput& output);
+    void refuse(Milliseconds now, Flight& flight, RefusalCode wanted, DispatchOutput& output,
+        std::optional<Milliseconds> retryAfter = std::nullopt, const std::string& detail = {});
+    void stop(Milliseconds now, Flight& flight, RefusalCode code, Router& router, DispatchOutput& output);
+    void settleClaim(Milliseconds now, Flight& flight, DispatchOutput& output);
+    void close(Flight& flight, DispatchOutput& output);
+    void handleWake(Milliseconds now, Flight& flight, Router& router, DispatchOutput& output);
+    void applyClaims(Milliseconds now, ClaimOutput claimed, Router& router, DispatchOutput& output);
+    void applyVerdict(Milliseconds now, const ClaimVerdict& verdict, Router& router, DispatchOutput& output);
+
+    Flight* find(RequestId request);
+    void setWake(Flight& flight, Milliseconds at);
+    Milliseconds estimateWait(const Flight& flight) const;
+    FairQueue& queueOf(const ServiceId& service);
+
+    const DispatchSettings settings;
+    std::mt19937_64 generator;
+    std::map<ServiceId, FairQueue> queues;
+    std::map<ServiceId, ServicePace> paces;
+    RetryBudget budget;
+    ClaimBook claims;
+    Flights flights;
+    std::set<std::pair<Milliseconds, RequestId>> timers;
+    std::optional<Milliseconds> leavingUntil;
+    bool isLeavingEnforced = false;
+    Milliseconds pumpedAt;
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/dispatch/dispatcher/Flight.cpp
@@ -0,0 +1,76 @@
+#include "dispatch/dispatcher/Flight.h"
+
+#include <algorithm>
+
+namespace papayashelf::flight_rules {
+
+bool mayStart(const Flight& flight)
+{
+    return flight.admitted.isIdempotent || !flight.mayHaveRun;
+}
+
+bool canResume(const Flight& flight)
+{
+    return flight.admitted.kind == ServiceKind::ModelEngine && flight.admitted.arrival.isStreamed;
+}
+
+bool needsClaim(const AdmittedRequest& admitted)
+{
+    // The VM that relayed a request holds its claim.
+    return !admitted.isIdempotent && !admitted.isRelayed && !admitted.arrival.idempotencyKey.empty();
+}
+
+Ran whetherRan(const Flight& flight)
+{
+    const bool isSent = flight.stage == FlightStage::Running || flight.stage == FlightStage::Stopping;
+    return flight.mayHaveRun || isSent ? Ran::Unknown : Ran::No;
+}
+
+RefusalCode refusalFor(const Flight& flight, RefusalCode wanted)
+{
+    const bool isUnknown = !flight.admitted.isIdempotent && whetherRan(flight) == Ran::Unknown;
+    return isUnknown && wanted != RefusalCode::StoppedMidway ? RefusalCode::OutcomeUnknown : wanted;
+}
+
+std::int64_t usedTokens(const Flight& flight)
+{
+    if (whetherRan(flight) == Ran::No)
+        return 0;
+    if (flight.admitted.kind == ServiceKind::PlainService)
+        return flight.admitted.costTokens;
+    const std::int64_t prompt = flight.promptTokens > 0 ? flight.promptTokens : flight.admitted.arrival.promptTokens;
+    return prompt + flight.answerTokens;
+}
+
+SilenceLimits silenceLimits(const AdmittedRequest& admitted, const DispatchSettings& settings, Milliseconds remaining)
+{
+    const bool isEngine = admitted.kind == ServiceKind::ModelEngine;
+    const Milliseconds between = isEngine ? settings.engineBetweenBytesLimit : settings.plainBetweenBytesLimit;
+    // An engine's whole answer, if not streamed, has its first byte at its end.
+    if (isEngine && !admitted.arrival.isStreamed)
+        return { remaining, std::min(between, remaining) };
+    const Milliseconds first = isEngine ? settings.engineFirstByteLimit : settings.plainFirstByteLimit;
+    return { std::min(first, remaining), std::min(between, remaining) };
+}
+
+AttemptSignal signalFor(AttemptResult result, int status)
+{
+    constexpr int badGateway = 502;
+    constexpr int gatewayTimeout = 504;
+    switch (result) {
+    case AttemptResult::Completed:
+        return status >= badGateway && status <= gatewayTimeout ? AttemptSignal::Failed : AttemptSignal::Answered;
+    case AttemptResult::RejectedBusy:
+        return AttemptSignal::Busy;
+    case AttemptResult::Cancelled:
+        return AttemptSignal::Cancelled;
+    case AttemptResult::NotSent:
+    case AttemptResult::NoAnswer:
+    case AttemptResult::Cut:
+    case AttemptResult::Silent:
+        return AttemptSignal::Failed;
+    }
+    return AttemptSignal::Failed;
+}
+
+} // namespace papayashelf::flight_rules
--- /dev/null
+++ b/modules/dispatch/dispatcher/Flight.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "dispatch/dispatcher/DispatchMessages.h"
+#include "dispatch/settings/DispatchSettings.h"
+#include "routing/choice/RoutingQuery.h"
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace papayashelf {
+
+/** Where an admitted request stands. */
+enum class FlightStage {
+    Claiming, /**< Its claim is being written; nothing was sent. */
+    Queued,
+    Running, /**< An attempt is under way. */
+    BackingOff, /**< Waits for its next attempt. */
+    Stopping, /**< Its caller has the final directive; the cancelled attempt has yet to report its tokens. */
+};
+
+/** One admitted request on its way. */
+struct Flight {
+    AdmittedRequest admitted;
+    FlightStage stage = FlightStage::Queued;
+    Milliseconds startedAt; /**< Of the attempt under way. */
+    Milliseconds wakeAt = Milliseconds::never(); /**< When its timer is due. */
+    std::uint32_t attempt = 0;
+    int attemptsWithoutProgress = 0;
+    std::variant<std::monostate, UpstreamChoice, RegionChoice> target;
+    std::vector<UpstreamId> triedUpstreams;
+    std::vector<RegionId> triedRegions;
+    bool hasBegun = false; /**< The caller has seen part of an answer. */
+    bool mayHaveRun = false; /**< An earlier attempt was sent and may have been run. */
+    bool hasClaim = false;
+    bool isCallerGone = false;
+    std::int64_t answerTokens = 0;
+    std::int64_t promptTokens = 0; /**< As the upstream counted them; 0 until it did. */
+    std::optional<AnswerToKeep> answer;
+
+    RequestId id() const { return this->admitted.arrival.request; }
+};
+
+/** The rules on what may be done with a request, apart from how it is done. Pure functions of a flight. */
+namespace flight_rules {
+
+/** True unless a second attempt could run the request a second time. */
+bool mayStart(const Flight& flight);
+
+/** True if an answer that has begun can go on from another upstream. */
+bool canResume(const Flight& flight);
+
+/** Whether the caller's operation must be claimed before it is sent. */
+bool needsClaim(const AdmittedRequest& admitted);
+
+/** Whether the request may have been run, for a refusal given now. */
+Ran whetherRan(const Flight& flight);
+
+/** The code to refuse with, which says so when the outcome is unknown. */
+RefusalCode refusalFor(const Flight& flight, RefusalCode wanted);
+
+/** The tokens to charge to the workspace. */
+std::int64_t usedTokens(const Flight& flight);
+
+/** The longest waits for the first byte and between bytes of an attempt. */
+struct SilenceLimits {
+    Milliseconds firstByte;
+    Milliseconds betweenBytes;
+};
+SilenceLimits silenceLimits(const AdmittedRequest& admitted, const DispatchSettings& settings, Milliseconds remaining);
+
+/** What the end of an attempt says about who had it. */
+AttemptSignal signalFor(AttemptResult result, int status);
+
+} // namespace flight_rules
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/dispatch/queues/FairQueue.cpp
@@ -0,0 +1,112 @@
+#include "dispatch/queues/FairQueue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace papayashelf {
+
+FairQueue::FairQueue(QueueOrder order)
+    : order(order)
+{
+}
+
+void FairQueue::push(const QueuedRequest& request, bool inFront)
+{
+    assert(request.weight > 0 && request.costTokens > 0 && !this->places.contains(request.request));
+    const WorkspaceId name = this->lineOf(request.workspace);
+    Line& line = this->lines[name];
+    if (line.requests.empty()) {
+        line.start = std::max(line.start, this->virtualTime);
+        line.arrival = this->arrivals++;
+        this->waiting.insert(this->placeOf(name, line));
+    }
+    if (inFront)
+        line.requests.push_front(request);
+    else
+        line.requests.push_back(request);
+    this->places.emplace(request.request, name);
+}
+
+void FairQueue::take(RequestId request)
+{
+    const auto place = this->places.find(request);
+    assert(place != this->places.end());
+    const WorkspaceId name = place->second;
+    Line& line = this->lines.at(name);
+    const auto taken = std::find_if(line.requests.begin(), line.requests.end(),
+        [&](const QueuedRequest& queued) { return queued.request == request; });
+    assert(taken != line.requests.end());
+
+    this->waiting.erase(this->placeOf(name, line));
+    this->virtualTime = std::max(this->virtualTime, line.start);
+    line.start += static_cast<double>(taken->costTokens) / static_cast<double>(taken->weight);
+    line.requests.erase(taken);
+    this->places.erase(place);
+    if (!line.requests.empty())
+        this->waiting.insert(this->placeOf(name, line));
+    this->dropIdleLines();
+}
+
+void FairQueue::remove(RequestId request)
+{
+    const auto place = this->places.find(request);
+    if (place == this->places.end())
+        return;
+    const WorkspaceId name = place->second;
+    Line& line = this->lines.at(name);
+    std::erase_if(line.requests, [&](const QueuedRequest& queued) { return queued.request == request; });
+    if (line.requests.empty())
+        this->waiting.erase(this->placeOf(name, line));
+    this->places.erase(place);
+}
+
+std::vector<RequestId> FairQueue::peekHeads(std::size_t count) const
+{
+    std::vector<RequestId> heads;
+    for (const Place& place : this->waiting) {
+        if (heads.size() == count)
+            break;
+        heads.push_back(this->lines.at(std::get<WorkspaceId>(place)).requests.front().request);
+    }
+    return heads;
+}
+
+std::size_t FairQueue::countOf(const WorkspaceId& workspace) const
+{
+    const auto line = this->lines.find(this->lineOf(workspace));
+    return line == this->lines.end() ? 0 : line->second.requests.size();
+}
+
+double FairQueue::getShareOf(const WorkspaceId& workspace, std::int64_t weight) const
+{
+    const WorkspaceId own = this->lineOf(workspace);
+    auto all = static_cast<double>(weight);
+    for (const Place& place : this->waiting) {
+        const WorkspaceId& name = std::get<WorkspaceId>(place);
+        if (name != own)
+            all += static_cast<double>(this->lines.at(name).requests.front().weight);
+    }
+    return static_cast<double>(weight) / all;
+}
+
+WorkspaceId FairQueue::lineOf(const WorkspaceId& workspace) const
+{
+    return this->order == QueueOrder::ArrivalOrder ? WorkspaceId() : workspace;
+}
+
+FairQueue::Place FairQueue::placeOf(const WorkspaceId& name, const Line& line) const
+{
+    return { line.start, line.arrival, name };
+}
+
+void FairQueue::dropIdleLines()
+{
+    constexpr std::size_t mostIdleLines = 64;
+    if (this->lines.size() <= this->waiting.size() + mostIdleLines)
+        return;
+    // A line that the virtual time has passed would start anew anyway.
+    std::erase_if(this->lines,
+        [&](const auto& entry) { return entry.second.requests.empty() && entry.second.start <= this->virtualTime; });
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/dispatch/queues/FairQueue.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "dispatch/settings/DispatchSettings.h"
+#include "foundation/identity/Identifier.h"
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace papayashelf {
+
+/** A waiting request as the queue sees it. */
+struct QueuedRequest {
+    RequestId request = 0;
+    WorkspaceId workspace;
+    std::int64_t weight = 1; /**< Its workspace's share; at least 1. */
+    std::int64_t costTokens = 1; /**< At least 1. */
+
+    bool operator==(const QueuedRequest&) const = default;
+};
+
+/**
+    The requests that wait for one service, in start-time fair order.
+
+    Each workspace has a virtual start time that moves on by cost over weight with each request taken. The
+    workspace that is furthest behind goes first, so one that stays within its share never waits behind the
+    backlog of another. Taking and adding cost the logarithm of the number of waiting workspaces.
+
+    Thread safety: none; owned by one thread.
+*/
+class FairQueue {
+public:
+    explicit FairQueue(QueueOrder order);
+
+    /** Appends a request, or puts it first among its workspace's, as for one that is tried again. */
+    void push(const QueuedRequest& request, bool inFront);
+
+    /** Takes a request that now starts: its cost counts against its workspace. Precondition: it waits here. */
+    void take(RequestId request);
+
+    /** Removes a request that will not start; its cost does not count. Nothing happens if it is not here. */
+    void remove(RequestId request);
+
+    /** The next requests to start, one of each workspace, at most count of them. */
+    std::vector<RequestId> peekHeads(std::size_t count) const;
+
+    std::size_t size() const { return this->places.size(); }
+    bool isEmpty() const { return this->places.empty(); }
+    std::size_t countOf(const WorkspaceId& workspace) const;
+
+    /** The part of the service's throughput that a workspace gets while all that wait now go on waiting; 0 to 1. */
+    double getShareOf(const WorkspaceId& workspace, std::int64_t weight) const;
+
+private:
+    struct Line {
+        std::deque<QueuedRequest> requests;
+        double start = 0; /**< Virtual time at which its first request is due. */
+        std::uint64_t arrival = 0; /**< Breaks ties, and is the whole order for the baseline. */
+    };
+    using Place = std::tuple<double, std::uint64_t, WorkspaceId>;
+
+    WorkspaceId lineOf(const WorkspaceId& workspace) const;
+    Place placeOf(const WorkspaceId& name, const Line& line) const;
+    void dropIdleLines();
+
+    QueueOrder order;
+    std::map<WorkspaceId, Line> lines;
+    std::set<Place> waiting;
+    std::map<RequestId, WorkspaceId> places;
+    double virtualTime = 0;
+    std::uint64_t arrivals = 0;
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/dispatch/retries/RetryBudget.cpp
@@ -0,0 +1,34 @@
+#include "dispatch/retries/RetryBudget.h"
+
+#include <algorithm>
+
+namespace papayashelf {
+
+RetryBudget::RetryBudget(const DispatchSettings& settings)
+    : settings(settings)
+    , available(settings.retryBudgetLimit)
+{
+}
+
+void RetryBudget::noteRequest()
+{
+    this->available = std::min(this->settings.retryBudgetLimit, this->available + this->settings.retriesPerRequest);
+}
+
+bool RetryBudget::tryTake(Milliseconds now)
+{
+    this->earnByTime(now);
+    if (this->available < 1)
+        return false;
+    this->available -= 1;
+    return true;
+}
+
+void RetryBudget::earnByTime(Milliseconds now)
+{
+    const double earned = (now - this->earnedAt).seconds() * this->settings.retriesPerSecond;
+    this->available = std::min(this->settings.retryBudgetLimit, this->available + std::max(0.0, earned));
+    this->earnedAt = std::max(this->earnedAt, now);
+}
+
+} // namespace papayashelf
