Keep workspaces within their voted shares by owned buckets and loans

Each workspace's rate and burst are divided over regions and, in each, over owner VMs, which hold token buckets. A VM charges its own bucket and borrows from other owners what it lacks; the giver deducts first. Settlement refunds what a smaller charge would have left. Epochs in the store pass a dead VM's part on, into empty buckets.

--- /dev/null
+++ b/modules/shares/ledger/ShareBorrower.cpp
@@ -0,0 +1,453 @@
+#include "shares/ledger/ShareBorrower.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace papayashelf {
+
+namespace {
+
+/** Calls of one incarnation can't be taken for those of another: incarnations are wall clock milliseconds. */
+constexpr int callBitsPerIncarnation = 20;
+constexpr Milliseconds callMemory { 10'000 };
+constexpr Milliseconds probePeriod { 250 };
+constexpr Milliseconds shortestTimer { 5 };
+constexpr Milliseconds shortestRetryAfter { 100 };
+constexpr std::int64_t mostSilenceDoublings = 3;
+
+} // namespace
+
+ShareBorrower::ShareBorrower(ShareHolder self, RegionId region, const ShareSettings& settings, const VotedShares& voted,
+    const OwnerMap& owners, ShareOwnership& ownership)
+    : self(std::move(self))
+    , region(std::move(region))
+    , settings(settings)
+    , voted(voted)
+    , owners(owners)
+    , ownership(ownership)
+    , lastCall(this->self.incarnation << callBitsPerIncarnation)
+{
+}
+
+void ShareBorrower::reserve(Milliseconds now, const ReservationRequest& reservation, ShareOutput& output)
+{
+    assert(!this->reservations.contains(reservation.request));
+    const VotedShare* share = this->voted.find(reservation.workspace);
+    if (!share) {
+        this->refuse(reservation.request, reservation.workspace, ShareRefusal::UnknownWorkspace, 0, output);
+        return;
+    }
+    if (reservation.tokens > share->whole.burstTokens) {
+        this->refuse(reservation.request, reservation.workspace, ShareRefusal::TooLarge, 0, output);
+        return;
+    }
+    Account& account = this->getAccount(reservation.workspace);
+    if (account.waiting.size() >= this->settings.maximumWaiting) {
+        this->refuse(
+            reservation.request, reservation.workspace, ShareRefusal::TooManyWaiting, reservation.tokens, output);
+        return;
+    }
+    this->reservations[reservation.request] = { reservation.workspace, {}, false };
+    const Milliseconds deadline = std::min(reservation.deadline, now + this->settings.maximumWait);
+    account.waiting.push_back({ reservation.request, std::max<std::int64_t>(0, reservation.tokens), now, deadline });
+    this->serve(now, reservation.workspace, output);
+}
+
+void ShareBorrower::settle(Milliseconds now, RequestId request, std::int64_t usedTokens, ShareOutput& output)
+{
+    const auto found = this->reservations.find(request);
+    if (found == this->reservations.end())
+        return;
+    const Reservation reservation = std::move(found->second);
+    this->reservations.erase(found);
+    Account& account = this->getAccount(reservation.workspace);
+    if (!reservation.isGranted) {
+        std::erase_if(account.waiting, [&](const Waiting& waiting) { return waiting.request == request; });
+        this->serve(now, reservation.workspace, output);
+        return;
+    }
+
+    std::int64_t unused = -usedTokens;
+    for (const Part& part : reservation.parts)
+        unused += part.tokens;
+    TokenBucket* bucket = this->ownership.find(reservation.workspace);
+    if (unused < 0 && bucket)
+        bucket->chargeBeyondReservation(now, -unused);
+    else if (unused < 0 && !reservation.parts.empty())
+        this->giveBack(now, reservation.workspace, reservation.parts.front(), unused);
+    for (const Part& part : reservation.parts) {
+        if (!part.giver.isEmpty() || unused <= 0)
+            continue;
+        // What the own bucket can't take back any more counts as used here, and the other parts as used less.
+        TokenBucket* owned = this->ownership.findOwnedSince(reservation.workspace, part.epoch);
+        if (owned)
+            unused -= owned->refund(now, part.chargedAt, std::min(unused, part.tokens));
+    }
+    for (const Part& part : reservation.parts) {
+        if (part.giver.isEmpty() || unused <= 0)
+            continue;
+        const std::int64_t tokens = std::min(unused, part.tokens);
+        this->giveBack(now, reservation.workspace, part, tokens);
+        unused -= tokens;
+    }
+    if (!account.waiting.empty())
+        this->serve(now, reservation.workspace, output);
+}
+
+void ShareBorrower::lend(Milliseconds now, const VmId& borrower, const ShareRequest& message, ShareOutput& output)
+{
+    ShareGrant grant { message.call, message.workspace, 0, {}, now, this->ownership.getEpoch(), 0 };
+    if (TokenBucket* bucket = this->ownership.find(message.workspace)) {
+        std::int64_t kept = 0;
+        const auto account = this->accounts.find(message.workspace);
+        if (account != this->accounts.end() && !account->second.waiting.empty()) {
+            // Whichever has waited longer goes first, or two owners could keep their halves from each other.
+            const std::deque<Waiting>& waiting = account->second.waiting;
+            if (now - waiting.front().since >= message.waited) {
+                for (const Waiting& own : waiting)
+                    kept += own.tokens;
+            }
+        }
+        const std::int64_t available = std::max<std::int64_t>(0, bucket->getTokens(now) - kept);
+        grant.tokens = std::clamp<std::int64_t>(message.tokens, 0, available);
+        bucket->lend(now, grant.tokens);
+        grant.left = available - grant.tokens;
+        const std::int64_t rate = bucket->getLimit().tokensPerSecond;
+        if (grant.tokens < message.tokens && rate > 0)
+            grant.waitHint = Milliseconds((message.tokens - grant.tokens) * 1000 / rate + 1);
+    }
+    output.sends.push_back({ borrower, grant });
+}
+
+void ShareBorrower::takeGrant(Milliseconds now, const VmId& giver, const ShareGrant& message, ShareOutput& output)
+{
+    const auto found = this->calls.find(message.call);
+    // An unknown call was answered before, or is of an earlier incarnation: the tokens stay charged.
+    if (found == this->calls.end() || found->second.owner != giver)
+        return;
+    const Call call = found->second;
+    this->calls.erase(found);
+    Account& account = this->getAccount(call.workspace);
+    if (OwnerView* view = account.owners.find(giver)) {
+        view->left = message.left;
+        view->seenAt = now;
+        view->silentUntil = {};
+        view->silences = 0;
+        if (view->call == message.call)
+            view->call = 0;
+    }
+    const Part part { giver, message.tokens, message.grantedAt, message.epoch };
+    const Milliseconds lapse = call.sentAt + this->settings.grantHold;
+    if (message.tokens > 0 && now > lapse)
+        this->giveBack(now, call.workspace, part, part.tokens);
+    else if (message.tokens > 0)
+        account.loans.push_back({ part, lapse });
+    this->serve(now, call.workspace, output);
+}
+
+void ShareBorrower::takeBack(Milliseconds now, const VmId& borrower, const ShareReturns& message, ShareOutput& output)
+{
+    auto& seen = this->returnsSeen[borrower];
+    const std::pair<Incarnation, std::uint64_t> number { message.incarnation, message.sequence };
+    if (number <= seen)
+        return;
+    seen = number;
+    std::set<WorkspaceId> served;
+    for (const ShareReturn& returned : message.returns) {
+        TokenBucket* bucket = this->ownership.findOwnedSince(returned.workspace, returned.epoch);
+        if (!bucket)
+            continue;
+        if (returned.tokens < 0)
+            bucket->chargeBeyondReservation(now, -returned.tokens);
+        else
+            bucket->takeBack(now, returned.grantedAt, returned.tokens);
+        served.insert(returned.workspace);
+    }
+    for (const WorkspaceId& workspace : served) {
+        const auto account = this->accounts.find(workspace);
+        if (account != this->accounts.end() && !account->second.waiting.empty())
+            this->serve(now, workspace, output);
+    }
+}
+
+void ShareBorrower::setLiveVms(std::set<VmId> vms)
+{
+    this->liveVms = std::move(vms);
+}
+
+void ShareBorrower::forgetOwners(Milliseconds now, ShareOutput& output)
+{
+    std::set<WorkspaceId> waiting;
+    for (auto& [workspace, account] : this->accounts) {
+        account.areOwnersKnown = false;
+        if (!account.waiting.empty())
+            waiting.insert(workspace);
+    }
+    for (const WorkspaceId& workspace : waiting)
+        this->serve(now, workspace, output);
+}
+
+void ShareBorrower::tick(Milliseconds now, ShareOutput& output)
+{
+    std::vector<WorkspaceId> due;
+    for (const auto& [time, workspace] : this->timers) {
+        if (time > now)
+            break;
+        due.push_back(workspace);
+    }
+    for (const WorkspaceId& workspace : due)
+        this->serve(now, workspace, output);
+    this->forgetOldCalls(now);
+    if (now >= this->returnsDueAt)
+        this->flushReturns(output);
+}
+
+Milliseconds ShareBorrower::getNextDeadline() const
+{
+    const Milliseconds timer = this->timers.empty() ? Milliseconds::never() : this->timers.begin()->first;
+    return std::min(timer, this->returnsDueAt);
+}
+
+void ShareBorrower::serve(Milliseconds now, const WorkspaceId& workspace, ShareOutput& output)
+{
+    Account& account = this->getAccount(workspace);
+    this->dropLapsedLoans(now, workspace, account);
+    this->grantWaiting(now, workspace, account, output);
+    this->refuseOverdue(now, workspace, account, output);
+    this->grantWaiting(now, workspace, account, output);
+    if (account.waiting.empty())
+        this->depositLoans(now, workspace, account);
+    else
+        this->ask(now, workspace, account, output);
+    this->setTimer(now, workspace, account);
+}
+
+void ShareBorrower::grantWaiting(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output)
+{
+    while (!account.waiting.empty()) {
+        const Waiting head = account.waiting.front();
+        const std::int64_t own = this->getOwnTokens(now, workspace);
+        if (own + this->countLoans(account) < head.tokens)
+            return;
+        Reservation& reservation = this->reservations[head.request];
+        std::int64_t missing = head.tokens;
+        this->useLoans(now, account, missing, reservation.parts);
+        if (missing > 0) {
+            this->ownership.find(workspace)->charge(now, missing);
+            reservation.parts.push_back({ {}, missing, now, this->ownership.getEpoch() });
+        }
+        reservation.isGranted = true;
+        output.granted.push_back({ head.request });
+        account.waiting.pop_front();
+    }
+}
+
+void ShareBorrower::refuseOverdue(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output)
+{
+    const VotedShare* share = this->voted.find(workspace);
+    std::deque<Waiting> kept;
+    for (const Waiting& waiting : account.waiting) {
+        if (share && waiting.tokens <= share->whole.burstTokens && waiting.deadline > now) {
+            kept.push_back(waiting);
+            continue;
+        }
+        ShareRefusal reason = ShareRefusal::OverShare;
+        if (!share)
+            reason = ShareRefusal::UnknownWorkspace;
+        else if (waiting.tokens > share->whole.burstTokens)
+            reason = ShareRefusal::TooLarge;
+        this->reservations.erase(waiting.request);
+        this->refuse(waiting.request, workspace, reason, waiting.tokens, output);
+    }
+    account.waiting = std::move(kept);
+}
+
+void ShareBorrower::ask(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output)
+{
+    std::int64_t coming = this->getOwnTokens(now, workspace) + this->countLoans(account);
+    for (OwnerView& view : account.owners.getAll()) {
+        if (view.call == 0)
+            continue;
+        if (now <= view.askedAt + this->settings.grantHold) {
+            coming += view.asked;
+            continue;
+        }
+        view.call = 0;
+        const std::int64_t doublings = std::min(view.silences++, mostSilenceDoublings);
+        view.silentUntil = now + this->settings.silentOwnerPause * (std::int64_t { 1 } << doublings);
+    }
+    std::int64_t wanted = -coming;
+    for (const Waiting& waiting : account.waiting)
+        wanted += waiting.tokens;
+    const Waiting& head = account.waiting.front();
+    const std::vector<OwnerView*> askable = account.owners.getAskable(now, this->liveVms);
+    std::int64_t obtainable = coming;
+    for (const OwnerView* view : askable)
+        obtainable += view->estimate(now);
+
+    // Parts that can't make up the whole would only lie about here, so then owners are merely asked what they have.
+    const bool canComplete = obtainable >= head.tokens;
+    for (OwnerView* view : askable) {
+        const std::int64_t tokens = canComplete ? std::min(wanted, view->estimate(now)) : 0;
+        const bool isStale = now - view->seenAt >= probePeriod;
+        if (tokens <= 0 && (canComplete || !isStale))
+            continue;
+        ShareRequest request;
+        request.workspace = workspace;
+        request.tokens = tokens;
+        request.waited = now - head.since;
+        this->sendRequest(now, workspace, *view, request, output);
+        wanted -= tokens;
+    }
+}
+
+void ShareBorrower::sendRequest(
+    Milliseconds now, const WorkspaceId& workspace, OwnerView& owner, const ShareRequest& request, ShareOutput& output)
+{
+    ShareRequest numbered = request;
+    numbered.call = ++this->lastCall;
+    this->calls[numbered.call] = { workspace, owner.vm, now, request.tokens };
+    owner.call = numbered.call;
+    owner.askedAt = now;
+    owner.asked = request.tokens;
+    output.sends.push_back({ owner.vm, numbered });
+}
+
+void ShareBorrower::dropLapsedLoans(Milliseconds now, const WorkspaceId& workspace, Account& account)
+{
+    std::erase_if(account.loans, [&](const Loan& loan) {
+        if (now <= loan.lapse)
+            return false;
+        this->giveBack(now, workspace, loan.part, loan.part.tokens);
+        return true;
+    });
+}
+
+void ShareBorrower::useLoans(Milliseconds now, Account& account, std::int64_t& missing, std::vector<Part>& parts)
+{
+    for (Loan& loan : account.loans) {
+        const std::int64_t tokens = now <= loan.lapse ? std::min(missing, loan.part.tokens) : 0;
+        if (tokens == 0)
+            continue;
+        Part used = loan.part;
+        used.tokens = tokens;
+        parts.push_back(used);
+        loan.part.tokens -= tokens;
+        missing -= tokens;
+    }
+    std::erase_if(account.loans, [](const Loan& loan) { return loan.part.tokens == 0; });
+}
+
+void ShareBorrower::depositLoans(Milliseconds now, const WorkspaceId& workspace, Account& account)
+{
+    TokenBucket* bucket = this->ownership.find(workspace);
+    if (!bucket)
+        return;
+    for (Loan& loan : account.loans) {
+        if (now <= loan.lapse)
+            loan.part.tokens -= bucket->deposit(now, loan.part.tokens);
+    }
+    std::erase_if(account.loans, [](const Loan& loan) { return loan.part.tokens == 0; });
+}
+
+void ShareBorrower::setTimer(Milliseconds now, const WorkspaceId& workspace, Account& account)
+{
+    Milliseconds next = Milliseconds::never();
+    for (const Loan& loan : account.loans)
+        next = std::min(next, loan.lapse + Milliseconds(1));
+    if (!account.waiting.empty()) {
+        for (const Waiting& waiting : account.waiting)
+            next = std::min(next, waiting.deadline);
+        bool isAsking = false;
+        for (const OwnerView& view : account.owners.getAll()) {
+            if (view.call != 0)
+                next = std::min(next, view.askedAt + this->settings.grantHold + Milliseconds(1));
+            isAsking = isAsking || view.call != 0;
+        }
+        const std::int64_t missing
+            = account.waiting.front().tokens - this->getOwnTokens(now, workspace) - this->countLoans(account);
+        TokenBucket* bucket = this->ownership.find(workspace);
+        const std::int64_t rate = bucket ? bucket->getLimit().tokensPerSecond : 0;
+        if (rate > 0)
+            next = std::min(next, now + Milliseconds(missing * 1000 / rate + 1));
+        if (!isAsking)
+            next = std::min(next, account.owners.whenAvailable(now, this->liveVms, missing));
+        next = std::max(std::min(next, now + probePeriod), now + shortestTimer);
+    }
+    if (next == account.timer)
+        return;
+    this->timers.erase({ account.timer, workspace });
+    account.timer = next;
+    if (next != Milliseconds::never())
+        this->timers.insert({ next, workspace });
+}
+
+void ShareBorrower::refuse(
+    RequestId request, const WorkspaceId& workspace, ShareRefusal reason, std::int64_t missing, ShareOutput& output)
+{
+    Milliseconds retryAfter;
+    const VotedShare* share = this->voted.find(workspace);
+    const bool isOver = reason == ShareRefusal::OverShare || reason == ShareRefusal::TooManyWaiting;
+    if (isOver && share && share->whole.tokensPerSecond > 0)
+        retryAfter = std::max(shortestRetryAfter, Milliseconds(missing * 1000 / share->whole.tokensPerSecond));
+    output.refused.push_back({ request, reason, retryAfter });
+}
+
+void ShareBorrower::giveBack(Milliseconds now, const WorkspaceId& workspace, const Part& part, std::int64_t tokens)
+{
+    if (tokens == 0)
+        return;
+    this->returnsDueAt = std::min(this->returnsDueAt, now + this->settings.returnPeriod);
+    std::vector<ShareReturn>& list = this->returns[part.giver];
+    for (ShareReturn& listed : list) {
+        if (listed.workspace == workspace && listed.grantedAt == part.chargedAt && listed.epoch == part.epoch
+            && (listed.tokens > 0) == (tokens > 0)) {
+            listed.tokens += tokens;
+            return;
+        }
+    }
+    list.push_back({ workspace, tokens, part.chargedAt, part.epoch });
+}
+
+void ShareBorrower::flushReturns(ShareOutput& output)
+{
+    for (auto& [giver, list] : this->returns) {
+        ShareReturns message { this->self.incarnation, ++this->returnsSent, std::move(list) };
+        output.sends.push_back({ giver, std::move(message) });
+    }
+    this->returns.clear();
+    this->returnsDueAt = Milliseconds::never();
+}
+
+void ShareBorrower::forgetOldCalls(Milliseconds now)
+{
+    while (!this->calls.empty() && this->calls.begin()->second.sentAt + callMemory < now)
+        this->calls.erase(this->calls.begin());
+}
+
+ShareBorrower::Account& ShareBorrower::getAccount(const WorkspaceId& workspace)
+{
+    Account& account = this->accounts[workspace];
+    const VotedShare* share = this->voted.find(workspace);
+    if (!account.areOwnersKnown && share) {
+        account.owners.rebuild(workspace, *share, this->owners, this->settings, this->self.vm, this->region);
+        account.areOwnersKnown = true;
+    }
+    return account;
+}
+
+std::int64_t ShareBorrower::countLoans(const Account& account) const
+{
+    std::int64_t tokens = 0;
+    for (const Loan& loan : account.loans)
+        tokens += loan.part.tokens;
+    return tokens;
+}
+
+std::int64_t ShareBorrower::getOwnTokens(Milliseconds now, const WorkspaceId& workspace)
+{
+    TokenBucket* bucket = this->ownership.find(workspace);
+    return bucket ? std::max<std::int64_t>(0, bucket->getTokens(now)) : 0;
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/shares/ledger/ShareLedger.cpp
@@ -0,0 +1,183 @@
+#include "shares/ledger/ShareLedger.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace papayashelf {
+
+namespace {
+
+template <typename Item> void append(std::vector<Item>& to, std::vector<Item>&& from)
+{
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+}
+
+} // namespace
+
+ShareLedger::ShareLedger(
+    const VmId& self, Incarnation incarnation, RegionId region, const ShareSettings& settings, std::uint64_t seed)
+    : self(self)
+    , region(std::move(region))
+    , settings(settings)
+    , ownership({ self, incarnation }, this->region, settings)
+    , borrower({ self, incarnation }, this->region, settings, this->voted, this->owners, this->ownership)
+    , keeper({ self, incarnation }, this->region, settings, this->owners, seed)
+{
+}
+
+ShareOutput ShareLedger::setGovernance(Milliseconds now, const std::shared_ptr<const Governance>& governance)
+{
+    ShareOutput output;
+    const std::vector<WorkspaceId> changed = this->voted.setGovernance(governance);
+    if (changed.empty())
+        return output;
+    this->ownership.refresh(now, changed, this->voted);
+    this->borrower.forgetOwners(now, output);
+    return output;
+}
+
+ShareOutput ShareLedger::setRevisionAdoptedEverywhere(Milliseconds now, RevisionNumber revision)
+{
+    ShareOutput output;
+    if (this->voted.setAdoptedEverywhere(revision))
+        this->ownership.refreshAll(now, this->voted);
+    return output;
+}
+
+ShareOutput ShareLedger::setMembers(Milliseconds now, const std::vector<ShareMember>& members)
+{
+    std::set<VmId> live;
+    for (const ShareMember& member : members) {
+        if (member.isLive)
+            live.insert(member.vm);
+    }
+    this->borrower.setLiveVms(std::move(live));
+    this->keeper.setMembers(now, members);
+    return {};
+}
+
+ShareOutput ShareLedger::setVmList(Milliseconds now, const VmList& list)
+{
+    this->keeper.setVmList(now, list);
+    return {};
+}
+
+ShareOutput ShareLedger::reserve(
+    Milliseconds now, RequestId request, const WorkspaceId& workspace, std::int64_t tokens, Milliseconds deadline)
+{
+    ShareOutput output;
+    this->borrower.reserve(now, { request, workspace, tokens, deadline }, output);
+    return output;
+}
+
+ShareOutput ShareLedger::settle(Milliseconds now, RequestId request, std::int64_t usedTokens)
+{
+    ShareOutput output;
+    this->borrower.settle(now, request, usedTokens, output);
+    return output;
+}
+
+ShareOutput ShareLedger::handleMessage(Milliseconds now, const VmId& from, const ShareMessage& message)
+{
+    ShareOutput output;
+    std::visit([&](const auto& typed) { this->handle(now, from, typed, output); }, message);
+    return output;
+}
+
+ShareOutput ShareLedger::handleStoreReply(Milliseconds now, std::uint64_t call, const StoreReply& reply)
+{
+    ShareOutput output;
+    this->takeKeeperOutput(now, this->keeper.handleStoreReply(now, call, reply), output);
+    return output;
+}
+
+ShareOutput ShareLedger::tick(Milliseconds now)
+{
+    ShareOutput output;
+    this->takeKeeperOutput(now, this->keeper.tick(now, this->ownership.getAwaited()), output);
+    this->ownership.tick(now, this->voted);
+    this->borrower.tick(now, output);
+    return output;
+}
+
+Milliseconds ShareLedger::getNextDeadline() const
+{
+    return std::min(
+        { this->keeper.getNextDeadline(), this->ownership.getNextDeadline(), this->borrower.getNextDeadline() });
+}
+
+ShareOutput ShareLedger::release(Milliseconds now)
+{
+    ShareOutput output;
+    this->ownership.release();
+    this->takeKeeperOutput(now, this->keeper.release(), output);
+    this->borrower.forgetOwners(now, output);
+    return output;
+}
+
+std::vector<VmId> ShareLedger::getOwners(const WorkspaceId& workspace) const
+{
+    std::vector<VmId> near;
+    std::vector<VmId> far;
+    const VotedShare* share = this->voted.find(workspace);
+    if (!share)
+        return near;
+    for (const auto& [ownerRegion, part] : share->parts) {
+        const OwnerMap::Entry* entry = this->owners.find(ownerRegion);
+        if (!entry)
+            continue;
+        const std::size_t count = entry->ring.countOwners(part, this->settings);
+        for (const ShareHolder& holder : entry->ring.getOwners(workspace, count))
+            (ownerRegion == this->region ? near : far).push_back(holder.vm);
+    }
+    append(near, std::move(far));
+    return near;
+}
+
+void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareRequest& message, ShareOutput& output)
+{
+    this->borrower.lend(now, from, message, output);
+}
+
+void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareGrant& message, ShareOutput& output)
+{
+    this->borrower.takeGrant(now, from, message, output);
+}
+
+void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareReturns& message, ShareOutput& output)
+{
+    this->borrower.takeBack(now, from, message, output);
+}
+
+void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareEpochNews& message, ShareOutput& output)
+{
+    this->takeKeeperOutput(now, this->keeper.handleNews(now, from, message), output);
+}
+
+void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareEpochAdopted& message, ShareOutput& output)
+{
+    this->takeKeeperOutput(now, this->keeper.handleAdopted(now, from, message), output);
+}
+
+void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareEpochDigest& message, ShareOutput& output)
+{
+    this->takeKeeperOutput(now, this->keeper.handleDigest(now, from, message), output);
+}
+
+void ShareLedger::takeKeeperOutput(Milliseconds now, EpochOutput&& from, ShareOutput& output)
+{
+    if (from.adopted) {
+        this->ownership.adoptEpoch(now, *from.adopted, this->voted);
+        output.events.push_back({ "share_epoch_adopted", std::to_string(from.adopted->epoch) });
+    }
+    for (const auto& [holder, epoch] : from.adoptions)
+        this->ownership.setAdopted(now, holder, epoch, this->voted);
+    append(output.sends, std::move(from.actions.sends));
+    append(output.storeCalls, std::move(from.actions.storeCalls));
+    append(output.events, std::move(from.actions.events));
+    if (from.hasLearnt)
+        this->borrower.forgetOwners(now, output);
+}
+
+} // namespace papayashelf
--- a/modules/shares/ledger/ShareLedger.h
+++ b/modules/shares/ledger/ShareLedger.h
@@ -104,6 +104,7 @@
 
     VmId self;
     RegionId region;
+    ShareSettings settings;
     VotedShares voted;
     OwnerMap owners;
     ShareOwnership ownership;
--- a/modules/shares/ledger/ShareOutput.h
+++ b/modules/shares/ledger/ShareOutput.h
@@ -17,6 +17,16 @@
     TooManyWaiting, /**< Too many reservations of the workspace wait on this VM already. */
 };
 
+/** A request that wants tokens before it may run. */
+struct ReservationRequest {
+    RequestId request = 0;
+    WorkspaceId workspace;
+    std::int64_t tokens = 0; /**< Upper bound of what it can use. */
+    Milliseconds deadline; /**< When it must be granted or refused. */
+
+    bool operator==(const ReservationRequest&) const = default;
+};
+
 /** The request may start: its tokens are charged. */
 struct ReservationGranted {
     RequestId request = 0;
--- /dev/null
+++ b/tests/shares/ShareFleetTest.cpp
@@ -0,0 +1,225 @@
+#include "shares/ShareFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace papayashelf {
+
+namespace {
+
+const WorkspaceId trials { "trials" };
+const WorkspaceId mirrors { "mirrors" };
+
+std::shared_ptr<Governance> makeGovernance(RevisionNumber revision, std::int64_t rate, std::int64_t burst)
+{
+    auto governance = std::make_shared<Governance>();
+    governance->revision = revision;
+    for (const char* name : { "altiplano", "oriente", "verapaz" })
+        governance->regions[RegionId(name)].id = RegionId(name);
+    for (const WorkspaceId& id : { trials, mirrors }) {
+        Workspace& workspace = governance->workspaces[id];
+        workspace.id = id;
+        workspace.tokensPerSecond = rate;
+        workspace.burstTokens = burst;
+    }
+    return governance;
+}
+
+void addToday(ShareFleet& fleet)
+{
+    for (const auto& [vm, region] :
+        std::vector<std::pair<const char*, const char*>> { { "a1", "altiplano" }, { "a2", "altiplano" },
+            { "a3", "altiplano" }, { "o1", "oriente" }, { "o2", "oriente" }, { "v1", "verapaz" }, { "v2", "verapaz" } })
+        fleet.addVm(vm, region);
+}
+
+ShareSettings makeSettings()
+{
+    ShareSettings settings;
+    settings.unlistedGrace = Milliseconds::fromSeconds(5);
+    return settings;
+}
+
+} // namespace
+
+class ShareFleetTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ShareFleetTest);
+    CPPUNIT_TEST(testQuietFleetAdmitsWhatTheLimitsAllow);
+    CPPUNIT_TEST(testNoIntervalSeesMoreThanTheLimits);
+    CPPUNIT_TEST(testCutOffRegionGoesOnWithWhatItOwns);
+    CPPUNIT_TEST(testTooLargeAndUnknownAreRefusedAtOnce);
+    CPPUNIT_TEST(testLargeRequestGathersFromSeveralOwners);
+    CPPUNIT_TEST_SUITE_END();
+
+    void testQuietFleetAdmitsWhatTheLimitsAllow()
+    {
+        ShareFleet fleet(1, makeSettings());
+        int granted = 0;
+        int refused = 0;
+        fleet.onGranted = [&](const FleetRequest&, Milliseconds) { ++granted; };
+        fleet.onRefused = [&](const FleetRequest&, const ReservationRefused&) { ++refused; };
+        addToday(fleet);
+        fleet.publish(makeGovernance(1, 1000, 10000), Milliseconds(100));
+        fleet.runUntil(Milliseconds::fromSeconds(30));
+        for (int index = 0; index < 90; ++index) {
+            fleet.submit(VmId(index % 2 ? "a1" : "v2"), { RequestId(index + 1), trials, 100, 100, Milliseconds(50) });
+            fleet.runUntil(fleet.now() + Milliseconds(10));
+        }
+        fleet.runUntil(fleet.now() + Milliseconds::fromSeconds(5));
+        CPPUNIT_ASSERT_EQUAL(90, granted);
+        CPPUNIT_ASSERT_EQUAL(0, refused);
+    }
+
+    void testCutOffRegionGoesOnWithWhatItOwns()
+    {
+        ShareFleet fleet(2, makeSettings());
+        int granted = 0;
+        fleet.onGranted = [&](const FleetRequest&, Milliseconds) { ++granted; };
+        addToday(fleet);
+        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(100));
+        fleet.runUntil(Milliseconds::fromSeconds(30));
+        fleet.faults.cutRegions = { RegionId("verapaz") };
+        fleet.faults.isStoreDown = true;
+        // A third of the burst and then a third of the rate, over ten seconds.
+        for (int index = 0; index < 100; ++index) {
+            fleet.submit(VmId("v1"), { RequestId(index + 1), trials, 100, 100, Milliseconds(50) });
+            fleet.runUntil(fleet.now() + Milliseconds(100));
+        }
+        fleet.runUntil(fleet.now() + Milliseconds::fromSeconds(5));
+        CPPUNIT_ASSERT(granted >= 58);
+        CPPUNIT_ASSERT(granted <= 75);
+    }
+
+    void testTooLargeAndUnknownAreRefusedAtOnce()
+    {
+        ShareFleet fleet(3, makeSettings());
+        std::vector<ShareRefusal> reasons;
+        fleet.onRefused
+            = [&](const FleetRequest&, const ReservationRefused& refused) { reasons.push_back(refused.reason); };
+        addToday(fleet);
+        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(1));
+        fleet.submit(VmId("a1"), { 1, trials, 9001, 1, Milliseconds(1) });
+        fleet.submit(VmId("a1"), { 2, WorkspaceId("nobody"), 1, 1, Milliseconds(1) });
+        const std::vector<ShareRefusal> expected { ShareRefusal::TooLarge, ShareRefusal::UnknownWorkspace };
+        CPPUNIT_ASSERT(expected == reasons);
+    }
+
+    void testLargeRequestGathersFromSeveralOwners()
+    {
+        ShareFleet fleet(4, makeSettings());
+        int granted = 0;
+        fleet.onGranted = [&](const FleetRequest&, Milliseconds) { ++granted; };
+        addToday(fleet);
+        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(40));
+        fleet.submit(VmId("v1"), { 1, trials, 8900, 8900, Milliseconds(10) });
+        fleet.runUntil(fleet.now() + Milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(1, granted);
+    }
+
+    void testNoIntervalSeesMoreThanTheLimits()
+    {
+        for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+            std::int64_t used = 0;
+            const std::int64_t worst = runRandomFaults(seed, used);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("excess with seed " + std::to_string(seed), std::int64_t { 0 }, worst);
+            CPPUNIT_ASSERT_MESSAGE("served too little with seed " + std::to_string(seed), used > 20'000);
+        }
+    }
+
+    /** Runs a fleet under more load than the limits allow while everything fails that may; returns the excess. */
+    static std::int64_t runRandomFaults(std::uint64_t seed, std::int64_t& used)
+    {
+        ShareFleet fleet(seed, makeSettings());
+        addToday(fleet);
+        ShareLimit limit { 300 + fleet.draw(700), 600 + fleet.draw(3000) };
+        fleet.publish(makeGovernance(1, limit.tokensPerSecond, limit.burstTokens), Milliseconds(500));
+        for (const WorkspaceId& workspace : { trials, mirrors })
+            fleet.observer.setLimit(workspace, Milliseconds(0), limit);
+        RevisionNumber revision = 1;
+        ShareLimit highest = limit;
+        fleet.onAdoptedEverywhere = [&](RevisionNumber adopted) {
+            if (adopted != revision || adopted == 1)
+                return;
+            highest = limit;
+            // The news reaches every VM within the second; from then on the new limits bind alone.
+            for (const WorkspaceId& workspace : { trials, mirrors })
+                fleet.observer.setLimit(workspace, fleet.now(), limit);
+        };
+        RequestId next = 0;
+        const Milliseconds end = Milliseconds::fromSeconds(180);
+        while (fleet.now() < end) {
+            offerLoad(fleet, limit, next);
+            if (fleet.draw(400) == 0)
+                causeFault(fleet);
+            if (fleet.draw(1500) == 0) {
+                limit = { 200 + fleet.draw(900), 500 + fleet.draw(3500) };
+                highest = { std::max(highest.tokensPerSecond, limit.tokensPerSecond),
+                    std::max(highest.burstTokens, limit.burstTokens) };
+                for (const WorkspaceId& workspace : { trials, mirrors })
+                    fleet.observer.setLimit(workspace, fleet.now(), highest);
+                fleet.publish(makeGovernance(++revision, limit.tokensPerSecond, limit.burstTokens), Milliseconds(3000));
+            }
+            fleet.runUntil(fleet.now() + Milliseconds(1 + fleet.draw(60)));
+        }
+        fleet.runUntil(end + Milliseconds::fromSeconds(10));
+        used = fleet.observer.getUsed(trials);
+        return std::max(fleet.observer.findWorstExcess(trials), fleet.observer.findWorstExcess(mirrors));
+    }
+
+    static void offerLoad(ShareFleet& fleet, const ShareLimit& limit, RequestId& next)
+    {
+        const std::vector<VmId> vms = fleet.getVms();
+        const VmId vm = vms[static_cast<std::size_t>(fleet.draw(static_cast<std::int64_t>(vms.size()) - 1))];
+        const std::int64_t reserved = 1 + fleet.draw(std::max<std::int64_t>(1, limit.burstTokens / 6));
+        const std::int64_t used = fleet.draw(3) == 0 ? reserved : fleet.draw(reserved);
+        const Milliseconds duration(fleet.draw(fleet.draw(4) == 0 ? 20000 : 800));
+        fleet.submit(vm, { ++next, fleet.draw(2) ? trials : mirrors, reserved, used, duration });
+    }
+
+    static void causeFault(ShareFleet& fleet)
+    {
+        const std::vector<VmId> vms = fleet.getVms();
+        const VmId vm = vms[static_cast<std::size_t>(fleet.draw(static_cast<std::int64_t>(vms.size()) - 1))];
+        const std::vector<RegionId> regions { RegionId("altiplano"), RegionId("oriente"), RegionId("verapaz") };
+        switch (fleet.draw(8)) {
+        case 0:
+            fleet.pause(vm, Milliseconds(fleet.draw(20000)));
+            break;
+        case 1:
+            fleet.kill(vm);
+            if (fleet.draw(1))
+                fleet.at(fleet.now() + Milliseconds(fleet.draw(4000)), [&fleet, vm] { fleet.unlist(vm); });
+            fleet.at(fleet.now() + Milliseconds(4000 + fleet.draw(15000)), [&fleet, vm] { fleet.start(vm); });
+            break;
+        case 2:
+            fleet.faults.cutRegions = { regions[static_cast<std::size_t>(fleet.draw(2))] };
+            break;
+        case 3:
+            fleet.faults.cutRegions = {};
+            fleet.faults.isStoreDown = false;
+            fleet.faults.isStoreOlder = false;
+            fleet.faults.loss = 0;
+            break;
+        case 4:
+            fleet.faults.isStoreDown = true;
+            break;
+        case 5:
+            fleet.faults.lostAnswers = 0.5;
+            break;
+        case 6:
+            fleet.faults.loss = 0.05;
+            fleet.faults.repeat = 0.2;
+            break;
+        case 7:
+            fleet.faults.jitter = Milliseconds(fleet.draw(400));
+            break;
+        default:
+            fleet.faults.isStoreOlder = !fleet.faults.isStoreOlder;
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ShareFleetTest);
+
+} // namespace papayashelf
