--- a/modules/configuration/storage/RevisionDigest.h
+++ b/modules/configuration/storage/RevisionDigest.h
@@ -2,13 +2,9 @@
 
 #include <map>
 #include <string>
-#include <string_view>
 
 namespace papayashelf {
 
-/** SHA-256 of the bytes in lower-case hexadecimal. Thread safety: any thread. */
-std::string sha256Hex(std::string_view bytes);
-
 /**
     The digest of a revision: SHA-256 over its sorted documents, each path and body preceded by its length.
 
--- a/modules/configuration/storage/StoredRevision.cpp
+++ b/modules/configuration/storage/StoredRevision.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/storage/RevisionDigest.h"
 #include "configuration/storage/StoredJson.h"
+#include "foundation/hashing/Sha256.h"
 #include "foundation/hashing/StableHash.h"
 #include "platform/store/StoreCall.h"
 
--- a/tests/configuration/StorageTest.cpp
+++ b/tests/configuration/StorageTest.cpp
@@ -1,4 +1,5 @@
 #include "configuration/configuration.h"
+#include "foundation/hashing/Sha256.h"
 #include "platform/store/StoreCall.h"
 
 #include <cppunit/extensions/HelperMacros.h>
