--- a/modules/shares/epochs/EpochKeeper.cpp
+++ b/modules/shares/epochs/EpochKeeper.cpp
@@ -2,7 +2,6 @@
 
 #include "foundation/hashing/StableHash.h"
 #include <algorithm>
-#include <set>
 
 namespace papayashelf {
 
@@ -60,7 +59,12 @@
     EpochOutput output;
     this->learn(message.epoch, output);
     if (message.epoch.region == this->region) {
-        const ShareEpochAdopted reply { this->region, this->getAdoptedEpoch(), this->self.incarnation };
+        ShareEpochAdopted reply { this->region, this->getAdoptedEpoch(), this->self.incarnation, {} };
+        // A holder that the asker can't reach may have told this VM.
+        for (const auto& [holder, epoch] : this->adopted) {
+            if (!this->isReleased && epoch != releasedShareEpoch && epoch >= reply.epoch)
+                reply.others.push_back(holder);
+        }
         output.actions.sends.push_back({ from, reply });
     }
     return output;
@@ -71,9 +75,13 @@
     EpochOutput output;
     if (message.region != this->region)
         return output;
-    const ShareHolder holder { from, message.incarnation };
-    this->adopted[holder] = std::max(this->adopted[holder], message.epoch);
-    output.adoptions.emplace_back(holder, message.epoch);
+    output.adoptions.emplace_back(ShareHolder { from, message.incarnation }, message.epoch);
+    if (message.epoch != releasedShareEpoch) {
+        for (const ShareHolder& other : message.others)
+            output.adoptions.emplace_back(other, message.epoch);
+    }
+    for (const auto& [holder, epoch] : output.adoptions)
+        this->adopted[holder] = std::max(this->adopted[holder], epoch);
     if (message.epoch == releasedShareEpoch)
         return output;
     this->seenEpoch = std::max(this->seenEpoch, message.epoch);
@@ -146,8 +154,7 @@
     for (const ShareHolder& holder : awaited)
         asked.insert(holder.vm);
     if (this->isLeader(now)) {
-        for (const ShareHolder& holder : this->getUnadopted())
-            asked.insert(holder.vm);
+        this->askForAdoptions(asked);
         this->propose(now, output);
     }
     if (const ShareEpoch* current = this->getCurrent()) {
@@ -180,7 +187,7 @@
     for (const ShareHolder& holder : current->holders) {
         if (holder.vm != this->self.vm)
             output.actions.sends.push_back(
-                { holder.vm, ShareEpochAdopted { this->region, releasedShareEpoch, this->self.incarnation } });
+                { holder.vm, ShareEpochAdopted { this->region, releasedShareEpoch, this->self.incarnation, {} } });
     }
 }
 
@@ -254,6 +261,17 @@
     return unadopted;
 }
 
+void EpochKeeper::askForAdoptions(std::set<VmId>& asked)
+{
+    const std::vector<ShareHolder> unadopted = this->getUnadopted();
+    for (const ShareHolder& holder : unadopted)
+        asked.insert(holder.vm);
+    if (unadopted.empty())
+        return;
+    for (const VmId& vm : this->pickLiveVms(this->settings.epochFanout))
+        asked.insert(vm);
+}
+
 void EpochKeeper::propose(Milliseconds now, EpochOutput& output)
 {
     if (this->pendingCall != 0 && now - this->pendingSince >= storeReplyLimit) {
@@ -324,7 +342,7 @@
         return std::none_of(epoch.holders.begin(), epoch.holders.end(),
             [&](const ShareHolder& holder) { return holder.vm == entry.first; });
     });
-    const ShareEpochAdopted adoption { this->region, this->getAdoptedEpoch(), this->self.incarnation };
+    const ShareEpochAdopted adoption { this->region, this->getAdoptedEpoch(), this->self.incarnation, {} };
     for (const ShareHolder& holder : concerned) {
         if (holder.vm != this->self.vm)
             output.actions.sends.push_back({ holder.vm, adoption });
--- a/modules/shares/epochs/EpochKeeper.h
+++ b/modules/shares/epochs/EpochKeeper.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace papayashelf {
@@ -68,6 +69,7 @@
     std::vector<ShareHolder> computeHolders(Milliseconds now) const;
     std::vector<ShareHolder> getUnadopted() const;
     void announceRelease(EpochOutput& output) const;
+    void askForAdoptions(std::set<VmId>& asked);
     void propose(Milliseconds now, EpochOutput& output);
     void callStore(Milliseconds now, StoreRequest request, EpochOutput& output);
     void handleRead(Milliseconds now, const StoreEntry& entry, EpochOutput& output);
--- a/modules/shares/messages/ShareMessages.h
+++ b/modules/shares/messages/ShareMessages.h
@@ -65,6 +65,7 @@
     RegionId region;
     std::uint64_t epoch = 0; /**< releasedShareEpoch when the sender owns nothing any more. */
     Incarnation incarnation = 0;
+    std::vector<ShareHolder> others; /**< Others that are known to have adopted the same epoch; in replies only. */
 
     bool operator==(const ShareEpochAdopted&) const = default;
 };
--- a/tests/shares/ShareFleet.h
+++ b/tests/shares/ShareFleet.h
@@ -84,6 +84,8 @@
     double lostAnswers = 0; /**< Part of the store's writes that take effect and answer "unknown". */
     bool isStoreOlder = false; /**< Reads answer with the first value that a key ever had. */
     std::set<RegionId> cutRegions; /**< Reach neither the other regions nor the store. */
+    std::set<VmId> cutVms; /**< Reach no other VM and not the store, but still serve callers. */
+    Milliseconds wideDelay { 30 }; /**< One way between regions. */
 };
 
 /** One request of a trace. */
@@ -251,21 +253,25 @@
 
     static constexpr Milliseconds housekeepingPeriod { 250 };
     static constexpr Milliseconds regionDelay { 1 };
-    static constexpr Milliseconds wideDelay { 30 };
     static constexpr Milliseconds storeDelay { 5 };
 
     bool isPaused(const Node& node) const { return node.pausedUntil > this->time; }
 
-    bool canReach(const RegionId& from, const RegionId& to) const
+    bool canReach(const Node& from, const Node& to) const
     {
-        return from == to || (!this->faults.cutRegions.contains(from) && !this->faults.cutRegions.contains(to));
+        if (this->faults.cutVms.contains(from.vm) || this->faults.cutVms.contains(to.vm))
+            return from.vm == to.vm;
+        return from.region == to.region
+            || (!this->faults.cutRegions.contains(from.region) && !this->faults.cutRegions.contains(to.region));
     }
 
-    bool canReachStore(const Node& node) const
+    bool isCutOff(const Node& node) const
     {
-        return !this->faults.isStoreDown && !this->faults.cutRegions.contains(node.region);
+        return this->faults.cutRegions.contains(node.region) || this->faults.cutVms.contains(node.vm);
     }
 
+    bool canReachStore(const Node& node) const { return !this->faults.isStoreDown && !this->isCutOff(node); }
+
     void schedule(const VmId& vm)
     {
         Node& node = this->nodes.at(vm);
@@ -344,11 +350,11 @@
             return;
         ++this->messages;
         this->bytes += estimateBytes(sent.message);
-        if (!this->canReach(from.region, target->second.region) || this->happens(this->faults.loss))
+        if (!this->canReach(from, target->second) || this->happens(this->faults.loss))
             return;
         const int copies = this->happens(this->faults.repeat) ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
-            const Milliseconds base = from.region == target->second.region ? regionDelay : wideDelay;
+            const Milliseconds base = from.region == target->second.region ? regionDelay : this->faults.wideDelay;
             const Milliseconds delay = base + Milliseconds(this->draw(this->faults.jitter.count()));
             this->at(this->time + delay, [this, sender = from.vm, sent] { this->deliver(sender, sent); });
         }
@@ -418,8 +424,7 @@
                 continue;
             std::vector<ShareMember> members;
             for (const auto& [other, member] : this->nodes) {
-                const bool isLive = member.isAlive && !this->isPaused(member)
-                    && this->canReach(node.region, member.region)
+                const bool isLive = member.isAlive && !this->isPaused(member) && this->canReach(node, member)
                     && member.ledger->getShareEpoch() != releasedShareEpoch;
                 // A VM whose process is gone stays in the table with the incarnation that was last seen.
                 members.push_back({ other, member.incarnation, member.region, isLive });
@@ -448,7 +453,7 @@
                 continue;
             if (this->canReachStore(node))
                 this->perform(vm, node.ledger->setVmList(this->time + node.offset, list));
-            if (!everywhere.empty() && this->faults.cutRegions.empty())
+            if (!everywhere.empty() && this->faults.cutRegions.empty() && this->faults.cutVms.empty())
                 this->perform(
                     vm, node.ledger->setRevisionAdoptedEverywhere(this->time + node.offset, *everywhere.rbegin()));
         }
@@ -464,7 +469,7 @@
         const Node& node = this->nodes.at(vm);
         if (!node.isAlive)
             return;
-        if (this->isPaused(node) || this->faults.cutRegions.contains(node.region)) {
+        if (this->isPaused(node) || this->isCutOff(node)) {
             this->at(this->time + Milliseconds::fromSeconds(1), [this, vm, next] { this->reachAndAdopt(vm, next); });
             return;
         }
--- a/tests/shares/ShareFleetTest.cpp
+++ b/tests/shares/ShareFleetTest.cpp
@@ -45,11 +45,121 @@
     CPPUNIT_TEST_SUITE(ShareFleetTest);
     CPPUNIT_TEST(testQuietFleetAdmitsWhatTheLimitsAllow);
     CPPUNIT_TEST(testNoIntervalSeesMoreThanTheLimits);
+    CPPUNIT_TEST(testNewOwnerWaitsForTheOldOne);
+    CPPUNIT_TEST(testPausedHolderKeepsItsPartUntilItIsProvenDead);
+    CPPUNIT_TEST(testLateGrantIsNotUsed);
+    CPPUNIT_TEST(testChangedWeightsWaitForEveryVm);
     CPPUNIT_TEST(testCutOffRegionGoesOnWithWhatItOwns);
     CPPUNIT_TEST(testTooLargeAndUnknownAreRefusedAtOnce);
     CPPUNIT_TEST(testLargeRequestGathersFromSeveralOwners);
     CPPUNIT_TEST_SUITE_END();
 
+    /** Has every VM spend all that it can get, at once. */
+    static void drainEverywhere(ShareFleet& fleet, RequestId& next, std::int64_t tokens)
+    {
+        for (int round = 0; round < 60; ++round) {
+            for (const VmId& vm : fleet.getVms())
+                fleet.submit(vm, { ++next, trials, tokens, tokens, Milliseconds(10), Milliseconds(20) });
+        }
+        fleet.runUntil(fleet.now() + Milliseconds(700));
+    }
+
+    void testNewOwnerWaitsForTheOldOne()
+    {
+        ShareFleet fleet(5, makeSettings());
+        RequestId next = 0;
+        fleet.observer.setLimit(trials, Milliseconds(0), { 900, 9000 });
+        addToday(fleet);
+        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(60));
+        // The cut-off owner never learns that two more VMs share the region's part, and goes on spending.
+        fleet.faults.cutVms = { VmId("v1") };
+        for (const char* vm : { "v3", "v4", "v5" })
+            fleet.addVm(vm, "verapaz");
+        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(120));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 2 }, fleet.getLedger(VmId("v2")).getShareEpoch());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, fleet.getLedger(VmId("v1")).getShareEpoch());
+        drainEverywhere(fleet, next, 100);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+
+        // Once it is proven dead, what it owned fills again elsewhere.
+        fleet.kill(VmId("v1"));
+        fleet.unlist(VmId("v1"));
+        fleet.faults.cutVms = {};
+        fleet.runUntil(Milliseconds::fromSeconds(200));
+        const std::int64_t before = fleet.observer.getUsed(trials);
+        drainEverywhere(fleet, next, 100);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 3 }, fleet.getLedger(VmId("v2")).getShareEpoch());
+        CPPUNIT_ASSERT(fleet.observer.getUsed(trials) - before > 8500);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+    }
+
+    void testPausedHolderKeepsItsPartUntilItIsProvenDead()
+    {
+        ShareFleet fleet(6, makeSettings());
+        RequestId next = 0;
+        fleet.observer.setLimit(trials, Milliseconds(0), { 900, 9000 });
+        addToday(fleet);
+        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(60));
+        fleet.pause(VmId("a1"), Milliseconds::fromSeconds(300));
+        // Handed over before any later message, so that it acts on these first when it wakes.
+        for (int index = 0; index < 40; ++index)
+            fleet.submit(VmId("a1"), { ++next, trials, 50, 50, Milliseconds(10) });
+        fleet.runUntil(Milliseconds::fromSeconds(359) + Milliseconds(990));
+        drainEverywhere(fleet, next, 100);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, fleet.getLedger(VmId("a2")).getShareEpoch());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+    }
+
+    void testLateGrantIsNotUsed()
+    {
+        ShareFleet fleet(7, makeSettings());
+        RequestId next = 0;
+        fleet.observer.setLimit(trials, Milliseconds(0), { 900, 9000 });
+        addToday(fleet);
+        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(60));
+        // Grants arrive after their place in the giver's bucket has long been filled again.
+        fleet.faults.wideDelay = Milliseconds(9000);
+        fleet.submit(VmId("v1"), { ++next, trials, 8900, 8900, Milliseconds(10) });
+        fleet.runUntil(Milliseconds(77'990));
+        for (int round = 0; round < 40; ++round) {
+            for (const VmId& vm : fleet.getVms())
+                fleet.submit(vm, { ++next, trials, 50, 50, Milliseconds(10) });
+        }
+        fleet.runUntil(Milliseconds(78'100));
+        drainEverywhere(fleet, next, 100);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+    }
+
+    void testChangedWeightsWaitForEveryVm()
+    {
+        ShareFleet fleet(8, makeSettings());
+        RequestId next = 0;
+        fleet.observer.setLimit(trials, Milliseconds(0), { 900, 9000 });
+        addToday(fleet);
+        const auto old = makeGovernance(1, 900, 9000);
+        old->workspaces[trials].shareWeights = { { RegionId("altiplano"), 1 } };
+        fleet.publish(old, Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(60));
+        // Altiplano goes on with the old weights, by which it owns everything.
+        fleet.faults.cutRegions = { RegionId("altiplano") };
+        const auto changed = makeGovernance(2, 900, 9000);
+        changed->workspaces[trials].shareWeights = { { RegionId("verapaz"), 1 } };
+        fleet.publish(changed, Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(120));
+        drainEverywhere(fleet, next, 100);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+        fleet.faults.cutRegions = {};
+        fleet.runUntil(Milliseconds::fromSeconds(180));
+        const std::int64_t before = fleet.observer.getUsed(trials);
+        drainEverywhere(fleet, next, 100);
+        CPPUNIT_ASSERT(fleet.observer.getUsed(trials) - before > 8500);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+    }
+
     void testQuietFleetAdmitsWhatTheLimitsAllow()
     {
         ShareFleet fleet(1, makeSettings());
@@ -170,7 +280,17 @@
     static void offerLoad(ShareFleet& fleet, const ShareLimit& limit, RequestId& next)
     {
         const std::vector<VmId> vms = fleet.getVms();
-        const VmId vm = vms[static_cast<std::size_t>(fleet.draw(static_cast<std::int64_t>(vms.size()) - 1))];
+        const VmId& vm = vms[static_cast<std::size_t>(fleet.draw(static_cast<std::int64_t>(vms.size()) - 1))];
+        // Quiet times let every bucket fill, so that what is owned twice can be spent twice.
+        const bool isQuiet = fleet.now().count() / 12'000 % 2 == 0;
+        if (isQuiet && fleet.draw(9) != 0)
+            return;
+        if (!isQuiet && fleet.draw(60) == 0) {
+            const std::int64_t tokens = std::max<std::int64_t>(1, limit.burstTokens / 60);
+            for (int index = 0; index < 140; ++index)
+                fleet.submit(vms[static_cast<std::size_t>(index) % vms.size()],
+                    { ++next, trials, tokens, tokens, Milliseconds(10), Milliseconds(300) });
+        }
         const std::int64_t reserved = 1 + fleet.draw(std::max<std::int64_t>(1, limit.burstTokens / 6));
         const std::int64_t used = fleet.draw(3) == 0 ? reserved : fleet.draw(reserved);
         const Milliseconds duration(fleet.draw(fleet.draw(4) == 0 ? 20000 : 800));
@@ -180,7 +300,7 @@
     static void causeFault(ShareFleet& fleet)
     {
         const std::vector<VmId> vms = fleet.getVms();
-        const VmId vm = vms[static_cast<std::size_t>(fleet.draw(static_cast<std::int64_t>(vms.size()) - 1))];
+        const VmId& vm = vms[static_cast<std::size_t>(fleet.draw(static_cast<std::int64_t>(vms.size()) - 1))];
         const std::vector<RegionId> regions { RegionId("altiplano"), RegionId("oriente"), RegionId("verapaz") };
         switch (fleet.draw(8)) {
         case 0:
