--- a/tests/shares/ShareFleet.h
+++ b/tests/shares/ShareFleet.h
@@ -300,7 +300,7 @@
         this->perform(vm, node.ledger->tick(this->time + node.offset));
     }
 
-    void perform(const VmId& vm, ShareOutput output)
+    void perform(const VmId& vm, const ShareOutput& output)
     {
         Node& node = this->nodes.at(vm);
         for (const ReservationGranted& granted : output.granted)
@@ -310,7 +310,7 @@
                 this->onRefused(this->requests.at(refused.request), refused);
             this->requests.erase(refused.request);
         }
-        for (auto& send : output.sends)
+        for (const auto& send : output.sends)
             this->send(node, send);
         for (const StoreCall& call : output.storeCalls)
             this->callStore(vm, call);
@@ -448,19 +448,21 @@
                 continue;
             std::erase_if(everywhere, [&node = node](RevisionNumber n) { return !node.hadRevisions.contains(n); });
         }
+        // Nothing new is learnt of VMs that are cut off.
+        const bool isWhole = this->faults.cutRegions.empty() && this->faults.cutVms.empty();
+        if (isWhole && !everywhere.empty() && *everywhere.rbegin() > this->adoptedEverywhere) {
+            this->adoptedEverywhere = *everywhere.rbegin();
+            if (this->onAdoptedEverywhere)
+                this->onAdoptedEverywhere(this->adoptedEverywhere);
+        }
         for (const auto& [vm, node] : this->nodes) {
             if (!node.isAlive || this->isPaused(node))
                 continue;
             if (this->canReachStore(node))
                 this->perform(vm, node.ledger->setVmList(this->time + node.offset, list));
-            if (!everywhere.empty() && this->faults.cutRegions.empty() && this->faults.cutVms.empty())
+            if (this->adoptedEverywhere > 0)
                 this->perform(
-                    vm, node.ledger->setRevisionAdoptedEverywhere(this->time + node.offset, *everywhere.rbegin()));
-        }
-        if (!everywhere.empty() && *everywhere.rbegin() > this->adoptedEverywhere) {
-            this->adoptedEverywhere = *everywhere.rbegin();
-            if (this->onAdoptedEverywhere)
-                this->onAdoptedEverywhere(this->adoptedEverywhere);
+                    vm, node.ledger->setRevisionAdoptedEverywhere(this->time + node.offset, this->adoptedEverywhere));
         }
     }
 
--- a/tests/shares/ShareFleetTest.cpp
+++ b/tests/shares/ShareFleetTest.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(testNewOwnerWaitsForTheOldOne);
     CPPUNIT_TEST(testPausedHolderKeepsItsPartUntilItIsProvenDead);
     CPPUNIT_TEST(testLateGrantIsNotUsed);
+    CPPUNIT_TEST(testRepeatedReturnCountsOnce);
     CPPUNIT_TEST(testChangedWeightsWaitForEveryVm);
     CPPUNIT_TEST(testCutOffRegionGoesOnWithWhatItOwns);
     CPPUNIT_TEST(testTooLargeAndUnknownAreRefusedAtOnce);
@@ -74,12 +75,14 @@
         fleet.runUntil(Milliseconds::fromSeconds(60));
         // The cut-off owner never learns that two more VMs share the region's part, and goes on spending.
         fleet.faults.cutVms = { VmId("v1") };
-        for (const char* vm : { "v3", "v4", "v5" })
+        for (const char* vm : { "v3", "v4", "v5", "v6", "v7", "v8" })
             fleet.addVm(vm, "verapaz");
         fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
         fleet.runUntil(Milliseconds::fromSeconds(120));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 2 }, fleet.getLedger(VmId("v2")).getShareEpoch());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, fleet.getLedger(VmId("v1")).getShareEpoch());
+        const std::vector<VmId> owners = fleet.getLedger(VmId("v2")).getOwners(trials);
+        CPPUNIT_ASSERT(std::find(owners.begin(), owners.end(), VmId("v1")) == owners.end());
         drainEverywhere(fleet, next, 100);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
 
@@ -117,21 +120,48 @@
     {
         ShareFleet fleet(7, makeSettings());
         RequestId next = 0;
-        fleet.observer.setLimit(trials, Milliseconds(0), { 900, 9000 });
+        fleet.observer.setLimit(trials, Milliseconds(0), { 3000, 9000 });
         addToday(fleet);
-        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
+        fleet.publish(makeGovernance(1, 3000, 9000), Milliseconds(0));
         fleet.runUntil(Milliseconds::fromSeconds(60));
         // Grants arrive after their place in the giver's bucket has long been filled again.
-        fleet.faults.wideDelay = Milliseconds(9000);
+        fleet.faults.wideDelay = Milliseconds(4000);
         fleet.submit(VmId("v1"), { ++next, trials, 8900, 8900, Milliseconds(10) });
-        fleet.runUntil(Milliseconds(77'990));
+        fleet.runUntil(Milliseconds(67'990));
+        drainAtOnce(fleet, next);
+        fleet.runUntil(Milliseconds(68'100));
+        drainAtOnce(fleet, next);
+        fleet.runUntil(Milliseconds(69'000));
+        CPPUNIT_ASSERT(fleet.observer.getUsed(trials) >= 9000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+    }
+
+    void testRepeatedReturnCountsOnce()
+    {
+        ShareFleet fleet(9, makeSettings());
+        RequestId next = 0;
+        fleet.observer.setLimit(trials, Milliseconds(0), { 900, 9000 });
+        addToday(fleet);
+        fleet.publish(makeGovernance(1, 900, 9000), Milliseconds(0));
+        fleet.runUntil(Milliseconds::fromSeconds(60));
+        fleet.faults.repeat = 1;
+        // Each giver lends to both kinds; what comes back twice must not make up for what was used.
+        for (int index = 0; index < 40; ++index)
+            fleet.submit(VmId("v1"), { ++next, trials, 200, index % 2 ? 200 : 0, Milliseconds(1000) });
+        fleet.runUntil(Milliseconds(61'500));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 4000 }, fleet.observer.getUsed(trials));
+        drainAtOnce(fleet, next);
+        fleet.runUntil(Milliseconds::fromSeconds(70));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+    }
+
+    /** Has every VM spend what it owns, within the millisecond. */
+    static void drainAtOnce(ShareFleet& fleet, RequestId& next)
+    {
         for (int round = 0; round < 40; ++round) {
             for (const VmId& vm : fleet.getVms())
-                fleet.submit(vm, { ++next, trials, 50, 50, Milliseconds(10) });
+                fleet.submit(vm, { ++next, trials, 50, 50, Milliseconds(10), Milliseconds(500) });
         }
-        fleet.runUntil(Milliseconds(78'100));
-        drainEverywhere(fleet, next, 100);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
     }
 
     void testChangedWeightsWaitForEveryVm()
