--- /dev/null
+++ b/tests/configuration/WithdrawalSetTest.cpp
@@ -0,0 +1,241 @@
+#include "ControlNode.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace papayashelf {
+
+class WithdrawalSetTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(WithdrawalSetTest);
+    CPPUNIT_TEST(testWithdrawalReachesEveryVmInTime);
+    CPPUNIT_TEST(testOperatorIsToldWhichRegionsAreReached);
+    CPPUNIT_TEST(testCutOffRegionIsToldAndCatchesUp);
+    CPPUNIT_TEST(testStoreKeepsItForTheNextVms);
+    CPPUNIT_TEST(testRacingWatchersAndLostAnswersLoseNothing);
+    CPPUNIT_TEST(testWithdrawalInTheStoreReachesAll);
+    CPPUNIT_TEST(testUnknownSchemaIsNotWrittenOver);
+    CPPUNIT_TEST(testNewVmLearnsTheSetFromPeers);
+    CPPUNIT_TEST(testEntryIsDroppedOnlyByALaterRevisionWithoutTheKey);
+    CPPUNIT_TEST(testDigestDependsOnEntriesOnly);
+    CPPUNIT_TEST(testLargeSetIsSentInPieces);
+    CPPUNIT_TEST_SUITE_END();
+
+    // "Stops working within seconds."
+    static constexpr Milliseconds withdrawnWithin = Milliseconds::fromSeconds(3);
+
+    static Milliseconds seconds(std::int64_t count) { return Milliseconds::fromSeconds(count); }
+
+    static bool allRefuse(ControlCluster& cluster, const KeyDigest& key)
+    {
+        return cluster.all([&](const VmId&, ControlNode& node) { return node.withdrawals.isWithdrawn(key); });
+    }
+
+    static void withdrawAt(ControlCluster& cluster, const VmId& vm, const KeyDigest& key)
+    {
+        cluster.send(vm, cluster.at(vm).withdraw(cluster.now(), key));
+    }
+
+    static std::vector<Withdrawal> storedIn(const TestStore& store)
+    {
+        const StoreEntry entry = store.get(std::string(withdrawalsKey));
+        return entry.version == 0 ? std::vector<Withdrawal> {} : decodeWithdrawals(entry.value).value();
+    }
+
+    static std::shared_ptr<const Governance> makeGovernance(RevisionNumber number, const std::set<KeyDigest>& keys)
+    {
+        Governance governance;
+        governance.revision = number;
+        for (const KeyDigest& key : keys)
+            governance.keys[key] = { key, WorkspaceId("w") };
+        return std::make_shared<const Governance>(std::move(governance));
+    }
+
+    void testWithdrawalReachesEveryVmInTime()
+    {
+        ControlCluster cluster(320, 1);
+        cluster.store.publish(makeTestRevision(1));
+        CPPUNIT_ASSERT(cluster.settle(1));
+        cluster.store.isDown = true;
+        cluster.setLoss(0.2);
+        const KeyDigest key("aa");
+        withdrawAt(cluster, cluster.members[17].vm, key);
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return allRefuse(cluster, key); }, withdrawnWithin));
+        cluster.runFor(seconds(10));
+        for (const auto& [vm, node] : cluster.getNodes())
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, node->withdrawn.size());
+    }
+
+    void testOperatorIsToldWhichRegionsAreReached()
+    {
+        ControlCluster cluster(30, 2);
+        cluster.store.publish(makeTestRevision(1));
+        CPPUNIT_ASSERT(cluster.settle(1));
+        const KeyDigest key("aa");
+        const VmId entry = cluster.members[0].vm;
+        withdrawAt(cluster, entry, key);
+        cluster.runFor(withdrawnWithin);
+        const auto reaches = cluster.at(entry).withdrawals.getReach(key);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, reaches.size());
+        for (const RegionReach& reach : reaches)
+            CPPUNIT_ASSERT(reach.isReached() && reach.confirmed <= reach.members);
+        CPPUNIT_ASSERT(cluster.at(entry).withdrawals.getReach(KeyDigest("bb")).empty());
+    }
+
+    void testCutOffRegionIsToldAndCatchesUp()
+    {
+        ControlCluster cluster(30, 3);
+        cluster.store.publish(makeTestRevision(1));
+        CPPUNIT_ASSERT(cluster.settle(1));
+        const RegionId cutOff("verapaz");
+        cluster.store.isDown = true;
+        cluster.setCut([&](const VmId& from, const VmId& to) {
+            return (cluster.regionOf(from) == cutOff) != (cluster.regionOf(to) == cutOff);
+        });
+        const KeyDigest key("aa");
+        const VmId entry = cluster.members[0].vm;
+        withdrawAt(cluster, entry, key);
+        cluster.runFor(withdrawnWithin);
+        for (const Member& member : cluster.members)
+            CPPUNIT_ASSERT_EQUAL(member.region != cutOff, cluster.at(member.vm).withdrawals.isWithdrawn(key));
+        for (const RegionReach& reach : cluster.at(entry).withdrawals.getReach(key))
+            CPPUNIT_ASSERT_EQUAL(reach.region != cutOff, reach.isReached());
+        cluster.setCut({});
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return allRefuse(cluster, key); }, withdrawnWithin));
+        cluster.runFor(seconds(3));
+        for (const RegionReach& reach : cluster.at(entry).withdrawals.getReach(key))
+            CPPUNIT_ASSERT(reach.isReached());
+    }
+
+    void testStoreKeepsItForTheNextVms()
+    {
+        const KeyDigest key("aa");
+        ControlCluster first(8, 4);
+        first.store.publish(makeTestRevision(1));
+        CPPUNIT_ASSERT(first.settle(1));
+        withdrawAt(first, first.members[2].vm, key);
+        first.runFor(seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, storedIn(first.store).size());
+
+        ControlCluster second(8, 5);
+        second.store.entries = first.store.entries;
+        CPPUNIT_ASSERT(second.runUntil([&] { return allRefuse(second, key); }, seconds(10)));
+    }
+
+    void testRacingWatchersAndLostAnswersLoseNothing()
+    {
+        ControlCluster cluster(12, 6);
+        cluster.store.publish(makeTestRevision(1));
+        CPPUNIT_ASSERT(cluster.settle(1));
+        cluster.store.losesWriteAnswers = true;
+        // Two halves that don't hear one another both write to the store.
+        cluster.setCut(
+            [&](const VmId& from, const VmId& to) { return (from.string() < "vm-3") != (to.string() < "vm-3"); });
+        std::set<KeyDigest> keys;
+        for (std::size_t index = 0; index < cluster.members.size(); ++index) {
+            keys.insert(KeyDigest("key-" + std::to_string(index)));
+            withdrawAt(cluster, cluster.members[index].vm, KeyDigest("key-" + std::to_string(index)));
+        }
+        cluster.runFor(seconds(60));
+        cluster.store.losesWriteAnswers = false;
+        cluster.setCut({});
+        cluster.runFor(seconds(10));
+        std::set<KeyDigest> stored;
+        for (const Withdrawal& withdrawal : storedIn(cluster.store))
+            stored.insert(withdrawal.key);
+        CPPUNIT_ASSERT(stored == keys);
+        for (const KeyDigest& key : keys)
+            CPPUNIT_ASSERT(allRefuse(cluster, key));
+    }
+
+    void testWithdrawalInTheStoreReachesAll()
+    {
+        ControlCluster cluster(8, 7);
+        cluster.store.publish(makeTestRevision(1));
+        CPPUNIT_ASSERT(cluster.settle(1));
+        const KeyDigest key("aa");
+        cluster.store.put(std::string(withdrawalsKey), encodeWithdrawals({ { key, 1 } }).value());
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return allRefuse(cluster, key); }, withdrawnWithin));
+    }
+
+    void testUnknownSchemaIsNotWrittenOver()
+    {
+        ControlCluster cluster(4, 8);
+        const std::string later = R"({"schema_version":2,"withdrawals":[]})";
+        cluster.store.put(std::string(withdrawalsKey), later);
+        cluster.store.publish(makeTestRevision(1));
+        CPPUNIT_ASSERT(cluster.settle(1));
+        withdrawAt(cluster, cluster.members[0].vm, KeyDigest("aa"));
+        cluster.runFor(seconds(30));
+        CPPUNIT_ASSERT(allRefuse(cluster, KeyDigest("aa")));
+        CPPUNIT_ASSERT_EQUAL(later, cluster.store.get(std::string(withdrawalsKey)).value);
+    }
+
+    void testNewVmLearnsTheSetFromPeers()
+    {
+        ControlCluster cluster(8, 9);
+        cluster.store.publish(makeTestRevision(1));
+        CPPUNIT_ASSERT(cluster.settle(1));
+        cluster.store.isSilent = true;
+        withdrawAt(cluster, cluster.members[0].vm, KeyDigest("aa"));
+        cluster.runFor(seconds(3));
+        Member reborn = cluster.members[5];
+        cluster.crash(reborn.vm);
+        reborn.incarnation = 2;
+        ControlNode& node = cluster.start(reborn);
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return node.withdrawals.isWithdrawn(KeyDigest("aa")); }, seconds(6)));
+    }
+
+    void testEntryIsDroppedOnlyByALaterRevisionWithoutTheKey()
+    {
+        const KeyDigest key("aa");
+        const RevisionNumber kept = ConfigurationSettings {}.withdrawalRevisions;
+        WithdrawalTable table(kept);
+        CPPUNIT_ASSERT(table.add({ key, 5 }));
+        CPPUNIT_ASSERT(!table.add({ key, 4 }));
+        table.setGovernance(makeGovernance(5 + kept - 1, {}));
+        CPPUNIT_ASSERT(table.contains(key));
+        table.setGovernance(makeGovernance(5 + kept, { key }));
+        CPPUNIT_ASSERT(table.contains(key));
+        table.setGovernance(makeGovernance(5 + kept, {}));
+        CPPUNIT_ASSERT(!table.contains(key));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, table.getDigest());
+        // A VM that still holds it does not bring it back, so that both agree in the end.
+        CPPUNIT_ASSERT(!table.add({ key, 5 }));
+    }
+
+    void testDigestDependsOnEntriesOnly()
+    {
+        WithdrawalTable one(10);
+        WithdrawalTable other(10);
+        one.add({ KeyDigest("aa"), 1 });
+        one.add({ KeyDigest("bb"), 2 });
+        other.add({ KeyDigest("bb"), 2 });
+        CPPUNIT_ASSERT(one.getDigest() != other.getDigest());
+        other.add({ KeyDigest("aa"), 0 });
+        CPPUNIT_ASSERT(one.getDigest() != other.getDigest());
+        other.add({ KeyDigest("aa"), 1 });
+        CPPUNIT_ASSERT_EQUAL(one.getDigest(), other.getDigest());
+    }
+
+    void testLargeSetIsSentInPieces()
+    {
+        const ConfigurationSettings settings;
+        WithdrawalSet one(VmId("one"), settings, 1);
+        WithdrawalSet other(VmId("other"), settings, 2);
+        std::vector<Withdrawal> many;
+        for (int index = 0; index < 6000; ++index)
+            many.push_back({ KeyDigest("key-" + std::to_string(index)), 1 });
+        one.setMembers({ VmId("other") }, {});
+        other.setMembers({ VmId("one") }, {});
+        one.handleNotice(seconds(1), { many, false }, VmId("other"));
+        one.handleHeartbeat(seconds(2), other.getDigest(), VmId("other"));
+        const auto output = one.handleHeartbeat(seconds(3), other.getDigest(), VmId("other"));
+        CPPUNIT_ASSERT(output.sends.size() > 1);
+        for (const auto& addressed : output.sends)
+            other.handleNotice(seconds(3), std::get<WithdrawalNotice>(addressed.message), VmId("one"));
+        CPPUNIT_ASSERT_EQUAL(one.getDigest(), other.getDigest());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WithdrawalSetTest);
+
+} // namespace papayashelf
--- a/tests/membership/MembershipNode.h
+++ b/tests/membership/MembershipNode.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "membership/VirtualCluster.h"
+#include "VirtualCluster.h"
 #include "membership/membership.h"
 #include <algorithm>
 #include <memory>
