--- a/modules/settings/reading/TableReader.cpp
+++ b/modules/settings/reading/TableReader.cpp
@@ -54,6 +54,14 @@
     return member ? member->value.position : this->node->position;
 }
 
+std::map<std::string, Position, std::less<>> TableReader::positions() const
+{
+    std::map<std::string, Position, std::less<>> places;
+    for (const ConfigMember& member : std::get<ConfigNode::Table>(this->node->value))
+        places.emplace(member.name, member.value.position);
+    return places;
+}
+
 void TableReader::report(Position position, std::string found, std::string allowed)
 {
     this->faults->push_back({ this->file, position, std::move(found), std::move(allowed) });
--- a/modules/settings/reading/TableReader.h
+++ b/modules/settings/reading/TableReader.h
@@ -2,6 +2,7 @@
 
 #include "settings/reading/ConfigNode.h"
 #include "settings/reading/FieldRules.h"
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -79,6 +80,9 @@
     /** Where the field's value stands, or the table itself if there is none. */
     Position positionOf(std::string_view name) const;
 
+    /** Where the value of each field stands. */
+    std::map<std::string, Position, std::less<>> positions() const;
+
     /** Notes a fault that only the caller can see. */
     void report(Position position, std::string found, std::string allowed);
 
