Serve callers over HTTP and talk to upstreams for them

The entrance now reads requests, reports them, and does what the decision thread directs: attempts at upstreams of the region, relays, refusals. One I/O thread owns a request from its first byte to its last, so that no piece of an answer crosses threads and a slow caller holds back its upstream.

--- /dev/null
+++ b/modules/entrance/exchange/AttemptSource.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "dispatch/messages/RequestMessages.h"
+#include "entrance/relay/RelayExchange.h"
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace papayashelf {
+
+/** What came of opening a source: Completed with a head, or why there is none. */
+struct SourceHead {
+    AttemptResult result = AttemptResult::NotSent;
+    int status = 0;
+    std::vector<HeaderField> headers; /**< Without hop-by-hop fields and length. */
+    std::optional<std::uint64_t> length;
+
+    bool operator==(const SourceHead&) const = default;
+};
+
+/** One step of reading a source's body. */
+struct SourcePiece {
+    AttemptResult result = AttemptResult::Completed; /**< Anything else: the body ended early. */
+    bool isEnd = false; /**< The body is whole; bytes may still hold its last part. */
+    std::string_view bytes; /**< Valid until the next read. */
+};
+
+/** The attempt's own limits. */
+struct AttemptLimits {
+    Milliseconds firstByte;
+    Milliseconds betweenBytes;
+    Milliseconds remaining;
+
+    bool operator==(const AttemptLimits&) const = default;
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/entrance/exchange/Exchange.cpp
@@ -0,0 +1,240 @@
+#include "entrance/exchange/Exchange.h"
+
+#include "entrance/answer/AnswerWriter.h"
+#include "entrance/answer/RelayWriter.h"
+#include "entrance/exchange/ExchangeAttempts.h"
+#include "entrance/relay/RelaySource.h"
+#include <cassert>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+
+template <AnswerSink Sink>
+Exchange<Sink>::Exchange(IoThread& thread, ExchangeRequest request, Sink& sink)
+    : thread(thread)
+    , request(std::move(request))
+    , sink(sink)
+    , id(this->request.arrival.request)
+    , inbox(thread.getExecutor())
+    , sent(thread.getExecutor())
+{
+}
+
+template <AnswerSink Sink> Exchange<Sink>::~Exchange()
+{
+    this->thread.removeInbox(this->id);
+}
+
+template <AnswerSink Sink> asio::awaitable<void> Exchange<Sink>::run()
+{
+    this->thread.addInbox(this->id, this->inbox);
+    if (!this->thread.submit(RequestArrival(this->request.arrival))) {
+        this->thread.removeInbox(this->id);
+        this->refusal = RefuseRequest { this->id, RefusalCode::Overloaded, Ran::No, Milliseconds(1000), {} };
+        co_return co_await this->conclude();
+    }
+    co_await this->serve();
+    this->thread.removeInbox(this->id);
+    co_await this->conclude();
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::leave()
+{
+    this->callerGone = true;
+    this->inbox.signal.notify();
+}
+
+template <AnswerSink Sink> asio::awaitable<void> Exchange<Sink>::serve()
+{
+    while (true) {
+        this->obeyWaiting();
+        this->noticeCallerGone();
+        this->startQueued();
+        if (this->isOver())
+            co_return;
+        const TimePoint heartbeat = this->nextHeartbeat();
+        if (std::chrono::steady_clock::now() >= heartbeat)
+            this->startHeartbeat();
+        else if (this->inbox.waiting.empty())
+            co_await this->inbox.signal.wait(heartbeat);
+    }
+}
+
+template <AnswerSink Sink> asio::awaitable<void> Exchange<Sink>::conclude()
+{
+    if (this->refusal)
+        co_await this->sink.refuse(*this->refusal);
+    else if (!this->sink.hasEnded())
+        this->sink.abort();
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::startHeartbeat()
+{
+    this->lastSent = std::chrono::steady_clock::now();
+    if (this->isSending || this->isHeartbeatPending)
+        return;
+    this->isHeartbeatPending = true;
+    spawnLogged(this->thread.getExecutor(), this->sendHeartbeat());
+}
+
+template <AnswerSink Sink> asio::awaitable<void> Exchange<Sink>::sendHeartbeat()
+{
+    const auto self = this->shared_from_this();
+    if (!this->sink.hasEnded())
+        co_await this->send(": keep-alive\n\n");
+    this->isHeartbeatPending = false;
+    this->inbox.signal.notify();
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::obeyWaiting()
+{
+    const auto waiting = std::exchange(this->inbox.waiting, {});
+    for (const RequestDirective& directive : waiting)
+        std::visit([this](const auto& one) { this->obey(one); }, directive);
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::obey(const CancelAttempt& directive)
+{
+    if (this->running && this->running->attempt == directive.attempt)
+        this->cancelRunning();
+    if (!this->queued
+        || std::visit([](const auto& start) { return start.attempt; }, *this->queued) != directive.attempt)
+        return;
+    this->queued.reset();
+    this->thread.report(
+        AttemptEnded { this->id, directive.attempt, AttemptResult::Cancelled, 0, this->request.deliveredTokens, 0 });
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::obey(const RefuseRequest& directive)
+{
+    this->refusal = directive;
+    this->queued.reset();
+    this->cancelRunning();
+    // A caller that takes nothing must not keep a stopped answer alive.
+    if (this->isSending)
+        this->sink.abort();
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::obey(const FinishRequest&)
+{
+    this->finished = true;
+    this->queued.reset();
+    this->cancelRunning();
+}
+
+template <AnswerSink Sink> template <typename Directive> void Exchange<Sink>::queueStart(const Directive& directive)
+{
+    if (directive.attempt <= this->lastAttempt || this->refusal || this->finished)
+        return;
+    this->lastAttempt = directive.attempt;
+    this->cancelRunning();
+    this->queued = directive;
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::noticeCallerGone()
+{
+    if (!this->callerGone || this->isCallerGoneReported)
+        return;
+    this->isCallerGoneReported = true;
+    this->thread.report(CallerGone { this->id });
+    // A plain service's call goes on to its end, so that it is known whether it ran.
+    if (this->request.isChat)
+        this->cancelRunning();
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::startQueued()
+{
+    if (this->running || !this->queued)
+        return;
+    const StartDirective directive = std::move(*this->queued);
+    this->queued.reset();
+    std::visit([this](const auto& start) { this->begin(start); }, directive);
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::begin(const StartAttempt& directive)
+{
+    const AttemptLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
+    auto source = std::make_shared<UpstreamSource>(
+        this->thread.getPool(), this->thread.getSettings(), this->makeUpstreamRequest(directive), limits);
+    this->running = Running { directive.attempt, [source] { source->cancel(); } };
+    AttemptEnded ended;
+    ended.request = this->id;
+    ended.attempt = directive.attempt;
+    spawnLogged(this->thread.getExecutor(), this->runAttempt(std::move(source), ended, limits));
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::begin(const StartRelay& directive)
+{
+    AttemptEnded ended;
+    ended.request = this->id;
+    ended.attempt = directive.attempt;
+    const RelayTransport& transport = this->thread.getShared().relayTransport;
+    if (!transport) {
+        ended.result = AttemptResult::NotSent;
+        ended.answerTokens = this->request.deliveredTokens;
+        this->thread.report(ended);
+        return;
+    }
+    const auto exchange = std::make_shared<RelayExchange>(this->thread.getSettings().relayWindowBytes);
+    auto source = std::make_shared<RelaySource>(this->thread.getExecutor(), exchange);
+    source->listen();
+    RelayedRequest relayed { this->request.arrival, this->request.head, this->request.body,
+        std::max(directive.resumeFromToken, this->request.deliveredTokens) };
+    relayed.arrival.key = KeyDigest();
+    relayed.arrival.relayedFor = directive.workspace;
+    transport(directive, std::move(relayed), exchange);
+    this->running = Running { directive.attempt, [source] { source->cancel(); } };
+    const AttemptLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
+    spawnLogged(this->thread.getExecutor(), this->runAttempt(std::move(source), ended, limits));
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::cancelRunning()
+{
+    if (this->running)
+        this->running->cancel();
+}
+
+template <AnswerSink Sink> bool Exchange<Sink>::isOver() const
+{
+    return !this->running && !this->queued && !this->isHeartbeatPending
+        && (this->refusal || this->finished || this->callerGone);
+}
+
+template <AnswerSink Sink> TimePoint Exchange<Sink>::nextHeartbeat() const
+{
+    if (!this->isEventStream || this->sink.hasEnded() || this->callerGone)
+        return TimePoint::max();
+    return this->lastSent + std::chrono::milliseconds(this->thread.getSettings().heartbeatInterval.count());
+}
+
+template <AnswerSink Sink> UpstreamRequest Exchange<Sink>::makeUpstreamRequest(const StartAttempt& directive) const
+{
+    UpstreamRequest made;
+    made.endpoint = directive.endpoint;
+    made.head = &this->request.head;
+    made.body = this->request.body;
+    if (!directive.workspace.isEmpty())
+        made.extraHeaders.emplace_back("papayashelf-workspace", directive.workspace.string());
+    if (directive.kind == ServiceKind::PlainService) {
+        const std::string& method = this->request.head.method;
+        made.needsFreshConnection = method != "GET" && method != "HEAD" && method != "OPTIONS";
+        return made;
+    }
+    made.extraHeaders.emplace_back("x-priority", std::to_string(directive.priority));
+    // Engines name the blocks of their cache by these, so that their cache events can be matched to prompts.
+    std::string prefixes;
+    for (const std::uint64_t prefix : this->request.arrival.prefixHashes)
+        prefixes += (prefixes.empty() ? "" : ",") + std::to_string(prefix);
+    if (!prefixes.empty())
+        made.extraHeaders.emplace_back("x-prefix-hashes", prefixes);
+    const std::int64_t resumeFrom = std::max(directive.resumeFromToken, this->request.deliveredTokens);
+    if (resumeFrom > 0)
+        made.extraHeaders.emplace_back("x-resume-from", std::to_string(resumeFrom));
+    return made;
+}
+
+template class Exchange<AnswerWriter>;
+template class Exchange<RelayWriter>;
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/entrance/exchange/ExchangeAttempts.h
@@ -0,0 +1,200 @@
+#pragma once
+
+/** The part of Exchange that carries one attempt's answer; included by Exchange.cpp only. */
+
+#include "entrance/exchange/Exchange.h"
+#include "entrance/request/ChatRequest.h"
+#include "entrance/upstream/TokenStream.h"
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <boost/json/parse.hpp>
+
+namespace papayashelf {
+
+/** The value of a field, or nothing. */
+inline std::string_view findHeader(const std::vector<HeaderField>& headers, std::string_view name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(),
+        [name](const HeaderField& field) { return boost::beast::iequals(field.first, name); });
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+template <AnswerSink Sink>
+template <typename Source>
+boost::asio::awaitable<void> Exchange<Sink>::runAttempt(
+    std::shared_ptr<Source> source, AttemptEnded ended, AttemptLimits limits)
+{
+    const auto self = this->shared_from_this();
+    const SourceHead head = co_await source->open();
+    ended.status = head.status;
+    ended.result = head.result;
+    if (head.result == AttemptResult::Completed)
+        ended.result = co_await this->carry(*source, head, ended, limits);
+    if (ended.result != AttemptResult::Completed)
+        source->cancel();
+    source->release();
+    ended.answerTokens = std::max(ended.answerTokens, this->request.deliveredTokens);
+    this->running.reset();
+    this->thread.report(ended);
+    this->inbox.signal.notify();
+}
+
+template <AnswerSink Sink>
+template <typename Source>
+boost::asio::awaitable<AttemptResult> Exchange<Sink>::carry(
+    Source& source, const SourceHead& head, AttemptEnded& ended, AttemptLimits limits)
+{
+    constexpr std::string_view eventStream = "text/event-stream";
+    const bool isEvents = findHeader(head.headers, "content-type").substr(0, eventStream.size()) == eventStream;
+    if (this->request.isChat && this->request.arrival.isStreamed && head.status == 200 && isEvents)
+        co_return co_await this->carryTokens(source, ended, limits);
+    // An answer that has begun can only be gone on with token by token.
+    if (this->sink.hasBegun())
+        co_return AttemptResult::Cut;
+    if (this->request.isChat)
+        co_return co_await this->carryWhole(source, head, ended, limits);
+    co_return co_await this->carryThrough(source, head, ended, limits);
+}
+
+template <AnswerSink Sink>
+template <typename Source>
+boost::asio::awaitable<AttemptResult> Exchange<Sink>::carryTokens(
+    Source& source, AttemptEnded& ended, AttemptLimits limits)
+{
+    TokenStream tokens(this->request.deliveredTokens);
+    bool hasBegun = false;
+    while (true) {
+        const SourcePiece piece = co_await source.read(hasBegun ? limits.betweenBytes : limits.firstByte);
+        std::string forwarded;
+        const TokenStream::State state = tokens.read(piece.bytes, forwarded);
+        ended.promptTokens = tokens.getPromptTokens();
+        if (!forwarded.empty() && !hasBegun) {
+            hasBegun = true;
+            AnswerHead head;
+            head.headers = { { "content-type", "text/event-stream" }, { "cache-control", "no-cache" } };
+            head.isEventStream = true;
+            this->beginAnswer(head, ended);
+        }
+        if (!forwarded.empty() && !co_await this->send(forwarded))
+            co_return AttemptResult::Cancelled;
+        this->request.deliveredTokens = tokens.getDelivered();
+        if (state == TokenStream::State::Complete)
+            co_return co_await this->endAnswer() ? AttemptResult::Completed : AttemptResult::Cancelled;
+        if (piece.result != AttemptResult::Completed)
+            co_return piece.result;
+        if (state == TokenStream::State::Broken || piece.isEnd)
+            co_return AttemptResult::Cut;
+    }
+}
+
+template <AnswerSink Sink>
+template <typename Source>
+boost::asio::awaitable<AttemptResult> Exchange<Sink>::carryWhole(
+    Source& source, const SourceHead& head, AttemptEnded& ended, AttemptLimits limits)
+{
+    std::string answer;
+    while (true) {
+        const SourcePiece piece = co_await source.read(answer.empty() ? limits.firstByte : limits.betweenBytes);
+        if (piece.result != AttemptResult::Completed)
+            co_return piece.result;
+        answer += piece.bytes;
+        if (answer.size() > this->thread.getSettings().maximumWholeAnswerBytes)
+            co_return AttemptResult::Cut;
+        if (piece.isEnd)
+            break;
+    }
+    if (!source.isSelfDelimited())
+        co_return AttemptResult::Cut;
+    this->countWholeAnswer(answer, ended);
+    AnswerHead whole;
+    whole.status = head.status;
+    whole.headers = head.headers;
+    whole.length = answer.size();
+    this->beginAnswer(whole, ended);
+    const bool isSent = co_await this->send(answer) && co_await this->endAnswer();
+    co_return isSent ? AttemptResult::Completed : AttemptResult::Cancelled;
+}
+
+template <AnswerSink Sink>
+template <typename Source>
+boost::asio::awaitable<AttemptResult> Exchange<Sink>::carryThrough(
+    Source& source, const SourceHead& head, const AttemptEnded& ended, AttemptLimits limits)
+{
+    AnswerHead through;
+    through.status = head.status;
+    through.headers = head.headers;
+    through.length = head.length;
+    this->beginAnswer(through, ended);
+    while (true) {
+        const SourcePiece piece = co_await source.read(limits.betweenBytes);
+        if (piece.result != AttemptResult::Completed)
+            co_return piece.result;
+        // The rest is still read when the caller is gone: it tells whether the call ran to its end.
+        if (!this->callerGone && !co_await this->send(piece.bytes))
+            this->leave();
+        if (piece.isEnd)
+            break;
+    }
+    if (!this->callerGone && !co_await this->endAnswer())
+        this->leave();
+    co_return AttemptResult::Completed;
+}
+
+template <AnswerSink Sink> boost::asio::awaitable<bool> Exchange<Sink>::send(std::string_view piece)
+{
+    co_await this->waitForTurn();
+    const bool isSent = co_await this->sink.write(piece);
+    this->passTurn();
+    co_return isSent;
+}
+
+template <AnswerSink Sink> boost::asio::awaitable<bool> Exchange<Sink>::endAnswer()
+{
+    co_await this->waitForTurn();
+    const bool isEnded = co_await this->sink.end();
+    this->passTurn();
+    co_return isEnded;
+}
+
+template <AnswerSink Sink> boost::asio::awaitable<void> Exchange<Sink>::waitForTurn()
+{
+    while (this->isSending)
+        co_await this->sent.wait();
+    this->isSending = true;
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::passTurn()
+{
+    this->isSending = false;
+    this->lastSent = std::chrono::steady_clock::now();
+    this->sent.notify();
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::beginAnswer(const AnswerHead& head, const AttemptEnded& attempt)
+{
+    if (!this->sink.hasBegun())
+        this->sink.begin(head);
+    this->isEventStream = head.isEventStream;
+    this->lastSent = std::chrono::steady_clock::now();
+    this->thread.report(AttemptBegan { this->id, attempt.attempt, attempt.status });
+    if (this->isEventStream)
+        this->inbox.signal.notify();
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::countWholeAnswer(const std::string& answer, AttemptEnded& ended)
+{
+    boost::system::error_code error;
+    const boost::json::value parsed = boost::json::parse(answer, error);
+    const auto* const fields = error ? nullptr : parsed.if_object();
+    const auto* const usage = fields ? fields->if_contains("usage") : nullptr;
+    const auto readCount = [usage](std::string_view name) -> std::int64_t {
+        const auto* const count = usage && usage->is_object() ? usage->get_object().if_contains(name) : nullptr;
+        return count && count->is_int64() ? count->get_int64() : 0;
+    };
+    ended.promptTokens = readCount("prompt_tokens");
+    ended.answerTokens = readCount("completion_tokens");
+    if (ended.answerTokens == 0 && ended.status == 200)
+        ended.answerTokens = estimateTokens(answer);
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/entrance/relay/RelaySource.cpp
@@ -0,0 +1,93 @@
+#include "entrance/relay/RelaySource.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+AttemptResult resultOf(const RelayAnswerEnd& end)
+{
+    if (!end.refusal)
+        return end.result;
+    return end.refusal->ran == Ran::No ? AttemptResult::RejectedBusy : AttemptResult::NoAnswer;
+}
+
+} // namespace
+
+RelaySource::RelaySource(const asio::any_io_executor& executor, std::shared_ptr<RelayExchange> exchange)
+    : executor(executor)
+    , exchange(std::move(exchange))
+    , signal(executor)
+{
+}
+
+void RelaySource::listen()
+{
+    this->exchange->setConsumerWake([weak = this->weak_from_this(), executor = this->executor] {
+        asio::post(executor, [weak] {
+            if (const auto self = weak.lock())
+                self->signal.notify();
+        });
+    });
+}
+
+asio::awaitable<SourceHead> RelaySource::open()
+{
+    SourceHead result;
+    const auto event = co_await this->next(TimePoint::max());
+    if (!event) {
+        result.result = AttemptResult::Cancelled;
+    } else if (const auto* const head = std::get_if<RelayAnswerHead>(&*event)) {
+        result.result = AttemptResult::Completed;
+        result.status = head->status;
+        result.headers = head->headers;
+    } else if (const auto* const end = std::get_if<RelayAnswerEnd>(&*event)) {
+        result.result = resultOf(*end);
+    } else {
+        result.result = AttemptResult::NoAnswer;
+    }
+    co_return result;
+}
+
+asio::awaitable<SourcePiece> RelaySource::read(Milliseconds limit)
+{
+    SourcePiece result;
+    auto event = co_await this->next(std::chrono::steady_clock::now() + std::chrono::milliseconds(limit.count()));
+    if (!event) {
+        result.result = this->cancelled ? AttemptResult::Cancelled : AttemptResult::Silent;
+    } else if (auto* const bytes = std::get_if<RelayAnswerBytes>(&*event)) {
+        this->piece = std::move(bytes->bytes);
+        result.bytes = this->piece;
+    } else if (const auto* const end = std::get_if<RelayAnswerEnd>(&*event)) {
+        result.result = resultOf(*end);
+        result.isEnd = result.result == AttemptResult::Completed;
+    } else {
+        result.result = AttemptResult::Cut;
+    }
+    co_return result;
+}
+
+void RelaySource::cancel()
+{
+    this->cancelled = true;
+    this->exchange->cancel();
+    this->signal.notify();
+}
+
+asio::awaitable<std::optional<RelayAnswerEvent>> RelaySource::next(TimePoint until)
+{
+    while (!this->cancelled) {
+        if (auto event = this->exchange->read())
+            co_return event;
+        if (std::chrono::steady_clock::now() >= until)
+            break;
+        co_await this->signal.wait(until);
+    }
+    co_return std::nullopt;
+}
+
+} // namespace papayashelf
--- a/modules/entrance/server/EntranceSettings.h
+++ b/modules/entrance/server/EntranceSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entrance/server/Sizes.h"
 #include "foundation/identity/Identifier.h"
 #include "foundation/time/Clock.h"
 #include <cstddef>
@@ -18,10 +19,11 @@
     std::string privateKeyFile; /**< PEM; set exactly when certificateFile is. */
 
     std::size_t maximumConnections = 15'000; /**< Callers' connections over all threads. */
-    std::size_t maximumHeaderBytes = 16 * 1024;
-    std::size_t maximumBodyBytes = 4 * 1024 * 1024;
-    std::size_t maximumWholeAnswerBytes = 8 * 1024 * 1024; /**< Of a model answer that is not streamed. */
-    std::size_t relayWindowBytes = 256 * 1024; /**< Answer bytes that a relay may have under way to a slow caller. */
+    std::size_t maximumHeaderBytes = 16 * kibibyte;
+    std::size_t maximumBodyBytes = 4 * mebibyte;
+    std::size_t maximumWholeAnswerBytes = 8 * mebibyte; /**< Of a model answer that is not streamed. */
+    std::size_t relayWindowBytes
+        = 256 * kibibyte; /**< Answer bytes that a relay may have under way to a slow caller. */
     std::int64_t defaultMaximumTokens = 1024; /**< For a model request that names no maximum. */
 
     Milliseconds headTimeout { 10'000 }; /**< From a request's first byte to the end of its head. */
--- /dev/null
+++ b/modules/entrance/upstream/UpstreamPool.cpp
@@ -0,0 +1,88 @@
+#include "entrance/upstream/UpstreamPool.h"
+
+#include <algorithm>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+
+UpstreamPool::UpstreamPool(const asio::any_io_executor& executor, const EntranceSettings& settings)
+    : executor(executor)
+    , settings(settings)
+{
+}
+
+std::unique_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Endpoint& endpoint)
+{
+    auto& idle = this->endpoints[endpoint].connections;
+    while (!idle.empty()) {
+        std::unique_ptr<UpstreamConnection> connection = std::move(idle.back());
+        idle.pop_back();
+        if (!this->isUsable(*connection))
+            continue;
+        connection->isReused = true;
+        return connection;
+    }
+    return nullptr;
+}
+
+std::unique_ptr<UpstreamConnection> UpstreamPool::makeConnection(const Endpoint& endpoint)
+{
+    auto connection = std::make_unique<UpstreamConnection>(this->executor);
+    connection->endpoint = endpoint;
+    connection->openedAt = std::chrono::steady_clock::now();
+    connection->generation = this->endpoints[endpoint].generation;
+    return connection;
+}
+
+void UpstreamPool::giveBack(std::unique_ptr<UpstreamConnection> connection)
+{
+    Idle& idle = this->endpoints[connection->endpoint];
+    const bool isTrusted = idle.generation == connection->generation && connection->buffer.size() == 0;
+    if (!isTrusted || idle.connections.size() >= this->settings.maximumIdlePerUpstream)
+        return;
+    connection->buffer.clear();
+    connection->stream.expires_never();
+    connection->idleSince = std::chrono::steady_clock::now();
+    idle.connections.push_back(std::move(connection));
+}
+
+void UpstreamPool::forget(const Endpoint& endpoint)
+{
+    Idle& idle = this->endpoints[endpoint];
+    ++idle.generation;
+    idle.connections.clear();
+}
+
+void UpstreamPool::dropStale()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    for (auto& [endpoint, idle] : this->endpoints)
+        std::erase_if(idle.connections, [&](const auto& connection) { return this->isStale(*connection, now); });
+}
+
+void UpstreamPool::clear()
+{
+    for (auto& [endpoint, idle] : this->endpoints)
+        idle.connections.clear();
+}
+
+bool UpstreamPool::isUsable(UpstreamConnection& connection) const
+{
+    if (this->isStale(connection, std::chrono::steady_clock::now()))
+        return false;
+    // Anything readable now is the end of the connection, or an answer that belongs to no request.
+    char byte = 0;
+    boost::system::error_code error;
+    auto& socket = connection.stream.socket();
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block || error == asio::error::try_again;
+}
+
+bool UpstreamPool::isStale(const UpstreamConnection& connection, TimePoint now) const
+{
+    return now - connection.idleSince > std::chrono::milliseconds(this->settings.maximumUpstreamIdle.count())
+        || now - connection.openedAt > std::chrono::milliseconds(this->settings.maximumUpstreamAge.count());
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/entrance/upstream/UpstreamPool.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "entrance/server/EntranceSettings.h"
+#include "entrance/server/Signal.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace papayashelf {
+
+/** Hashes an endpoint for one process's tables. */
+struct EndpointHash {
+    std::size_t operator()(const Endpoint& endpoint) const
+    {
+        return std::hash<std::string>()(endpoint.address) ^ endpoint.port;
+    }
+};
+
+/** One connection to an upstream. */
+struct UpstreamConnection {
+    explicit UpstreamConnection(const boost::asio::any_io_executor& executor)
+        : stream(executor)
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    Endpoint endpoint;
+    TimePoint openedAt;
+    TimePoint idleSince;
+    std::uint64_t generation = 0; /**< Of its endpoint when it was opened. */
+    bool isReused = false;
+};
+
+/**
+    Keeps idle connections to upstreams for one I/O thread.
+
+    Thread safety: none; owned by one I/O thread.
+*/
+class UpstreamPool {
+public:
+    /** @param settings  must outlive the pool */
+    UpstreamPool(const boost::asio::any_io_executor& executor, const EntranceSettings& settings);
+
+    /** Takes the idle connection used last that is young enough and still open; null if there is none. */
+    std::unique_ptr<UpstreamConnection> takeIdle(const Endpoint& endpoint);
+
+    /** Makes a connection that is not yet open. */
+    std::unique_ptr<UpstreamConnection> makeConnection(const Endpoint& endpoint);
+
+    /** Keeps a connection whose last answer was read whole, unless its endpoint was forgotten since it was opened. */
+    void giveBack(std::unique_ptr<UpstreamConnection> connection);
+
+    /** Closes the idle connections to an endpoint and keeps none of those in use: something on the way is dead. */
+    void forget(const Endpoint& endpoint);
+
+    /** Closes idle connections that may not be used again. Call now and then. */
+    void dropStale();
+
+    /** Closes all. */
+    void clear();
+
+private:
+    struct Idle {
+        std::uint64_t generation = 0;
+        std::vector<std::unique_ptr<UpstreamConnection>> connections; /**< The one used last stands last. */
+    };
+
+    bool isUsable(UpstreamConnection& connection) const;
+    bool isStale(const UpstreamConnection& connection, TimePoint now) const;
+
+    boost::asio::any_io_executor executor;
+    const EntranceSettings& settings;
+    std::unordered_map<Endpoint, Idle, EndpointHash> endpoints;
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -0,0 +1,206 @@
+#include "entrance/upstream/UpstreamSource.h"
+
+#include "entrance/request/ForwardedHead.h"
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t maximumAnswerHeaderBytes = 64 * kibibyte;
+
+bool saysNotRun(const http::response_header<>& head)
+{
+    const unsigned status = head.result_int();
+    return (status == 429 || status == 503) && boost::beast::iequals(head["ran"], "no");
+}
+
+} // namespace
+
+UpstreamSource::UpstreamSource(
+    UpstreamPool& pool, const EntranceSettings& settings, UpstreamRequest request, AttemptLimits limits)
+    : pool(pool)
+    , settings(settings)
+    , request(std::move(request))
+    , limits(limits)
+    , deadline(std::chrono::steady_clock::now() + std::chrono::milliseconds(limits.remaining.count()))
+{
+}
+
+asio::awaitable<SourceHead> UpstreamSource::open()
+{
+    SourceHead failed;
+    failed.result = co_await this->connect();
+    if (failed.result == AttemptResult::Completed)
+        failed.result = co_await this->send();
+    if (failed.result == AttemptResult::Completed)
+        failed.result = co_await this->receiveHead();
+    if (failed.result != AttemptResult::Completed)
+        co_return failed;
+    SourceHead head = this->describeHead();
+    if (saysNotRun(this->parser->get().base()))
+        head.result = this->fail(AttemptResult::RejectedBusy);
+    co_return head;
+}
+
+asio::awaitable<SourcePiece> UpstreamSource::read(Milliseconds limit)
+{
+    SourcePiece read;
+    if (this->cancelled) {
+        read.result = AttemptResult::Cancelled;
+        co_return read;
+    }
+    if (this->parser->is_done()) {
+        read.isEnd = true;
+        co_return read;
+    }
+    if (!this->piece)
+        this->piece = std::make_unique<std::array<char, pieceBytes>>();
+    auto& body = this->parser->get().body();
+    body.data = this->piece->data();
+    body.size = this->piece->size();
+    this->limitNext(limit);
+    auto [error, count]
+        = co_await http::async_read_some(this->connection->stream, this->connection->buffer, *this->parser, useResult);
+    if (error == http::error::need_buffer)
+        error = {};
+    read.bytes = std::string_view(this->piece->data(), this->piece->size() - body.size);
+    if (error || this->cancelled)
+        read.result = this->fail(this->resultOf(error, AttemptResult::Cut));
+    read.isEnd = read.result == AttemptResult::Completed && this->parser->is_done();
+    co_return read;
+}
+
+void UpstreamSource::cancel()
+{
+    this->cancelled = true;
+    if (this->connection)
+        this->connection->stream.close();
+}
+
+void UpstreamSource::release()
+{
+    const bool isWhole = this->connection && this->parser && this->parser->is_done() && !this->cancelled;
+    if (isWhole && this->parser->keep_alive())
+        this->pool.giveBack(std::move(this->connection));
+    this->connection.reset();
+}
+
+bool UpstreamSource::isSelfDelimited() const
+{
+    return this->parser && !this->parser->need_eof();
+}
+
+asio::awaitable<AttemptResult> UpstreamSource::connect()
+{
+    if (this->cancelled)
+        co_return AttemptResult::Cancelled;
+    if (!this->request.needsFreshConnection)
+        this->connection = this->pool.takeIdle(this->request.endpoint);
+    if (this->connection)
+        co_return AttemptResult::Completed;
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(this->request.endpoint.address, error);
+    if (error)
+        co_return AttemptResult::NotSent;
+    this->connection = this->pool.makeConnection(this->request.endpoint);
+    this->limitNext(Milliseconds(std::min(this->settings.connectTimeout.count(), this->limits.firstByte.count())));
+    auto& stream = this->connection->stream;
+    const asio::ip::tcp::endpoint endpoint(address, this->request.endpoint.port);
+    const auto [connectError] = co_await stream.async_connect(endpoint, useResult);
+    if (this->cancelled)
+        co_return AttemptResult::Cancelled;
+    if (connectError)
+        co_return this->fail(AttemptResult::NotSent);
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    stream.socket().non_blocking(true, error);
+    co_return AttemptResult::Completed;
+}
+
+asio::awaitable<AttemptResult> UpstreamSource::send()
+{
+    const std::string head = this->formatHead();
+    const std::array<asio::const_buffer, 2> pieces { asio::buffer(head), asio::buffer(*this->request.body) };
+    this->limitNext(this->limits.firstByte);
+    const auto [error, count] = co_await asio::async_write(this->connection->stream, pieces, useResult);
+    if (!error && !this->cancelled)
+        co_return AttemptResult::Completed;
+    const bool isCertain = count == 0 && !this->cancelled;
+    co_return this->fail(this->resultOf(error, isCertain ? AttemptResult::NotSent : AttemptResult::NoAnswer));
+}
+
+asio::awaitable<AttemptResult> UpstreamSource::receiveHead()
+{
+    this->limitNext(this->limits.firstByte);
+    do {
+        this->parser.emplace();
+        this->parser->header_limit(maximumAnswerHeaderBytes);
+        this->parser->body_limit(boost::none);
+        this->parser->skip(this->request.head->method == "HEAD");
+        const auto [error, count] = co_await http::async_read_header(
+            this->connection->stream, this->connection->buffer, *this->parser, useResult);
+        if (error || this->cancelled)
+            co_return this->fail(this->resultOf(error, AttemptResult::NoAnswer));
+    } while (this->parser->get().result_int() < 200);
+    co_return AttemptResult::Completed;
+}
+
+SourceHead UpstreamSource::describeHead() const
+{
+    SourceHead head;
+    head.result = AttemptResult::Completed;
+    head.status = static_cast<int>(this->parser->get().result_int());
+    std::vector<HeaderField> headers;
+    for (const auto& field : this->parser->get().base())
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    head.headers = withoutHopByHop(headers);
+    std::erase_if(head.headers, [](const HeaderField& field) { return field.first.starts_with("papayashelf-"); });
+    if (const auto length = this->parser->content_length())
+        head.length = *length;
+    return head;
+}
+
+std::string UpstreamSource::formatHead() const
+{
+    const RequestHead& head = *this->request.head;
+    std::string text
+        = head.method + " " + head.target + " HTTP/1.1\r\nhost: " + this->request.endpoint.string() + "\r\n";
+    const auto append = [&text](const HeaderField& field) { text += field.first + ": " + field.second + "\r\n"; };
+    std::for_each(head.headers.begin(), head.headers.end(), append);
+    std::for_each(this->request.extraHeaders.begin(), this->request.extraHeaders.end(), append);
+    const bool mayHaveBody = head.method != "GET" && head.method != "HEAD";
+    if (mayHaveBody || !this->request.body->empty())
+        append({ "content-length", std::to_string(this->request.body->size()) });
+    return text + "\r\n";
+}
+
+void UpstreamSource::limitNext(Milliseconds limit)
+{
+    const TimePoint until = std::chrono::steady_clock::now() + std::chrono::milliseconds(limit.count());
+    this->connection->stream.expires_at(std::min(until, this->deadline));
+}
+
+AttemptResult UpstreamSource::resultOf(const boost::system::error_code& error, AttemptResult otherwise) const
+{
+    if (this->cancelled)
+        return AttemptResult::Cancelled;
+    return error == boost::beast::error::timeout ? AttemptResult::Silent : otherwise;
+}
+
+AttemptResult UpstreamSource::fail(AttemptResult result)
+{
+    // A connection that died without a word says that others to the same place may be dead too.
+    if (result == AttemptResult::Silent || result == AttemptResult::NoAnswer)
+        this->pool.forget(this->request.endpoint);
+    if (this->connection)
+        this->connection->stream.close();
+    return result;
+}
+
+} // namespace papayashelf
