--- /dev/null
+++ b/modules/dispatch/dispatcher/DispatchEventNames.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "dispatch/dispatcher/DispatchMessages.h"
+#include <string_view>
+
+namespace papayashelf {
+
+/** The stable lower_snake_case name of an event, as the time line shows it. */
+std::string_view toString(DispatchEventKind kind);
+
+} // namespace papayashelf
--- a/modules/dispatch/dispatcher/DispatchMessages.h
+++ b/modules/dispatch/dispatcher/DispatchMessages.h
@@ -22,15 +22,6 @@
     std::int64_t resumeFromToken = 0; /**< For a relayed resume: tokens that the caller already has. */
 };
 
-/** The body of a completed answer to a request with an idempotency key; given before its AttemptEnded. */
-struct AnswerToKeep {
-    RequestId request = 0;
-    std::uint32_t attempt = 0;
-    int status = 0;
-    std::string contentType;
-    std::string body;
-};
-
 /** The share that an ended request really used; what was reserved beyond it goes back. */
 struct Settlement {
     RequestId request = 0;
@@ -40,17 +31,6 @@
     bool operator==(const Settlement&) const = default;
 };
 
-/** Answer a repeated request with what its first run came to. Final, like FinishRequest. */
-struct StoredAnswer {
-    RequestId request = 0;
-    int status = 0;
-    bool isBodyHeld = false; /**< False: it was run and confirmed, but its answer is no longer held. */
-    std::string contentType;
-    std::string body;
-
-    bool operator==(const StoredAnswer&) const = default;
-};
-
 enum class DispatchEventKind {
     Queued,
     Started,
--- a/modules/dispatch/messages/RequestMessages.h
+++ b/modules/dispatch/messages/RequestMessages.h
@@ -51,6 +51,7 @@
     std::string idempotencyKey; /**< Empty when the caller sent none. */
     std::vector<VmId> passedVms; /**< VMs that it passed before this one; at most one. */
     WorkspaceId relayedFor; /**< Set when another VM admitted it and relays it; then key is empty. */
+    std::int64_t resumeFromToken = 0; /**< Of a relayed request: tokens that the caller already has. */
 
     bool operator==(const RequestArrival&) const = default;
 };
@@ -99,6 +100,17 @@
     bool operator==(const AttemptEnded&) const = default;
 };
 
+/** The body of a completed answer to a request with an idempotency key; reported before its AttemptEnded. */
+struct AnswerToKeep {
+    RequestId request = 0;
+    std::uint32_t attempt = 0;
+    int status = 0;
+    std::string contentType;
+    std::string body;
+
+    bool operator==(const AnswerToKeep&) const = default;
+};
+
 /** The caller has closed its connection. */
 struct CallerGone {
     RequestId request = 0;
@@ -107,7 +119,7 @@
 };
 
 /** What the entrance tells the decisions. */
-using RequestReport = std::variant<RequestArrival, AttemptBegan, AttemptEnded, CallerGone, LoadReport>;
+using RequestReport = std::variant<RequestArrival, AttemptBegan, AttemptEnded, AnswerToKeep, CallerGone, LoadReport>;
 
 /** Send the request to an upstream of this region. */
 struct StartAttempt {
@@ -167,7 +179,19 @@
     bool operator==(const FinishRequest&) const = default;
 };
 
+/** Answer a repeated request with what its first run came to. Final, like FinishRequest. */
+struct StoredAnswer {
+    RequestId request = 0;
+    int status = 0;
+    bool isBodyHeld = false; /**< False: it was run and confirmed, but its answer is no longer held. */
+    std::string contentType;
+    std::string body;
+
+    bool operator==(const StoredAnswer&) const = default;
+};
+
 /** What the decisions tell the entrance. */
-using RequestDirective = std::variant<StartAttempt, StartRelay, CancelAttempt, RefuseRequest, FinishRequest>;
+using RequestDirective
+    = std::variant<StartAttempt, StartRelay, CancelAttempt, RefuseRequest, FinishRequest, StoredAnswer>;
 
 } // namespace papayashelf
--- a/modules/entrance/exchange/Exchange.cpp
+++ b/modules/entrance/exchange/Exchange.cpp
@@ -65,6 +65,8 @@
 {
     if (this->refusal)
         co_await this->sink.refuse(*this->refusal);
+    else if (this->stored && !this->sink.hasBegun())
+        co_await this->sendStored();
     else if (!this->sink.hasEnded())
         this->sink.abort();
 }
@@ -123,6 +125,29 @@
     this->cancelRunning();
 }
 
+template <AnswerSink Sink> void Exchange<Sink>::obey(const StoredAnswer& directive)
+{
+    this->stored = directive;
+    this->finished = true;
+    this->queued.reset();
+    this->cancelRunning();
+}
+
+template <AnswerSink Sink> asio::awaitable<void> Exchange<Sink>::sendStored()
+{
+    AnswerHead head;
+    head.status = this->stored->status;
+    head.length = this->stored->body.size();
+    if (!this->stored->contentType.empty())
+        head.headers.emplace_back("content-type", this->stored->contentType);
+    head.headers.emplace_back("papayashelf-replayed", "true");
+    if (!this->stored->isBodyHeld)
+        head.headers.emplace_back("papayashelf-body-held", "false");
+    this->sink.begin(head);
+    if (this->stored->body.empty() || co_await this->send(this->stored->body))
+        co_await this->endAnswer();
+}
+
 template <AnswerSink Sink> template <typename Directive> void Exchange<Sink>::queueStart(const Directive& directive)
 {
     if (directive.attempt <= this->lastAttempt || this->refusal || this->finished)
--- a/modules/entrance/exchange/Exchange.h
+++ b/modules/entrance/exchange/Exchange.h
@@ -86,6 +86,8 @@
     void obey(const CancelAttempt& directive);
     void obey(const RefuseRequest& directive);
     void obey(const FinishRequest& directive);
+    void obey(const StoredAnswer& directive);
+    boost::asio::awaitable<void> sendStored();
     template <typename Directive> void queueStart(const Directive& directive);
     void noticeCallerGone();
     void startQueued();
@@ -113,6 +115,8 @@
     boost::asio::awaitable<void> waitForTurn();
     void passTurn();
     void beginAnswer(const AnswerHead& head, const AttemptEnded& attempt);
+    void keep(std::string_view piece);
+    void reportKept(const SourceHead& head, const AttemptEnded& attempt);
     void countWholeAnswer(const std::string& answer, AttemptEnded& ended);
     UpstreamRequest makeUpstreamRequest(const StartAttempt& directive) const;
 
@@ -124,6 +128,8 @@
     std::optional<Running> running;
     std::optional<StartDirective> queued;
     std::optional<RefuseRequest> refusal;
+    std::optional<StoredAnswer> stored;
+    std::optional<std::string> kept; /**< Of a keyed call, while it is small enough to be kept. */
     std::uint32_t lastAttempt = 0;
     bool finished = false;
     bool callerGone = false;
--- a/modules/entrance/exchange/ExchangeAttempts.h
+++ b/modules/entrance/exchange/ExchangeAttempts.h
@@ -125,10 +125,13 @@
     through.headers = head.headers;
     through.length = head.length;
     this->beginAnswer(through, ended);
+    if (!this->request.arrival.idempotencyKey.empty())
+        this->kept.emplace();
     while (true) {
         const SourcePiece piece = co_await source.read(limits.betweenBytes);
         if (piece.result != AttemptResult::Completed)
             co_return piece.result;
+        this->keep(piece.bytes);
         // The rest is still read when the caller is gone: it tells whether the call ran to its end.
         if (!this->callerGone && !co_await this->send(piece.bytes))
             this->leave();
@@ -137,9 +140,27 @@
     }
     if (!this->callerGone && !co_await this->endAnswer())
         this->leave();
+    this->reportKept(head, ended);
     co_return AttemptResult::Completed;
 }
 
+template <AnswerSink Sink> void Exchange<Sink>::keep(std::string_view piece)
+{
+    if (this->kept && this->kept->size() + piece.size() > this->thread.getSettings().keptAnswerBytes)
+        this->kept.reset();
+    if (this->kept)
+        this->kept->append(piece);
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::reportKept(const SourceHead& head, const AttemptEnded& attempt)
+{
+    if (!this->kept)
+        return;
+    this->thread.report(AnswerToKeep { this->id, attempt.attempt, head.status,
+        std::string(findHeader(head.headers, "content-type")), std::move(*this->kept) });
+    this->kept.reset();
+}
+
 template <AnswerSink Sink> boost::asio::awaitable<bool> Exchange<Sink>::send(std::string_view piece)
 {
     co_await this->waitForTurn();
--- a/modules/entrance/server/EntranceSettings.h
+++ b/modules/entrance/server/EntranceSettings.h
@@ -22,6 +22,7 @@
     std::size_t maximumHeaderBytes = 16 * kibibyte;
     std::size_t maximumBodyBytes = 4 * mebibyte;
     std::size_t maximumWholeAnswerBytes = 8 * mebibyte; /**< Of a model answer that is not streamed. */
+    std::size_t keptAnswerBytes = 4096; /**< Largest answer that a repeat with the same idempotency key gets again. */
     std::size_t relayWindowBytes
         = 256 * kibibyte; /**< Answer bytes that a relay may have under way to a slow caller. */
     std::int64_t defaultMaximumTokens = 1024; /**< For a model request that names no maximum. */
--- a/modules/foundation/logging/JsonLog.h
+++ b/modules/foundation/logging/JsonLog.h
@@ -3,6 +3,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 #include <initializer_list>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -15,7 +16,32 @@
 };
 
 /** One named value of a log line. */
-using LogField = std::pair<std::string_view, boost::json::value>;
+struct LogField {
+    LogField(std::string_view fieldName, std::string_view text)
+        : name(fieldName)
+        , value(text)
+    {
+    }
+
+    LogField(std::string_view fieldName, const std::string& text)
+        : LogField(fieldName, std::string_view(text))
+    {
+    }
+
+    LogField(std::string_view fieldName, const char* text)
+        : LogField(fieldName, std::string_view(text))
+    {
+    }
+
+    LogField(std::string_view fieldName, boost::json::value fieldValue)
+        : name(fieldName)
+        , value(std::move(fieldValue))
+    {
+    }
+
+    std::string_view name;
+    boost::json::value value;
+};
 
 /**
     Starts the process's log: one JSON object a line on standard error, through glog.
--- /dev/null
+++ b/modules/peers/relay/RelayCaller.cpp
@@ -0,0 +1,21 @@
+#include "peers/relay/RelayCaller.h"
+
+#include "peers/relay/RelayCall.h"
+#include "peers/relay/RelayCodec.h"
+
+namespace papayashelf {
+
+RelayCaller::RelayCaller(VmId vm, PeerChannels& peerChannels)
+    : self(std::move(vm))
+    , channels(peerChannels)
+{
+}
+
+void RelayCaller::start(const StartRelay& directive, RelayedRequest request, std::shared_ptr<RelayExchange> answer)
+{
+    const RelayLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
+    RelayCall::start(this->channels.getChannel(directive.vm, directive.endpoint),
+        encodeRelayHead(this->self, directive, request), request.body, limits, std::move(answer));
+}
+
+} // namespace papayashelf
--- a/modules/timeline/events/Timeline.cpp
+++ b/modules/timeline/events/Timeline.cpp
@@ -26,12 +26,9 @@
 
 std::vector<TimelineEvent> Timeline::getEventsAfter(std::uint64_t sequence) const
 {
-    std::vector<TimelineEvent> found;
-    for (const TimelineEvent& event : this->events) {
-        if (event.sequence > sequence)
-            found.push_back(event);
-    }
-    return found;
+    const std::uint64_t newer = this->lastSequence - std::min(sequence, this->lastSequence);
+    const std::size_t kept = std::min<std::uint64_t>(newer, this->events.size());
+    return { this->events.end() - static_cast<std::ptrdiff_t>(kept), this->events.end() };
 }
 
 } // namespace papayashelf
--- /dev/null
+++ b/tests/peers/RelayTest.cpp
@@ -0,0 +1,276 @@
+#include "peers/TestAuthority.h"
+#include "peers/relay/RelayCaller.h"
+#include "peers/relay/RelayService.h"
+#include "peers/transport/PeerTransport.h"
+
+#include <condition_variable>
+#include <cppunit/extensions/HelperMacros.h>
+#include <future>
+
+namespace papayashelf {
+
+namespace {
+
+constexpr std::chrono::seconds failureDeadline { 20 };
+constexpr std::size_t windowBytes = std::size_t { 128 } * 1024;
+
+PeerTransportSettings settingsFor(const TestAuthority& authority, const std::string& vm)
+{
+    const IssuedCertificate issued = authority.issue(vm);
+    PeerTransportSettings settings;
+    settings.vm = VmId(vm);
+    settings.listen = Endpoint { "127.0.0.1", 0 };
+    settings.certificatePem = issued.certificatePem;
+    settings.privateKeyPem = issued.privateKeyPem;
+    settings.authorityPem = authority.getPem();
+    return settings;
+}
+
+/** Reads one exchange to its end on the test's thread. */
+class Reader {
+public:
+    explicit Reader(std::shared_ptr<RelayExchange> source)
+        : exchange(std::move(source))
+    {
+        this->exchange->setConsumerWake([this] {
+            const std::scoped_lock lock(this->mutex);
+            this->isWoken = true;
+            this->condition.notify_all();
+        });
+    }
+
+    /** The next event; fails the test if none comes. */
+    RelayAnswerEvent next()
+    {
+        while (true) {
+            if (auto event = this->exchange->read())
+                return std::move(*event);
+            std::unique_lock lock(this->mutex);
+            CPPUNIT_ASSERT(this->condition.wait_for(lock, failureDeadline, [this] { return this->isWoken; }));
+            this->isWoken = false;
+        }
+    }
+
+    /** Every byte up to the end, and the end. */
+    std::pair<std::string, RelayAnswerEnd> readAll()
+    {
+        std::string bytes;
+        while (true) {
+            RelayAnswerEvent event = this->next();
+            if (auto* end = std::get_if<RelayAnswerEnd>(&event))
+                return { bytes, *end };
+            if (auto* piece = std::get_if<RelayAnswerBytes>(&event))
+                bytes += piece->bytes;
+        }
+    }
+
+private:
+    std::shared_ptr<RelayExchange> exchange;
+    std::mutex mutex;
+    std::condition_variable condition;
+    bool isWoken = false;
+};
+
+/** Lets a test wait for the request that arrives at the other VM. */
+class Arrivals {
+public:
+    using Pair = std::pair<RelayedRequest, std::shared_ptr<RelayExchange>>;
+
+    RelayService::Server server()
+    {
+        return [this](RelayedRequest request, std::shared_ptr<RelayExchange> answer) {
+            const std::scoped_lock lock(this->mutex);
+            this->arrived.emplace(std::move(request), std::move(answer));
+            this->condition.notify_all();
+        };
+    }
+
+    Pair wait()
+    {
+        std::unique_lock lock(this->mutex);
+        CPPUNIT_ASSERT(this->condition.wait_for(lock, failureDeadline, [this] { return this->arrived.has_value(); }));
+        return *this->arrived;
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable condition;
+    std::optional<Pair> arrived;
+};
+
+} // namespace
+
+class RelayTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RelayTest);
+    CPPUNIT_TEST(testRequestAndAnswerArriveWhole);
+    CPPUNIT_TEST(testRefusalComesBackWithItsReason);
+    CPPUNIT_TEST(testSlowConsumerHoldsTheProducerBack);
+    CPPUNIT_TEST(testCancelReachesTheOtherVm);
+    CPPUNIT_TEST(testSilenceEndsTheRelay);
+    CPPUNIT_TEST(testUnreachableVmWasNotSentTo);
+    CPPUNIT_TEST(testDeadVmCutsTheAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+    TestAuthority authority;
+    Arrivals arrivals;
+    RelayService service { this->arrivals.server(), windowBytes, std::size_t { 4 } * 1024 * 1024 };
+    std::unique_ptr<PeerTransport> target;
+    std::unique_ptr<PeerTransport> origin;
+    std::unique_ptr<RelayCaller> caller;
+    std::shared_ptr<RelayExchange> exchange = std::make_shared<RelayExchange>(windowBytes);
+    StartRelay directive;
+
+public:
+    void setUp() override
+    {
+        this->target = std::make_unique<PeerTransport>(settingsFor(this->authority, "vm-b"), [](wire::Envelope&&) {});
+        this->origin = std::make_unique<PeerTransport>(settingsFor(this->authority, "vm-a"), [](wire::Envelope&&) {});
+        this->caller = std::make_unique<RelayCaller>(VmId("vm-a"), this->origin->getChannels());
+        this->directive.request = 5;
+        this->directive.attempt = 1;
+        this->directive.workspace = WorkspaceId("club");
+        this->directive.vm = VmId("vm-b");
+        this->directive.endpoint = this->target->start(&this->service).value();
+        this->directive.resumeFromToken = 3;
+        this->directive.firstByteLimit = Milliseconds::fromSeconds(20);
+        this->directive.betweenBytesLimit = Milliseconds::fromSeconds(20);
+        this->directive.remaining = Milliseconds::fromSeconds(60);
+    }
+
+    void tearDown() override
+    {
+        this->exchange->cancel();
+        this->target->stop();
+    }
+
+private:
+    static RelayedRequest makeRequest(const std::string& body)
+    {
+        RelayedRequest request;
+        request.arrival.method = "POST";
+        request.arrival.path = "/v1/chat/completions";
+        request.arrival.model = ModelId("collie");
+        request.arrival.maximumTokens = 50;
+        request.arrival.prefixHashes = { 1, 0xFFFFFFFFFFFFFFFFULL };
+        request.head.method = "POST";
+        request.head.target = "/v1/chat/completions?x=1";
+        request.head.headers = { { "content-type", "application/json" }, { "x-twice", "1" }, { "x-twice", "2" } };
+        request.body = std::make_shared<const std::string>(body);
+        return request;
+    }
+
+    void start(const std::string& body = "hello")
+    {
+        this->caller->start(this->directive, makeRequest(body), this->exchange);
+    }
+
+    void testRequestAndAnswerArriveWhole()
+    {
+        const std::string body(700'000, 'q');
+        this->start(body);
+        const auto [request, answer] = this->arrivals.wait();
+        CPPUNIT_ASSERT(body == *request.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("/v1/chat/completions"), request.arrival.path);
+        CPPUNIT_ASSERT(makeRequest("").head == request.head);
+        CPPUNIT_ASSERT(makeRequest("").arrival.prefixHashes == request.arrival.prefixHashes);
+        CPPUNIT_ASSERT(request.arrival.passedVms == std::vector<VmId> { VmId("vm-a") });
+        CPPUNIT_ASSERT_EQUAL(std::string("club"), request.arrival.relayedFor.string());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 3 }, request.resumeFromToken);
+
+        answer->write(RelayAnswerHead { 201, { { "x-one", "1" } } });
+        answer->write(RelayAnswerBytes { std::string(100'000, 'a') });
+        answer->write(RelayAnswerEnd { AttemptResult::Completed, std::nullopt });
+        Reader reader(this->exchange);
+        CPPUNIT_ASSERT((std::get<RelayAnswerHead>(reader.next()) == RelayAnswerHead { 201, { { "x-one", "1" } } }));
+        const auto [bytes, end] = reader.readAll();
+        CPPUNIT_ASSERT(std::string(100'000, 'a') == bytes);
+        CPPUNIT_ASSERT(AttemptResult::Completed == end.result);
+    }
+
+    void testRefusalComesBackWithItsReason()
+    {
+        this->start();
+        const RefuseRequest refusal { 0, RefusalCode::Overloaded, Ran::No, Milliseconds(700), "full" };
+        this->arrivals.wait().second->write(RelayAnswerEnd { AttemptResult::RejectedBusy, refusal });
+        const RelayAnswerEnd end = Reader(this->exchange).readAll().second;
+        CPPUNIT_ASSERT((end == RelayAnswerEnd { AttemptResult::RejectedBusy, refusal }));
+    }
+
+    void testSlowConsumerHoldsTheProducerBack()
+    {
+        this->start();
+        const auto answer = this->arrivals.wait().second;
+        answer->write(RelayAnswerHead { 200, {} });
+        // The producer writes whenever there is room, as the entrance does, on whichever thread frees it.
+        constexpr std::size_t allBytes = std::size_t { 8 } * 1024 * 1024;
+        const std::string piece(std::size_t { 16 } * 1024, 'z');
+        std::mutex mutex;
+        std::size_t written = 0;
+        const auto produce = [&] {
+            const std::scoped_lock lock(mutex);
+            while (written < allBytes && answer->getRoom() >= piece.size()) {
+                written += piece.size();
+                answer->write(RelayAnswerBytes { piece });
+                if (written == allBytes)
+                    answer->write(RelayAnswerEnd { AttemptResult::Completed, std::nullopt });
+            }
+        };
+        answer->setProducerWake(produce);
+        produce();
+        Reader reader(this->exchange);
+        CPPUNIT_ASSERT(std::holds_alternative<RelayAnswerHead>(reader.next()));
+        // Nothing more is read: two windows and gRPC's own bounded buffers are all that can be under way.
+        CPPUNIT_ASSERT(this->exchange->getRoom() <= windowBytes);
+        {
+            const std::scoped_lock lock(mutex);
+            CPPUNIT_ASSERT(written < allBytes);
+        }
+        const auto [bytes, end] = reader.readAll();
+        CPPUNIT_ASSERT_EQUAL(allBytes, bytes.size());
+        CPPUNIT_ASSERT(AttemptResult::Completed == end.result);
+        answer->setProducerWake({});
+    }
+
+    void testCancelReachesTheOtherVm()
+    {
+        this->start();
+        const auto answer = this->arrivals.wait().second;
+        std::promise<void> cancelled;
+        std::once_flag once;
+        answer->setProducerWake([&] {
+            if (answer->isCancelled())
+                std::call_once(once, [&] { cancelled.set_value(); });
+        });
+        this->exchange->cancel();
+        CPPUNIT_ASSERT(cancelled.get_future().wait_for(failureDeadline) == std::future_status::ready);
+        answer->setProducerWake({});
+    }
+
+    void testSilenceEndsTheRelay()
+    {
+        this->directive.firstByteLimit = Milliseconds(50);
+        this->start();
+        CPPUNIT_ASSERT(AttemptResult::Silent == Reader(this->exchange).readAll().second.result);
+    }
+
+    void testUnreachableVmWasNotSentTo()
+    {
+        this->target->stop();
+        this->start();
+        CPPUNIT_ASSERT(AttemptResult::NotSent == Reader(this->exchange).readAll().second.result);
+    }
+
+    void testDeadVmCutsTheAnswer()
+    {
+        this->start();
+        this->arrivals.wait().second->write(RelayAnswerHead { 200, {} });
+        Reader reader(this->exchange);
+        CPPUNIT_ASSERT(std::holds_alternative<RelayAnswerHead>(reader.next()));
+        this->target->stop();
+        CPPUNIT_ASSERT(AttemptResult::Cut == reader.readAll().second.result);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+} // namespace papayashelf
