Send small changes at once and end suspicions with their link

And a VM that was suspected when it ceased to be a neighbour stayed suspected for good; the suspicion now ends with the link, and a test joins 34 VMs to a fleet in which one is suspected.

--- a/modules/configuration/ConfigurationSettings.h
+++ b/modules/configuration/ConfigurationSettings.h
@@ -8,6 +8,7 @@
 
 /** How configuration and withdrawals are timed and bounded; the same at every VM. */
 struct ConfigurationSettings {
+    std::size_t pushedBytes = 2048; /**< A change of at most so many bytes is sent at once, a larger one announced. */
     Milliseconds pullTimeout { 1000 }; /**< Without an answer for so long, a pull goes to another holder. */
     std::size_t keptDeltas = 64; /**< How many changes back a peer is served by a delta. */
     std::size_t partBytes = 262'144; /**< Most bytes of documents in one part of an answer. */
--- a/modules/configuration/revisions/RevisionExchange.cpp
+++ b/modules/configuration/revisions/RevisionExchange.cpp
@@ -12,6 +12,16 @@
 /** A sender that claims more parts than this is not believed. */
 constexpr std::uint32_t mostParts = 4096;
 
+std::size_t sizeOf(const RevisionDelta& delta)
+{
+    std::size_t bytes = 0;
+    for (const Document& document : delta.changed)
+        bytes += document.path.size() + document.body.size();
+    for (const std::string& path : delta.removed)
+        bytes += path.size();
+    return bytes;
+}
+
 } // namespace
 
 RevisionExchange::RevisionExchange(const ConfigurationSettings& settings, std::uint64_t seed)
@@ -24,15 +34,18 @@
 void RevisionExchange::handleAnnouncement(
     Milliseconds now, const RevisionAnnouncement& announcement, const VmId& from, ConfigurationOutput& output)
 {
-    const auto& newest = this->history.getNewest();
-    if (newest && announcement.number == newest->number && announcement.digest != newest->digest) {
-        const ConfigurationEventKind kind = ConfigurationEventKind::ConflictingDigest;
-        output.events.push_back({ kind, announcement.number, from, "announced " + announcement.digest });
-        return;
-    }
+    this->reportIfConflicting(announcement.number, announcement.digest, from, output);
     this->noteHolder(now, announcement.number, from, output);
 }
 
+void RevisionExchange::reportIfConflicting(
+    RevisionNumber number, const std::string& digest, const VmId& from, ConfigurationOutput& output) const
+{
+    const auto& newest = this->history.getNewest();
+    if (newest && number == newest->number && digest != newest->digest)
+        output.events.push_back({ ConfigurationEventKind::ConflictingDigest, number, from, "announced " + digest });
+}
+
 void RevisionExchange::noteHolder(
     Milliseconds now, RevisionNumber number, const VmId& from, ConfigurationOutput& output)
 {
@@ -51,9 +64,12 @@
 std::optional<RevisionCandidate> RevisionExchange::handlePart(
     Milliseconds now, const RevisionPart& part, const VmId& from, ConfigurationOutput& output)
 {
-    const bool isExpected = this->pull && this->pull->from == from && part.delta.to > this->history.getNumber();
-    if (!isExpected || part.parts == 0 || part.parts > mostParts || part.part >= part.parts)
+    this->reportIfConflicting(part.delta.to, part.delta.digest, from, output);
+    const bool isNewer = part.delta.to > std::max(this->history.getNumber(), this->refused);
+    if (!isNewer || part.parts == 0 || part.parts > mostParts || part.part >= part.parts)
         return std::nullopt;
+    if (!this->pull || this->pull->from != from)
+        return this->takePush(now, part, from, output);
     Pull& pull = *this->pull;
     if (pull.to != part.delta.to)
         pull.received.clear(); // The sender went on to a later revision.
@@ -65,6 +81,23 @@
     return this->complete(now, output);
 }
 
+std::optional<RevisionCandidate> RevisionExchange::takePush(
+    Milliseconds now, const RevisionPart& part, const VmId& from, ConfigurationOutput& output)
+{
+    const auto& newest = this->history.getNewest();
+    const bool fits = newest && part.parts == 1 && part.delta.from == newest->number;
+    if (fits) {
+        Outcome<Revision> revision = applyDelta(*newest, part.delta);
+        if (revision)
+            return RevisionCandidate { std::make_shared<const Revision>(std::move(revision.value())),
+                AdoptionSource::Peer, from };
+        output.events.push_back(
+            { ConfigurationEventKind::DamagedTransfer, part.delta.to, from, revision.error().detail });
+    }
+    this->noteHolder(now, part.delta.to, from, output);
+    return std::nullopt;
+}
+
 std::optional<RevisionCandidate> RevisionExchange::complete(Milliseconds now, ConfigurationOutput& output)
 {
     const VmId from = this->pull->from;
@@ -104,14 +137,24 @@
     if (this->pull && this->pull->to <= candidate.revision->number)
         this->pull.reset();
     std::erase_if(this->holders, [&](const auto& holder) { return holder.second <= candidate.revision->number; });
-    const RevisionAnnouncement announcement { candidate.revision->number, candidate.revision->digest };
+    const ConfigurationMessage news = this->makeNews();
     for (const VmId& vm : this->neighbours) {
         if (vm != candidate.from)
-            output.sends.push_back({ vm, announcement });
+            output.sends.push_back({ vm, news });
     }
     this->pullIfBehind(now, output);
 }
 
+/** A small change goes out at once: it saves the round trip of a pull, and a lost message is one of many. */
+ConfigurationMessage RevisionExchange::makeNews() const
+{
+    const Revision& newest = *this->history.getNewest();
+    const RevisionDelta* delta = this->history.getLastDelta();
+    if (!delta || sizeOf(*delta) > this->settings.pushedBytes)
+        return RevisionAnnouncement { newest.number, newest.digest };
+    return RevisionPart { *delta, 0, 1 };
+}
+
 void RevisionExchange::refuse(Milliseconds now, RevisionNumber number, ConfigurationOutput& output)
 {
     this->refused = std::max(this->refused, number);
--- a/modules/configuration/revisions/RevisionExchange.h
+++ b/modules/configuration/revisions/RevisionExchange.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace papayashelf {
@@ -38,14 +39,19 @@
 
     void handlePull(const RevisionPull& pull, const VmId& from, ConfigurationOutput& output) const;
 
-    /** @returns a candidate when the part completes one */
+    /**
+        Takes a part of the answer to a pull, or a small change that a neighbour sent unasked.
+
+        @returns a candidate when the part completes one
+    */
     std::optional<RevisionCandidate> handlePart(
         Milliseconds now, const RevisionPart& part, const VmId& from, ConfigurationOutput& output);
 
     /** Asks another holder if a pull was not answered in time. */
     void tick(Milliseconds now, ConfigurationOutput& output);
 
-    /** Makes a revision the newest and announces it. Precondition: its number is larger than the newest one's. */
+    /** Makes a revision the newest and tells the neighbours. Precondition: its number is larger than the newest one's.
+     */
     void adopt(Milliseconds now, const RevisionCandidate& candidate, ConfigurationOutput& output);
 
     /** Notes that a revision did not pass its check, so that it is not pulled again. */
@@ -64,6 +70,11 @@
         std::map<std::uint32_t, RevisionDelta> received;
     };
 
+    std::optional<RevisionCandidate> takePush(
+        Milliseconds now, const RevisionPart& part, const VmId& from, ConfigurationOutput& output);
+    ConfigurationMessage makeNews() const;
+    void reportIfConflicting(
+        RevisionNumber number, const std::string& digest, const VmId& from, ConfigurationOutput& output) const;
     void pullIfBehind(Milliseconds now, ConfigurationOutput& output);
     std::optional<VmId> chooseHolder();
     void dropPull(bool wasDamaged);
--- a/modules/configuration/revisions/RevisionHistory.h
+++ b/modules/configuration/revisions/RevisionHistory.h
@@ -27,6 +27,9 @@
     /** The newest revision's number; 0 before the first. */
     RevisionNumber getNumber() const { return this->newest ? this->newest->number : 0; }
 
+    /** What led to the newest revision; null if it is the first. Valid until the next add(). */
+    const RevisionDelta* getLastDelta() const { return this->deltas.empty() ? nullptr : &this->deltas.back(); }
+
     /** Adds a revision. Precondition: its number is larger than the newest one's. */
     void add(std::shared_ptr<const Revision> revision);
 
--- a/modules/membership/Membership.cpp
+++ b/modules/membership/Membership.cpp
@@ -81,7 +81,7 @@
     this->acceptGoneReports(now, output);
     if (now >= this->nextHeartbeat) {
         this->nextHeartbeat = std::max(this->nextHeartbeat + this->settings.heartbeatPeriod, now);
-        this->updateNeighbours(now);
+        this->updateNeighbours(now, output);
         this->sendHeartbeats(output);
         this->assessNeighbours(now, output);
         this->sendJoins(output);
@@ -91,7 +91,7 @@
         this->forgetOldMembers(now);
         this->sendProbe(output);
     }
-    this->updateNeighbours(now);
+    this->updateNeighbours(now, output);
     if (now >= this->flushAt)
         this->flush(output);
     return output;
@@ -115,7 +115,7 @@
     MembershipOutput output;
     Member self = this->getSelf();
     self.state = MemberState::Gone;
-    this->updateNeighbours(now);
+    this->updateNeighbours(now, output);
     for (const VmId& vm : this->neighbours)
         output.sends.push_back({ vm, MemberNews { { self }, false } });
     this->departed = true;
@@ -312,16 +312,30 @@
     this->flushAt = std::min(this->flushAt, now + this->settings.spreadDelay);
 }
 
-void Membership::updateNeighbours(Milliseconds now)
+void Membership::updateNeighbours(Milliseconds now, MembershipOutput& output)
 {
     if (!this->areNeighboursStale)
         return;
     this->areNeighboursStale = false;
     this->neighbours = this->rings.neighboursOf(this->selfId, this->table.getMembers());
     this->links.setNeighbours(now, this->neighbours);
+    this->dropSuspicionsOfOthers(now, output);
     std::erase_if(this->factsByNeighbour, [&](const auto& entry) {
         return !std::binary_search(this->neighbours.begin(), this->neighbours.end(), entry.first);
     });
 }
 
+/** A VM that is no neighbour any more is judged by others. */
+void Membership::dropSuspicionsOfOthers(Milliseconds now, MembershipOutput& output)
+{
+    std::vector<Member> suspects;
+    for (const auto& [vm, member] : this->table.getMembers()) {
+        const bool isNeighbour = std::binary_search(this->neighbours.begin(), this->neighbours.end(), vm);
+        if (member.state == MemberState::Suspect && !isNeighbour)
+            suspects.push_back(member);
+    }
+    for (const Member& suspect : suspects)
+        this->replace(now, withoutSuspicion(suspect), output);
+}
+
 } // namespace papayashelf
--- a/modules/membership/Membership.h
+++ b/modules/membership/Membership.h
@@ -140,7 +140,8 @@
 
     void replace(Milliseconds now, const Member& member, MembershipOutput& output);
     void queueNews(Milliseconds now, const VmId& vm);
-    void updateNeighbours(Milliseconds now);
+    void updateNeighbours(Milliseconds now, MembershipOutput& output);
+    void dropSuspicionsOfOthers(Milliseconds now, MembershipOutput& output);
 
     VmId selfId;
     MembershipSettings settings;
--- a/modules/membership/MembershipNews.cpp
+++ b/modules/membership/MembershipNews.cpp
@@ -70,7 +70,7 @@
         this->queued.clear();
         this->queueNews(now, this->selfId);
     }
-    this->updateNeighbours(now);
+    this->updateNeighbours(now, output);
     return output;
 }
 
--- a/modules/membership/overlay/NeighbourRings.h
+++ b/modules/membership/overlay/NeighbourRings.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace papayashelf {
@@ -34,7 +35,7 @@
 
     const Places& placesOf(const VmId& vm);
 
-    std::map<VmId, Places> places; // A cache; dropped when it outgrows the table.
+    std::unordered_map<VmId, Places> places; // A cache; dropped when it outgrows the table.
 };
 
 } // namespace papayashelf
--- a/tests/configuration/RevisionKeeperTest.cpp
+++ b/tests/configuration/RevisionKeeperTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(testRefusedRevisionStaysOut);
     CPPUNIT_TEST(testConflictingDigestIsReported);
     CPPUNIT_TEST(testUnansweredPullGoesToAnother);
+    CPPUNIT_TEST(testSmallChangeIsTakenUnasked);
     CPPUNIT_TEST(testDamagedTransferIsPulledWholeFromAnother);
     CPPUNIT_TEST(testNumberNeverFallsUnderRandomFaults);
     CPPUNIT_TEST(testCallsToTheStoreStayInBudget);
@@ -215,6 +216,27 @@
         CPPUNIT_ASSERT(keeper.handlePart(seconds(3), { makeWholeDelta(revision), 0, 1 }, VmId("b")).adopted);
     }
 
+    void testSmallChangeIsTakenUnasked()
+    {
+        Keeper keeper = makeKeeper();
+        feed(keeper, makeTestRevision(1));
+        keeper.setNeighbours({ VmId("a"), VmId("b") });
+        const RevisionDelta delta = makeDelta(makeTestRevision(1), makeTestRevision(2));
+        const auto output = keeper.handlePart(seconds(2), { delta, 0, 1 }, VmId("a"));
+        CPPUNIT_ASSERT(output.adopted.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, output.sends.size());
+        CPPUNIT_ASSERT(std::get<RevisionPart>(output.sends.front().message).delta == delta);
+        // One that starts elsewhere, or is damaged, only tells who to pull from.
+        const RevisionDelta gap = makeDelta(makeTestRevision(3), makeTestRevision(4));
+        const auto pulled = keeper.handlePart(seconds(2), { gap, 0, 1 }, VmId("b"));
+        CPPUNIT_ASSERT(!pulled.adopted);
+        CPPUNIT_ASSERT(std::get<RevisionPull>(pulled.sends.front().message).held == 2);
+        RevisionDelta damaged = makeDelta(makeTestRevision(2), makeTestRevision(3));
+        damaged.changed.front().body = "damage";
+        CPPUNIT_ASSERT(!keeper.handlePart(seconds(2), { damaged, 0, 1 }, VmId("a")).adopted);
+        CPPUNIT_ASSERT_EQUAL(RevisionNumber { 2 }, keeper.getNumber());
+    }
+
     void testDamagedTransferIsPulledWholeFromAnother()
     {
         Keeper keeper = makeKeeper();
--- a/tests/membership/MembershipTest.cpp
+++ b/tests/membership/MembershipTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(testTheOtherOfTwoCrashes);
     CPPUNIT_TEST(testBadLinkChangesNothing);
     CPPUNIT_TEST(testLossChangesNothing);
+    CPPUNIT_TEST(testSuspicionEndsWithTheLink);
     CPPUNIT_TEST(testDeafVmCondemnsNobody);
     CPPUNIT_TEST(testHalvesPartAndJoinAgain);
     CPPUNIT_TEST(testNewLifeReplacesTheOldAtOnce);
@@ -155,6 +156,24 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, countAllChangesTo(cluster, MemberState::Gone));
     }
 
+    void testSuspicionEndsWithTheLink()
+    {
+        Cluster cluster(14);
+        auto members = makeMembers(40);
+        const std::vector<Member> later(members.begin() + 6, members.end());
+        members.resize(6);
+        settle(cluster, members);
+        const VmId silent = members[0].vm;
+        cluster.setCut([&](const VmId& from, const VmId&) { return from == silent; });
+        const auto isSuspected = [&] { return countAllChangesTo(cluster, MemberState::Suspect) >= 2; };
+        CPPUNIT_ASSERT(cluster.runUntil(isSuspected, seconds(10)));
+        // Newcomers take the places of most of its neighbours before anybody comes to a verdict.
+        cluster.setCut({});
+        for (const Member& member : later)
+            start(cluster, member, members);
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return allSee(cluster, 40); }, seconds(20)));
+    }
+
     void testDeafVmCondemnsNobody()
     {
         Cluster cluster(8);
--- a/tests/membership/VirtualCluster.h
+++ b/tests/membership/VirtualCluster.h
@@ -43,9 +43,11 @@
     /** Stops a node's processing; messages to it wait. */
     void pause(const VmId& vm) { this->paused.insert(vm); }
 
+    /** Lets a node go on: its timers are due before it gets to the messages that waited. */
     void resume(const VmId& vm)
     {
         this->paused.erase(vm);
+        this->send(vm, this->nodes.at(vm)->tick(this->time));
         for (auto& [from, message] : std::exchange(this->waiting[vm], {}))
             this->send(vm, this->nodes.at(vm)->receive(this->time, from, message));
     }
