--- a/benchmarks/shares/BucketPolicies.h
+++ b/benchmarks/shares/BucketPolicies.h
@@ -98,12 +98,16 @@
         const std::int64_t missing = this->waiting.front().tokens - this->bucket.getTokens(now);
         const Milliseconds next
             = std::min(this->waiting.front().deadline, now + Milliseconds(missing * 1000 / rate + 1));
+        if (this->wakesAt > now && this->wakesAt <= next)
+            return;
+        this->wakesAt = next;
         this->actions.at(next, [this] { this->serve(); });
     }
 
     ActionQueue& actions;
     TokenBucket bucket;
     std::deque<Waiting> waiting;
+    Milliseconds wakesAt;
 };
 
 } // namespace papayashelf
--- a/benchmarks/shares/ShareMeasure.cpp
+++ b/benchmarks/shares/ShareMeasure.cpp
@@ -37,10 +37,11 @@
 const std::vector<Vm> vms { { "a1", 0 }, { "a2", 0 }, { "a3", 0 }, { "o1", 1 }, { "o2", 1 }, { "v1", 2 }, { "v2", 2 } };
 constexpr std::size_t lostVm = 0;
 constexpr std::size_t cutRegion = 2;
+constexpr std::uint64_t leaderBytesPerRequest = 192;
 
 struct Result {
     std::vector<char> admitted;
-    std::vector<Milliseconds> waits;
+    std::vector<std::vector<Milliseconds>> waits; /**< By workspace. */
     UsageObserver observer;
     std::uint64_t messages = 0;
     std::uint64_t bytes = 0;
@@ -50,6 +51,7 @@
 {
     Result result;
     result.admitted.assign(trace.requests.size(), 0);
+    result.waits.resize(trace.workspaces.size());
     for (const TraceWorkspace& each : trace.workspaces)
         result.observer.setLimit(WorkspaceId(each.name), Milliseconds(0), { each.tokensPerSecond, each.burstTokens });
     return result;
@@ -59,7 +61,7 @@
 {
     const TraceRequest& request = trace.requests[index];
     result.admitted[index] = 1;
-    result.waits.push_back(at - arrived);
+    result.waits[request.workspace].push_back(at - arrived);
     result.observer.add(WorkspaceId(trace.workspaces[request.workspace].name), at, request.used);
 }
 
@@ -139,7 +141,7 @@
                 return;
             const Milliseconds delay = request.region == 0 ? localDelay : wideDelay;
             result.messages += 3;
-            result.bytes += 3 * 64;
+            result.bytes += leaderBytesPerRequest;
             actions.at(arrived + delay, [&, index, leader, delay, arrived] {
                 const TraceRequest& mine = trace.requests[index];
                 QueuedBucket& bucket = *leaders[*leader][mine.workspace];
@@ -236,7 +238,7 @@
     const Result& reference)
 {
     boost::json::object line { { "policy", policy }, { "fault", toString(fault) }, { "seed", seed },
-        { "spikes", withSpikes }, { "requests", trace.requests.size() } };
+        { "spikes", withSpikes }, { "load_factor", trace.loadFactor }, { "requests", trace.requests.size() } };
     std::vector<std::size_t> rightful(trace.workspaces.size());
     std::vector<std::size_t> wrongful(trace.workspaces.size());
     std::size_t admitted = 0;
@@ -267,7 +269,12 @@
     };
     const std::size_t allRightful = std::accumulate(rightful.begin(), rightful.end(), std::size_t { 0 });
     const std::size_t allWrongful = std::accumulate(wrongful.begin(), wrongful.end(), std::size_t { 0 });
-    std::sort(result.waits.begin(), result.waits.end());
+    boost::json::object waits;
+    for (std::size_t workspace = 0; workspace < trace.workspaces.size(); ++workspace) {
+        std::vector<Milliseconds>& sorted = result.waits[workspace];
+        std::sort(sorted.begin(), sorted.end());
+        waits[trace.workspaces[workspace].name] = sorted.empty() ? 0 : sorted[sorted.size() * 99 / 100].count();
+    }
     line["reference_admitted"] = allRightful;
     line["admitted"] = admitted;
     line["wrongful_percent"] = percent(allWrongful, allRightful);
@@ -277,13 +284,13 @@
     line["over_admitted_tokens"] = static_cast<double>(worst) / 1000;
     line["messages_per_request"] = static_cast<double>(result.messages) / static_cast<double>(trace.requests.size());
     line["bytes_per_request"] = static_cast<double>(result.bytes) / static_cast<double>(trace.requests.size());
-    line["wait_p99_ms"] = result.waits.empty() ? 0 : result.waits[result.waits.size() * 99 / 100].count();
+    line["wait_p99_ms_by_workspace"] = waits;
     std::cout << boost::json::serialize(line) << std::endl;
 }
 
-void measure(std::uint64_t seed, bool withSpikes)
+void measure(std::uint64_t seed, bool withSpikes, double loadFactor)
 {
-    const Trace trace = makeTrace(seed, withSpikes);
+    const Trace trace = makeTrace(seed, withSpikes, loadFactor);
     const Result reference = runBuckets(trace, 1, [](const TraceRequest&) { return 0; });
     for (const Fault fault : { Fault::None, Fault::VmLoss, Fault::RegionCut }) {
         print(trace, "owners_and_loans", fault, seed, withSpikes, runLedgers(trace, fault, seed), reference);
@@ -300,7 +307,8 @@
 int main()
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed)
-        papayashelf::measure(seed, true);
-    papayashelf::measure(1, false);
+        papayashelf::measure(seed, true, 1);
+    papayashelf::measure(1, false, 1);
+    papayashelf::measure(1, false, 1.3);
     return 0;
 }
--- a/benchmarks/shares/ShareTrace.h
+++ b/benchmarks/shares/ShareTrace.h
@@ -38,13 +38,15 @@
     std::vector<TraceWorkspace> workspaces;
     std::vector<std::string> regions;
     Milliseconds length;
+    double loadFactor = 1;
     std::vector<TraceRequest> requests;
 };
 
 /** Five uneven workspaces over three regions whose daily peaks are a third of a day apart; a day takes 10 minutes. */
-inline Trace makeTrace(std::uint64_t seed, bool withSpikes)
+inline Trace makeTrace(std::uint64_t seed, bool withSpikes, double loadFactor)
 {
     Trace trace;
+    trace.loadFactor = loadFactor;
     trace.regions = { "altiplano", "oriente", "verapaz" };
     trace.workspaces = {
         { "entries", 30'000, 300'000, 0.7, 300, 1 },
@@ -62,7 +64,8 @@
         const TraceWorkspace& each = trace.workspaces[workspace];
         for (std::size_t region = 0; region < trace.regions.size(); ++region) {
             // Thinning: candidates at the highest rate, kept by the rate of their moment.
-            const double mean = each.load * static_cast<double>(each.tokensPerSecond) / each.meanTokens / 3;
+            const double mean
+                = loadFactor * each.load * static_cast<double>(each.tokensPerSecond) / each.meanTokens / 3;
             const double highest = mean * 2 * std::max(1.0, each.spike) * 1.2;
             std::exponential_distribution<double> gap(highest);
             for (double at = gap(random); at < trace.length.seconds(); at += gap(random)) {
--- a/modules/shares/owners/OwnerMap.cpp
+++ b/modules/shares/owners/OwnerMap.cpp
@@ -37,16 +37,27 @@
     const ShareLimit& part, const ShareSettings& settings) const
 {
     const std::size_t count = this->countOwners(part, settings);
-    const std::vector<ShareHolder> owners = this->getOwners(workspace, count);
-    const auto place = std::find(owners.begin(), owners.end(), holder);
-    if (place == owners.end())
+    const std::optional<std::size_t> own = this->findIndex(holder);
+    if (!own)
         return std::nullopt;
-    return partOf(part, static_cast<std::size_t>(place - owners.begin()), count);
+    // The same order as getOwners, but most holders are passed over after a few others.
+    const std::uint64_t key = stableHash(workspace.string());
+    const auto score = [&](std::size_t index) { return std::pair(combineHashes(key, this->hashes[index]), index); };
+    const auto ownScore = score(*own);
+    std::size_t place = 0;
+    for (std::size_t index = 0; index < this->hashes.size() && place < count; ++index)
+        place += score(index) > ownScore ? 1 : 0;
+    if (place >= count)
+        return std::nullopt;
+    return partOf(part, place, count);
 }
 
-bool OwnerRing::contains(const ShareHolder& holder) const
+std::optional<std::size_t> OwnerRing::findIndex(const ShareHolder& holder) const
 {
-    return std::binary_search(this->holders.begin(), this->holders.end(), holder);
+    const auto found = std::lower_bound(this->holders.begin(), this->holders.end(), holder);
+    if (found == this->holders.end() || *found != holder)
+        return std::nullopt;
+    return static_cast<std::size_t>(found - this->holders.begin());
 }
 
 bool OwnerMap::setEpoch(const ShareEpoch& epoch)
--- a/modules/shares/owners/OwnerMap.h
+++ b/modules/shares/owners/OwnerMap.h
@@ -29,11 +29,13 @@
     std::optional<ShareLimit> getPart(const WorkspaceId& workspace, const ShareHolder& holder, const ShareLimit& part,
         const ShareSettings& settings) const;
 
-    bool contains(const ShareHolder& holder) const;
+    bool contains(const ShareHolder& holder) const { return this->findIndex(holder).has_value(); }
 
     const std::vector<ShareHolder>& getHolders() const { return this->holders; }
 
 private:
+    std::optional<std::size_t> findIndex(const ShareHolder& holder) const;
+
     std::vector<ShareHolder> holders; // Sorted.
     std::vector<std::uint64_t> hashes;
 };
--- a/modules/shares/owners/VotedShares.cpp
+++ b/modules/shares/owners/VotedShares.cpp
@@ -65,37 +65,56 @@
     return partBetween(limit, from, from + 1, static_cast<std::int64_t>(count));
 }
 
-std::vector<WorkspaceId> VotedShares::setGovernance(const std::shared_ptr<const Governance>& governance)
+std::vector<WorkspaceId> VotedShares::setGovernance(const std::shared_ptr<const Governance>& next)
 {
-    if (!governance || governance->revision <= this->revision)
+    if (!next || next->revision <= this->revision)
         return {};
-    std::map<WorkspaceId, VotedShare> next;
-    for (const auto& [id, workspace] : governance->workspaces)
-        next.emplace(id, divideOverRegions(workspace, governance->regions));
+    const bool haveRegionsChanged = !this->governance
+        || !std::equal(next->regions.begin(), next->regions.end(), this->governance->regions.begin(),
+            this->governance->regions.end(),
+            [](const auto& left, const auto& right) { return left.first == right.first; });
 
     std::vector<WorkspaceId> changed;
     for (const auto& [id, share] : this->current) {
-        const auto found = next.find(id);
-        if (found != next.end() && found->second == share)
+        if (next->workspaces.contains(id))
             continue;
-        this->earlier[id].push_back({ governance->revision, share });
+        this->earlier[id].push_back({ next->revision, share });
         changed.push_back(id);
     }
-    for (const auto& [id, share] : next) {
-        if (this->current.contains(id))
+    for (const WorkspaceId& id : changed)
+        this->current.erase(id);
+    for (const auto& [id, workspace] : next->workspaces) {
+        if (this->isShareUnchanged(id, workspace, haveRegionsChanged))
+            continue;
+        VotedShare share = divideOverRegions(workspace, next->regions);
+        const auto known = this->current.find(id);
+        if (known != this->current.end() && known->second == share)
             continue;
         // A workspace that no earlier revision had binds nobody: those that lack this revision own nothing of it.
-        if (const auto history = this->earlier.find(id); history != this->earlier.end())
-            history->second.push_back({ governance->revision, std::nullopt });
+        if (known != this->current.end())
+            this->earlier[id].push_back({ next->revision, known->second });
+        else if (const auto history = this->earlier.find(id); history != this->earlier.end())
+            history->second.push_back({ next->revision, std::nullopt });
+        this->current[id] = std::move(share);
         changed.push_back(id);
     }
     std::sort(changed.begin(), changed.end());
-    this->current = std::move(next);
-    this->revision = governance->revision;
+    this->governance = next;
+    this->revision = next->revision;
     this->heldRevisions.insert(this->revision);
     return changed;
 }
 
+bool VotedShares::isShareUnchanged(const WorkspaceId& id, const Workspace& workspace, bool haveRegionsChanged) const
+{
+    if (haveRegionsChanged)
+        return false;
+    const auto known = this->governance->workspaces.find(id);
+    return known != this->governance->workspaces.end() && known->second.tokensPerSecond == workspace.tokensPerSecond
+        && known->second.burstTokens == workspace.burstTokens && known->second.residency == workspace.residency
+        && known->second.shareWeights == workspace.shareWeights;
+}
+
 bool VotedShares::setAdoptedEverywhere(RevisionNumber adopted)
 {
     // A VM that skipped this revision doesn't know its limits, so it can't take them as the base.
--- a/modules/shares/owners/VotedShares.h
+++ b/modules/shares/owners/VotedShares.h
@@ -60,6 +60,9 @@
         std::optional<VotedShare> share;
     };
 
+    bool isShareUnchanged(const WorkspaceId& id, const Workspace& workspace, bool haveRegionsChanged) const;
+
+    std::shared_ptr<const Governance> governance;
     RevisionNumber revision = 0;
     bool baseKnown = false;
     std::set<RevisionNumber> heldRevisions;
--- a/tests/shares/ShareFleet.h
+++ b/tests/shares/ShareFleet.h
@@ -3,6 +3,7 @@
 #include "shares/shares.h"
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -98,6 +99,13 @@
     Milliseconds patience { 2000 };
 };
 
+/** Processor time spent in one kind of call of the ledgers. */
+struct CallCost {
+    std::uint64_t calls = 0;
+    std::chrono::nanoseconds total { 0 };
+    std::chrono::nanoseconds longest { 0 };
+};
+
 /** Several ledgers joined by a network and a store on virtual time, each with a clock of its own. */
 class ShareFleet {
 public:
@@ -111,6 +119,10 @@
     UsageObserver observer;
     std::function<void(const FleetRequest&, Milliseconds)> onGranted;
     std::function<void(const FleetRequest&, const ReservationRefused&)> onRefused;
+    CallCost reserveCost;
+    CallCost settleCost;
+    CallCost messageCost;
+    CallCost tickCost;
     std::uint64_t messages = 0;
     std::uint64_t bytes = 0;
     std::uint64_t storeCalls = 0;
@@ -192,8 +204,10 @@
         }
         this->requests[request.id] = request;
         const Milliseconds local = this->time + node.offset;
-        this->perform(
-            vm, node.ledger->reserve(local, request.id, request.workspace, request.reserved, local + request.patience));
+        this->perform(vm, timed(this->reserveCost, [&] {
+            return node.ledger->reserve(
+                local, request.id, request.workspace, request.reserved, local + request.patience);
+        }));
     }
 
     void at(Milliseconds when, std::function<void()> action)
@@ -255,6 +269,18 @@
     static constexpr Milliseconds regionDelay { 1 };
     static constexpr Milliseconds storeDelay { 5 };
 
+    /** Makes a call of a ledger and adds up what it cost. */
+    template <typename Call> static ShareOutput timed(CallCost& cost, const Call& call)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        ShareOutput output = call();
+        const auto spent = std::chrono::steady_clock::now() - begin;
+        ++cost.calls;
+        cost.total += spent;
+        cost.longest = std::max<std::chrono::nanoseconds>(cost.longest, spent);
+        return output;
+    }
+
     bool isPaused(const Node& node) const { return node.pausedUntil > this->time; }
 
     bool canReach(const Node& from, const Node& to) const
@@ -297,7 +323,7 @@
             return;
         }
         node.timer = Milliseconds::never();
-        this->perform(vm, node.ledger->tick(this->time + node.offset));
+        this->perform(vm, timed(this->tickCost, [&] { return node.ledger->tick(this->time + node.offset); }));
     }
 
     void perform(const VmId& vm, const ShareOutput& output)
@@ -340,7 +366,9 @@
             this->at(node.pausedUntil, [this, vm, incarnation, request] { this->settle(vm, incarnation, request); });
             return;
         }
-        this->perform(vm, node.ledger->settle(this->time + node.offset, request.id, request.used));
+        this->perform(vm, timed(this->settleCost, [&] {
+            return node.ledger->settle(this->time + node.offset, request.id, request.used);
+        }));
     }
 
     void send(const Node& from, const Addressed<ShareMessage>& sent)
@@ -369,7 +397,9 @@
             this->at(node.pausedUntil, [this, from, sent] { this->deliver(from, sent); });
             return;
         }
-        this->perform(sent.to, node.ledger->handleMessage(this->time + node.offset, from, sent.message));
+        this->perform(sent.to, timed(this->messageCost, [&] {
+            return node.ledger->handleMessage(this->time + node.offset, from, sent.message);
+        }));
     }
 
     void callStore(const VmId& vm, const StoreCall& call)
