--- /dev/null
+++ b/tests/dispatch/FakeStore.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "platform/store/StoreCall.h"
+#include <map>
+#include <random>
+#include <string>
+
+namespace papayashelf {
+
+/** A key-value service in memory that can be out, or lose answers before or after a write took effect. */
+class FakeStore {
+public:
+    enum class Fault {
+        None,
+        Out, /**< Unavailable: no effect. */
+        LosesRequest, /**< OutcomeUnknown, and the write did not take effect. */
+        LosesAnswer, /**< OutcomeUnknown, and the write took effect. */
+    };
+
+    StoreReply apply(const StoreRequest& request, Fault fault = Fault::None)
+    {
+        ++this->calls;
+        if (fault == Fault::Out)
+            return Error { ErrorCode::Unavailable, "out" };
+        const Error lost { ErrorCode::OutcomeUnknown, "no answer" };
+        if (fault == Fault::LosesRequest)
+            return lost;
+        const StoreReply reply = this->applyWhole(request);
+        if (fault == Fault::LosesAnswer)
+            return lost;
+        return reply;
+    }
+
+    std::map<std::string, StoreEntry> entries;
+    int calls = 0;
+
+private:
+    StoreReply applyWhole(const StoreRequest& request)
+    {
+        const auto found = this->entries.find(request.key);
+        const StoreVersion version = found == this->entries.end() ? 0 : found->second.version;
+        if (request.operation == StoreOperation::Get) {
+            if (found == this->entries.end())
+                return std::vector<StoreEntry> { { request.key, "", 0 } };
+            return std::vector<StoreEntry> { found->second };
+        }
+        if (request.expectedVersion != version)
+            return Error { ErrorCode::Conflict, "another version" };
+        if (request.operation == StoreOperation::Remove) {
+            this->entries.erase(request.key);
+            return std::vector<StoreEntry> {};
+        }
+        const StoreEntry written { request.key, request.value, ++this->lastVersion };
+        this->entries[request.key] = written;
+        return std::vector<StoreEntry> { written };
+    }
+
+    StoreVersion lastVersion = 0;
+};
+
+} // namespace papayashelf
