--- a/modules/dispatch/dispatcher/Dispatcher.cpp
+++ b/modules/dispatch/dispatcher/Dispatcher.cpp
@@ -454,25 +454,25 @@
     switch (verdict.state) {
     case ClaimState::Granted:
         flight->hasClaim = true;
-        flight->stage = FlightStage::BackingOff;
+        flight->stage = FlightStage::Arrived;
         output.events.push_back({ DispatchEventKind::Claimed, flight->id(), 0, {} });
         this->takeIn(now, *flight, router, output);
         return;
     case ClaimState::Confirmed:
-        flight->stage = FlightStage::BackingOff;
+        flight->stage = FlightStage::Arrived;
         output.storedAnswers.push_back({ flight->id(), verdict.value.status, verdict.value.isBodyHeld,
             verdict.value.contentType, verdict.value.body });
         output.events.push_back({ DispatchEventKind::Finished, flight->id(), 0, "stored" });
         this->close(*flight, output);
         return;
     case ClaimState::Unknown:
-        flight->stage = FlightStage::BackingOff;
+        flight->stage = FlightStage::Arrived;
         output.directives.push_back(RefuseRequest { flight->id(), RefusalCode::OutcomeUnknown, Ran::Unknown,
             std::nullopt, "claimed by " + verdict.value.vm.string() });
         this->close(*flight, output);
         return;
     case ClaimState::Unavailable:
-        flight->stage = FlightStage::BackingOff;
+        flight->stage = FlightStage::Arrived;
         this->refuse(now, *flight, RefusalCode::ClaimUnavailable, output, soonestReturn * 2,
             "this request was not run; an earlier one with the same key may have been");
         return;
--- a/modules/dispatch/dispatcher/Flight.h
+++ b/modules/dispatch/dispatcher/Flight.h
@@ -11,6 +11,7 @@
 
 /** Where an admitted request stands. */
 enum class FlightStage {
+    Arrived, /**< Neither queued nor sent yet. */
     Claiming, /**< Its claim is being written; nothing was sent. */
     Queued,
     Running, /**< An attempt is under way. */
@@ -21,7 +22,7 @@
 /** One admitted request on its way. */
 struct Flight {
     AdmittedRequest admitted;
-    FlightStage stage = FlightStage::Queued;
+    FlightStage stage = FlightStage::Arrived;
     Milliseconds startedAt; /**< Of the attempt under way. */
     Milliseconds wakeAt = Milliseconds::never(); /**< When its timer is due. */
     std::uint32_t attempt = 0;
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(testCallerGoneCancelsButNotAReservation);
     CPPUNIT_TEST(testLeavingFinishesWhatIsHere);
     CPPUNIT_TEST(testNoisyWorkspaceDoesNotDelayAnother);
+    CPPUNIT_TEST(testARequestSpillsPastItsQueueOnlyWhereItMay);
     CPPUNIT_TEST_SUITE_END();
 
     const Milliseconds now { 10 };
@@ -262,6 +263,23 @@
             running[index] = this->startOf(after);
         }
     }
+
+    void testARequestSpillsPastItsQueueOnlyWhereItMay()
+    {
+        Router router = makeRouter(makeGovernance(1));
+        Dispatcher dispatcher = makeDispatcher();
+        this->fill(dispatcher, router, Milliseconds());
+        const Milliseconds at(1000);
+        for (RequestId id = 10; id < 40; ++id)
+            dispatcher.submit(at, makeRequest(id), router);
+        router.handleRegionSummary(at, { second, assistant, 64, 0, 0 });
+        const auto relays = pick<StartRelay>(dispatcher.submit(at, makeRequest(40), router));
+        CPPUNIT_ASSERT_EQUAL(RequestId { 40 }, relays.front().request);
+        CPPUNIT_ASSERT(pick<StartRelay>(dispatcher.submit(at, makeRequest(41, boundWorkspace), router)).empty());
+        AdmittedRequest relayed = makeRequest(42);
+        relayed.isRelayed = true;
+        CPPUNIT_ASSERT(pick<StartRelay>(dispatcher.submit(at, relayed, router)).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
