Test the share epochs against a failing store and silent VMs

A restarted VM now costs one epoch: the leader waits until its new incarnation has settled instead of proposing one epoch without it and another with it.

--- a/benchmarks/shares/ShareSlopes.cpp
+++ b/benchmarks/shares/ShareSlopes.cpp
@@ -75,7 +75,7 @@
     const std::size_t region = static_cast<std::size_t>(fleet.draw(regionCount - 1));
     const std::size_t inRegion = (vmCount - region + regionCount - 1) / regionCount;
     const auto place = static_cast<std::size_t>(fleet.draw(static_cast<std::int64_t>(inRegion) - 1));
-    const VmId any = vmName(region + place * regionCount);
+    VmId any = vmName(region + place * regionCount);
     if (!fleet.happens(followers))
         return any;
     const std::vector<VmId> owners = fleet.getLedger(any).getOwners(nameOf(workspace));
--- a/modules/shares/epochs/EpochKeeper.cpp
+++ b/modules/shares/epochs/EpochKeeper.cpp
@@ -226,6 +226,18 @@
     return known != this->adopted.end() && known->second == releasedShareEpoch;
 }
 
+bool EpochKeeper::isReplacementSettling(Milliseconds now) const
+{
+    // One epoch for a restarted VM is better than one without it and another with it.
+    const ShareEpoch* current = this->getCurrent();
+    return std::any_of(current->holders.begin(), current->holders.end(), [&](const ShareHolder& holder) {
+        const auto member = this->members.find(holder.vm);
+        return member != this->members.end() && member->second.member.isLive
+            && member->second.member.incarnation > holder.incarnation
+            && now - member->second.since < this->settings.epochSettle;
+    });
+}
+
 std::vector<ShareHolder> EpochKeeper::computeHolders(Milliseconds now) const
 {
     std::set<ShareHolder> holders;
@@ -281,7 +293,7 @@
     if (this->pendingCall != 0 || now < this->storeNotBefore)
         return;
     const ShareEpoch* current = this->getCurrent();
-    if (current && this->computeHolders(now) == current->holders)
+    if (current && (this->computeHolders(now) == current->holders || this->isReplacementSettling(now)))
         return;
     // Some VM knows a later epoch than this one, which then can't tell what that epoch's holders own.
     if (this->seenEpoch > this->getCurrentNumber() || !this->getUnadopted().empty())
--- a/modules/shares/epochs/EpochKeeper.h
+++ b/modules/shares/epochs/EpochKeeper.h
@@ -66,6 +66,7 @@
     bool isLeader(Milliseconds now) const;
     bool isProvenDead(const ShareHolder& holder) const;
     bool isReleasedHolder(const ShareHolder& holder) const;
+    bool isReplacementSettling(Milliseconds now) const;
     std::vector<ShareHolder> computeHolders(Milliseconds now) const;
     std::vector<ShareHolder> getUnadopted() const;
     void announceRelease(EpochOutput& output) const;
--- a/tests/shares/ShareFleet.h
+++ b/tests/shares/ShareFleet.h
@@ -168,6 +168,12 @@
         return found == this->store.end() ? std::string() : found->second.value;
     }
 
+    void setStored(const std::string& key, const std::string& value)
+    {
+        StoreEntry& entry = this->store[key];
+        entry = { key, value, entry.version + 1 };
+    }
+
     std::vector<VmId> getVms() const
     {
         std::vector<VmId> vms;
--- a/tests/shares/ShareFleetTest.cpp
+++ b/tests/shares/ShareFleetTest.cpp
@@ -1,46 +1,9 @@
-#include "shares/ShareFleet.h"
+#include "shares/FleetOfToday.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace papayashelf {
 
-namespace {
-
-const WorkspaceId trials { "trials" };
-const WorkspaceId mirrors { "mirrors" };
-
-std::shared_ptr<Governance> makeGovernance(RevisionNumber revision, std::int64_t rate, std::int64_t burst)
-{
-    auto governance = std::make_shared<Governance>();
-    governance->revision = revision;
-    for (const char* name : { "altiplano", "oriente", "verapaz" })
-        governance->regions[RegionId(name)].id = RegionId(name);
-    for (const WorkspaceId& id : { trials, mirrors }) {
-        Workspace& workspace = governance->workspaces[id];
-        workspace.id = id;
-        workspace.tokensPerSecond = rate;
-        workspace.burstTokens = burst;
-    }
-    return governance;
-}
-
-void addToday(ShareFleet& fleet)
-{
-    for (const auto& [vm, region] :
-        std::vector<std::pair<const char*, const char*>> { { "a1", "altiplano" }, { "a2", "altiplano" },
-            { "a3", "altiplano" }, { "o1", "oriente" }, { "o2", "oriente" }, { "v1", "verapaz" }, { "v2", "verapaz" } })
-        fleet.addVm(vm, region);
-}
-
-ShareSettings makeSettings()
-{
-    ShareSettings settings;
-    settings.unlistedGrace = Milliseconds::fromSeconds(5);
-    return settings;
-}
-
-} // namespace
-
 class ShareFleetTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ShareFleetTest);
     CPPUNIT_TEST(testQuietFleetAdmitsWhatTheLimitsAllow);
@@ -86,11 +49,18 @@
         drainEverywhere(fleet, next, 100);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
 
+        // No further epoch may hide that it has not adopted the second.
+        fleet.addVm("v9", "verapaz");
+        fleet.runUntil(Milliseconds::fromSeconds(180));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 2 }, fleet.getLedger(VmId("v2")).getShareEpoch());
+        drainEverywhere(fleet, next, 100);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, fleet.observer.findWorstExcess(trials));
+
         // Once it is proven dead, what it owned fills again elsewhere.
         fleet.kill(VmId("v1"));
         fleet.unlist(VmId("v1"));
         fleet.faults.cutVms = {};
-        fleet.runUntil(Milliseconds::fromSeconds(200));
+        fleet.runUntil(Milliseconds::fromSeconds(300));
         const std::int64_t before = fleet.observer.getUsed(trials);
         drainEverywhere(fleet, next, 100);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 3 }, fleet.getLedger(VmId("v2")).getShareEpoch());
