--- a/tests/publication/CommandTest.cpp
+++ b/tests/publication/CommandTest.cpp
@@ -117,12 +117,13 @@
             if (code)
                 continue;
             const int revision = this->revisions[std::min(call, this->revisions.size() - 1)];
-            const std::string body
-                = R"({"vm":"vm","region":")" + this->region + R"(","revision":)" + std::to_string(revision) + "}";
+            std::ostringstream body;
+            body << R"({"vm":"vm","region":")" << this->region << R"(","revision":)" << revision << "}";
             const bool hasKey = request.find("Authorization: Bearer admin-key\r\n") != std::string::npos;
-            const std::string head = hasKey ? "HTTP/1.1 200 OK" : "HTTP/1.1 401 Unauthorized";
-            const std::string answer
-                = head + "\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            std::ostringstream head;
+            head << (hasKey ? "HTTP/1.1 200 OK" : "HTTP/1.1 401 Unauthorized")
+                 << "\r\nConnection: close\r\nContent-Length: " << body.str().size() << "\r\n\r\n";
+            const std::string answer = head.str() + body.str();
             boost::asio::write(socket, boost::asio::buffer(answer), code);
         }
     }
