--- a/modules/entrance/exchange/Exchange.cpp
+++ b/modules/entrance/exchange/Exchange.cpp
@@ -4,12 +4,19 @@
 #include "entrance/answer/RelayWriter.h"
 #include "entrance/exchange/ExchangeAttempts.h"
 #include "entrance/relay/RelaySource.h"
-#include <cassert>
+#include <algorithm>
 
 namespace papayashelf {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/** A caller that takes nothing for so long cannot keep a stopped answer alive. */
+constexpr std::chrono::milliseconds stuckWriteGrace { 500 };
+
+} // namespace
+
 template <AnswerSink Sink>
 Exchange<Sink>::Exchange(IoThread& thread, ExchangeRequest request, Sink& sink)
     : thread(thread)
@@ -53,11 +60,11 @@
         this->startQueued();
         if (this->isOver())
             co_return;
-        const TimePoint heartbeat = this->nextHeartbeat();
-        if (std::chrono::steady_clock::now() >= heartbeat)
+        this->abortIfStuck();
+        if (std::chrono::steady_clock::now() >= this->nextHeartbeat())
             this->startHeartbeat();
-        else if (this->inbox.waiting.empty())
-            co_await this->inbox.signal.wait(heartbeat);
+        if (this->inbox.waiting.empty())
+            co_await this->inbox.signal.wait(std::min(this->nextHeartbeat(), this->stuckAt));
     }
 }
 
@@ -69,6 +76,14 @@
         this->sink.abort();
 }
 
+template <AnswerSink Sink> void Exchange<Sink>::abortIfStuck()
+{
+    if (std::chrono::steady_clock::now() < this->stuckAt)
+        return;
+    this->stuckAt = TimePoint::max();
+    this->sink.abort();
+}
+
 template <AnswerSink Sink> void Exchange<Sink>::startHeartbeat()
 {
     this->lastSent = std::chrono::steady_clock::now();
@@ -111,9 +126,7 @@
     this->refusal = directive;
     this->queued.reset();
     this->cancelRunning();
-    // A caller that takes nothing must not keep a stopped answer alive.
-    if (this->isSending)
-        this->sink.abort();
+    this->stuckAt = std::chrono::steady_clock::now() + stuckWriteGrace;
 }
 
 template <AnswerSink Sink> void Exchange<Sink>::obey(const FinishRequest&)
--- a/modules/entrance/exchange/Exchange.h
+++ b/modules/entrance/exchange/Exchange.h
@@ -78,6 +78,7 @@
 
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<void> conclude();
+    void abortIfStuck();
     void startHeartbeat();
     boost::asio::awaitable<void> sendHeartbeat();
     void obeyWaiting();
@@ -131,6 +132,7 @@
     bool isEventStream = false;
     bool isSending = false;
     bool isHeartbeatPending = false;
+    TimePoint stuckAt = TimePoint::max(); /**< When a refused answer that is still being written is cut off. */
     TimePoint lastSent;
     Signal sent;
 };
