--- a/modules/membership/Membership.cpp
+++ b/modules/membership/Membership.cpp
@@ -150,6 +150,7 @@
     heartbeat.membersDigest = this->table.getDigest();
     heartbeat.withdrawalsDigest = this->facts.withdrawalsDigest;
     heartbeat.shareEpoch = this->facts.shareEpoch;
+    heartbeat.adopters = this->facts.adopters;
     for (const VmId& vm : this->neighbours)
         output.sends.push_back({ vm, heartbeat });
 }
--- a/modules/membership/Membership.h
+++ b/modules/membership/Membership.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -39,6 +40,7 @@
     RevisionNumber revision = 0;
     std::uint64_t withdrawalsDigest = 0;
     std::uint64_t shareEpoch = 0;
+    std::string adopters {}; /**< Bitmap of VMs known to have had the revision. */
 
     bool operator==(const HeartbeatFacts&) const = default;
 };
@@ -83,6 +85,9 @@
     /** Every known VM, this one included, Gone ones until they are forgotten. */
     const std::map<VmId, Member>& getMembers() const { return this->table.getMembers(); }
 
+    /** Hash of the member table, as heartbeats carry it. */
+    std::uint64_t getMembersDigest() const { return this->table.getDigest(); }
+
     /** The VMs that this one exchanges heartbeats with, sorted. */
     const std::vector<VmId>& getNeighbours() const { return this->neighbours; }
 
--- a/modules/membership/MembershipNews.cpp
+++ b/modules/membership/MembershipNews.cpp
@@ -40,7 +40,8 @@
     if (member->state == MemberState::Suspect)
         this->replace(now, withoutSuspicion(*member), output);
     if (std::binary_search(this->neighbours.begin(), this->neighbours.end(), from))
-        this->factsByNeighbour[from] = { heartbeat.revision, heartbeat.withdrawalsDigest, heartbeat.shareEpoch };
+        this->factsByNeighbour[from]
+            = { heartbeat.revision, heartbeat.withdrawalsDigest, heartbeat.shareEpoch, heartbeat.adopters };
     this->compareDigest(now, heartbeat.membersDigest, from, output);
     return output;
 }
--- a/modules/membership/messages/MembershipMessages.h
+++ b/modules/membership/messages/MembershipMessages.h
@@ -3,6 +3,7 @@
 #include "foundation/identity/Identifier.h"
 #include "model/documents/Document.h"
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace papayashelf {
@@ -38,6 +39,7 @@
     std::uint64_t membersDigest = 0; /**< Hash of the sender's whole member table. */
     std::uint64_t withdrawalsDigest = 0; /**< Hash of the sender's set of withdrawn keys. */
     std::uint64_t shareEpoch = 0; /**< The share epoch of its region that the sender has adopted. */
+    std::string adopters; /**< Bitmap of VMs known to have had the revision, over the table of membersDigest. */
 
     bool operator==(const Heartbeat&) const = default;
 };
--- a/modules/node/node/Node.h
+++ b/modules/node/node/Node.h
@@ -3,6 +3,7 @@
 #include "configuration/configuration.h"
 #include "metrics/metrics.h"
 #include "node/admission/Admission.h"
+#include "node/adoption/AdoptionTracker.h"
 #include "node/messages/NodeMessages.h"
 #include "node/node/GovernanceChecker.h"
 #include "node/node/NodeSettings.h"
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace papayashelf {
 
@@ -61,6 +63,9 @@
     /** True once a stop was asked for, every request has ended, and the others were told. */
     bool isStopped(Milliseconds now) const;
 
+    /** Whether every VM is known to have had the revision in force. */
+    bool isAdoptedEverywhere() const { return this->announcedEverywhere == this->revisions.getNumber(); }
+
     /** Whether this VM takes part as of a later life elsewhere, and so must end at once. */
     bool isReplaced() const { return this->membership.isReplaced(); }
 
@@ -100,6 +105,7 @@
     void refreshMembers(Milliseconds now, NodeOutput& output);
     void sendSummaries(Milliseconds now, NodeOutput& output);
     void updateFacts();
+    void checkAdoption(Milliseconds now, NodeOutput& output);
     void finishStopping(Milliseconds now, NodeOutput& output);
     std::vector<Member> seedsFrom(const VmList& list) const;
 
@@ -121,6 +127,9 @@
     Router router;
     Dispatcher dispatcher;
     StoreCallBook storeCalls;
+    AdoptionTracker adoption;
+    std::set<VmId> listedVms; /**< VMs of the system in the platform's list. */
+    RevisionNumber announcedEverywhere = 0;
 
     std::shared_ptr<const Governance> governance;
     std::map<RequestId, PendingRequest> pending;
--- a/modules/node/node/NodeAgreement.cpp
+++ b/modules/node/node/NodeAgreement.cpp
@@ -38,6 +38,10 @@
     this->applyMembership(now, this->membership.handleVmList(now, arrived.list, this->seedsFrom(arrived.list)), output);
     this->applyShares(now, this->shares.setVmList(now, arrived.list), output);
     this->router.setVmList(arrived.list);
+    this->listedVms.clear();
+    for (const Member& seed : this->seedsFrom(arrived.list))
+        this->listedVms.insert(seed.vm);
+    this->checkAdoption(now, output);
 }
 
 void Node::on(Milliseconds now, const WithdrawalRequested& requested, NodeOutput& output)
@@ -55,6 +59,12 @@
     const auto& heartbeat = std::get<Heartbeat>(message);
     this->updateFacts();
     this->applyMembership(now, this->membership.handleHeartbeat(now, heartbeat, from), output);
+    this->adoption.note(from, heartbeat.incarnation, heartbeat.revision);
+    const bool isComparable = heartbeat.revision == this->adoption.getRevision()
+        && heartbeat.membersDigest == this->membership.getMembersDigest();
+    if (isComparable)
+        this->adoption.join(heartbeat.adopters, this->membership.getMembers());
+    this->checkAdoption(now, output);
     this->applyConfiguration(
         now, StoreCaller::Configuration, this->revisions.handleHeartbeat(now, heartbeat.revision, from), output);
     this->applyConfiguration(now, StoreCaller::Withdrawals,
@@ -143,6 +153,7 @@
     this->revisionSource = adoption.source == AdoptionSource::Store ? "store" : adoption.from.string();
     this->timeline.record(now, "revision_in_force",
         { { "revision", std::to_string(adoption.revision->number) }, { "from", this->revisionSource } });
+    this->adoption.follow(adoption.revision->number, this->membership.getSelf());
     this->router.setGovernance(this->governance);
     this->withdrawals.setGovernance(this->governance);
     this->applyShares(now, this->shares.setGovernance(now, this->governance), output);
@@ -157,8 +168,20 @@
 
 void Node::updateFacts()
 {
-    this->membership.setFacts(
-        HeartbeatFacts { this->revisions.getNumber(), this->withdrawals.getDigest(), this->shares.getShareEpoch() });
+    this->membership.setFacts(HeartbeatFacts { this->revisions.getNumber(), this->withdrawals.getDigest(),
+        this->shares.getShareEpoch(), this->adoption.encode(this->membership.getMembers()) });
+}
+
+void Node::checkAdoption(Milliseconds now, NodeOutput& output)
+{
+    const RevisionNumber revision = this->revisions.getNumber();
+    const bool isNews = revision != this->announcedEverywhere
+        && this->adoption.isEverywhere(this->membership.getMembers(), this->listedVms);
+    if (!isNews)
+        return;
+    this->announcedEverywhere = revision;
+    this->timeline.record(now, "revision_everywhere", { { "revision", std::to_string(revision) } });
+    this->applyShares(now, this->shares.setRevisionAdoptedEverywhere(now, revision), output);
 }
 
 void Node::sendSummaries(Milliseconds now, NodeOutput& output)
--- a/modules/node/snapshot/NodeSnapshot.h
+++ b/modules/node/snapshot/NodeSnapshot.h
@@ -38,6 +38,7 @@
     bool isReplaced = false; /**< A later life of this VM was heard of. */
     RevisionNumber revision = 0;
     std::string revisionDigest;
+    bool isRevisionEverywhere = false; /**< Whether every VM is known to have had it in force. */
     std::string revisionSource; /**< Where the revision in force came from. */
     std::uint64_t shareEpoch = 0;
     std::size_t ownedWorkspaces = 0;
--- a/modules/peers/codec/MembershipCodec.cpp
+++ b/modules/peers/codec/MembershipCodec.cpp
@@ -51,6 +51,7 @@
     wire.set_members_digest(message.membersDigest);
     wire.set_withdrawals_digest(message.withdrawalsDigest);
     wire.set_share_epoch(message.shareEpoch);
+    wire.set_adopters(message.adopters);
 }
 
 void encode(const MemberNews& message, wire::Envelope& envelope)
@@ -82,6 +83,7 @@
     message.membersDigest = wire.members_digest();
     message.withdrawalsDigest = wire.withdrawals_digest();
     message.shareEpoch = wire.share_epoch();
+    message.adopters = wire.adopters();
     return message;
 }
 
--- a/tests/peers/EnvelopeCodecTest.cpp
+++ b/tests/peers/EnvelopeCodecTest.cpp
@@ -37,7 +37,8 @@
         grant.left = 4;
         const ShareReturn returned { WorkspaceId("club"), 5, Milliseconds(123456), 6 };
         return {
-            MembershipMessage(Heartbeat { VmId("vm-a"), 17, 8, true, 4, 0xFEDCBA9876543210ULL, 7, 6 }),
+            MembershipMessage(Heartbeat {
+                VmId("vm-a"), 17, 8, true, 4, 0xFEDCBA9876543210ULL, 7, 6, std::string("\xff\x00\x01", 3) }),
             MembershipMessage(MemberNews { { member }, true }),
             ConfigurationMessage(RevisionAnnouncement { 4, "digest" }),
             ConfigurationMessage(RevisionPull { 3 }),
--- a/tests/scenario/ScenarioMain.cpp
+++ b/tests/scenario/ScenarioMain.cpp
@@ -1,5 +1,5 @@
 /**
-    Plays scenario files on virtual time: scenario_runner [--break=NAME|--must-fail] [--seed=N] FILE...
+    Plays scenario files on virtual time: scenario_runner [--break=NAME|--must-fail] [--seed=N] [--timeline] FILE...
 
     Prints each expectation with its figure, and PASS or FAIL with the scenario's name on the last line. Exit code 0 if
     every scenario passed; with --must-fail, if every one failed under the sabotage that it names; 2 for bad usage.
@@ -18,6 +18,7 @@
 struct Options {
     Sabotage sabotage = Sabotage::None;
     bool mustFail = false;
+    bool showsTimeline = false;
     bool hasSeed = false;
     std::uint64_t seed = 0;
     std::vector<std::string> files;
@@ -32,6 +33,8 @@
             options.sabotage = parseSabotage(argument.substr(8));
         else if (argument == "--must-fail")
             options.mustFail = true;
+        else if (argument == "--timeline")
+            options.showsTimeline = true;
         else if (argument.rfind("--seed=", 0) == 0) {
             options.hasSeed = true;
             options.seed = std::strtoull(argument.c_str() + 7, nullptr, 10);
@@ -41,8 +44,18 @@
     return options;
 }
 
+void printTimeline(const std::vector<TimelineEvent>& events)
+{
+    for (const TimelineEvent& event : events) {
+        std::cout << event.logicalTime << " " << event.vm.string() << " " << event.kind;
+        for (const auto& [name, value] : event.details)
+            std::cout << " " << name << "=" << value;
+        std::cout << "\n";
+    }
+}
+
 /** Plays one scenario and prints what came of it; true if every promise and expectation held. */
-bool play(const ScenarioPlan& plan, Sabotage sabotage)
+bool play(const ScenarioPlan& plan, Sabotage sabotage, bool showsTimeline)
 {
     const auto collected = collectTree(plan.deployment);
     if (!collected) {
@@ -52,6 +65,8 @@
     }
     World world(plan, sabotage, collected.value().documents);
     world.run();
+    if (showsTimeline)
+        printTimeline(world.getTimeline());
     bool isPassed = true;
     constexpr std::size_t shownBreaches = 10;
     const std::vector<std::string>& breaches = world.getBook().getBreaches();
@@ -91,7 +106,7 @@
         return true;
     std::cout << plan.name << ": " << plan.what << (sabotage == Sabotage::None ? "" : " [" + toString(sabotage) + "]")
               << "\n";
-    const bool isPassed = play(plan, sabotage);
+    const bool isPassed = play(plan, sabotage, options.showsTimeline);
     std::cout << (isPassed ? "PASS " : "FAIL ") << plan.name << std::endl;
     return isPassed != options.mustFail;
 }
@@ -104,7 +119,7 @@
 {
     const papayashelf::Options options = papayashelf::readOptions(argumentCount, arguments);
     if (options.files.empty()) {
-        std::cerr << "usage: scenario_runner [--break=NAME|--must-fail] [--seed=N] FILE...\n";
+        std::cerr << "usage: scenario_runner [--break=NAME|--must-fail] [--seed=N] [--timeline] FILE...\n";
         return 2;
     }
     int failures = 0;
--- a/tests/scenario/world/World.cpp
+++ b/tests/scenario/world/World.cpp
@@ -299,6 +299,16 @@
     });
 }
 
+std::vector<TimelineEvent> World::getTimeline() const
+{
+    std::vector<std::vector<TimelineEvent>> timelines;
+    for (const auto& [id, vm] : this->vms) {
+        if (vm.isRunning())
+            timelines.push_back(vm.node->getTimeline().getEventsAfter(0));
+    }
+    return mergeTimelines(timelines);
+}
+
 VirtualVm* World::findLife(const VmId& id, std::uint64_t life)
 {
     VirtualVm& vm = this->vms.at(id);
--- a/tests/scenario/world/World.h
+++ b/tests/scenario/world/World.h
@@ -56,6 +56,10 @@
     const std::vector<WithdrawalRecord>& getWithdrawals() const { return this->withdrawals; }
     const std::map<UpstreamId, LeavingRecord>& getLeaving() const { return this->leaving; }
     const Governance& getTruth() const { return *this->truth; }
+
+    /** What the running VMs still have of their time lines, merged. */
+    std::vector<TimelineEvent> getTimeline() const;
+
     int countFailedPublications() const { return this->failedPublications; }
 
 private:
