--- a/modules/membership/Membership.h
+++ b/modules/membership/Membership.h
@@ -68,7 +68,10 @@
     */
     MembershipOutput handleVmList(Milliseconds now, const VmList& list, const std::vector<Member>& seeds);
 
+    /** A heartbeat came in. One of an earlier life, or of a VM held to be Gone, is answered and not counted. */
     MembershipOutput handleHeartbeat(Milliseconds now, const Heartbeat& heartbeat, const VmId& from);
+
+    /** News came in: statements about members, or questions about Suspect ones. */
     MembershipOutput handleNews(Milliseconds now, const MemberNews& news, const VmId& from);
 
     /** Does what is due. Call at getNextDeadline() or sooner; a late call is taken as a pause of this VM. */
