Test withdrawals and membership under random faults

Cuts of one or two regions, loss, a store that is down, silent or loses answers, replaced and paused VMs, drawn from eight seeds: no withdrawal is lost, and all VMs agree again after the faults end.

--- a/tests/configuration/WithdrawalSetTest.cpp
+++ b/tests/configuration/WithdrawalSetTest.cpp
@@ -1,6 +1,8 @@
 #include "ControlNode.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <random>
+#include <set>
 
 namespace papayashelf {
 
@@ -17,6 +19,7 @@
     CPPUNIT_TEST(testEntryIsDroppedOnlyByALaterRevisionWithoutTheKey);
     CPPUNIT_TEST(testDigestDependsOnEntriesOnly);
     CPPUNIT_TEST(testLargeSetIsSentInPieces);
+    CPPUNIT_TEST(testRandomFaultsLoseNothing);
     CPPUNIT_TEST_SUITE_END();
 
     // "Stops working within seconds."
@@ -234,6 +237,66 @@
             other.handleNotice(seconds(3), std::get<WithdrawalNotice>(addressed.message), VmId("one"));
         CPPUNIT_ASSERT_EQUAL(one.getDigest(), other.getDigest());
     }
+
+    /** One round of faults: cuts of up to two regions, loss, store faults, a replaced VM, a paused VM. */
+    static void breakSomething(ControlCluster& cluster, std::mt19937_64& random)
+    {
+        const RegionId first = cluster.members[random() % cluster.members.size()].region;
+        const RegionId second = cluster.members[random() % cluster.members.size()].region;
+        const bool isCut = random() % 2 == 0;
+        cluster.setCut([&cluster, first, second, isCut](const VmId& from, const VmId& to) {
+            const RegionId& left = cluster.regionOf(from);
+            const RegionId& right = cluster.regionOf(to);
+            return isCut && left != right && (left == first || right == first || left == second || right == second);
+        });
+        cluster.setLoss(random() % 3 == 0 ? 0.3 : 0);
+        cluster.store.isDown = random() % 3 == 0;
+        cluster.store.isSilent = random() % 5 == 0;
+        cluster.store.losesWriteAnswers = random() % 2 == 0;
+        Member& replaced = cluster.members[random() % cluster.members.size()];
+        cluster.crash(replaced.vm);
+        replaced.incarnation += 1;
+        cluster.start(replaced);
+        const VmId paused = cluster.members[random() % cluster.members.size()].vm;
+        cluster.pause(paused);
+        cluster.runFor(Milliseconds(static_cast<std::int64_t>(random() % 12000)));
+        cluster.resume(paused);
+    }
+
+    void testRandomFaultsLoseNothing()
+    {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            ControlCluster cluster(15, seed);
+            cluster.store.publish(makeTestRevision(1));
+            CPPUNIT_ASSERT(cluster.settle(1));
+            std::mt19937_64 random(seed);
+            std::set<KeyDigest> keys;
+            for (int round = 0; round < 20; ++round) {
+                breakSomething(cluster, random);
+                const KeyDigest key("key-" + std::to_string(round));
+                const Member& entry = cluster.members[random() % cluster.members.size()];
+                withdrawAt(cluster, entry.vm, key);
+                keys.insert(key);
+                // What has spread within the region is to survive any one VM.
+                cluster.runFor(seconds(5));
+            }
+            cluster.setCut({});
+            cluster.setLoss(0);
+            cluster.store.isDown = false;
+            cluster.store.isSilent = false;
+            cluster.runFor(seconds(30));
+            const std::size_t count = cluster.members.size();
+            CPPUNIT_ASSERT(cluster.all([&](const VmId&, ControlNode& node) {
+                return node.withdrawals.size() == keys.size() && node.membership.getMembers().size() == count;
+            }));
+            CPPUNIT_ASSERT_EQUAL(keys.size(), storedIn(cluster.store).size());
+            CPPUNIT_ASSERT(cluster.all([&](const VmId&, ControlNode& node) {
+                const auto& members = node.membership.getMembers();
+                return std::all_of(members.begin(), members.end(),
+                    [](const auto& member) { return member.second.state == MemberState::Live; });
+            }));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WithdrawalSetTest);
