Move stock to owners that run low before their requests need it

An owner below half of its bucket asks the fullest other owner for enough to even them out, if that one is well filled.

--- a/modules/shares/ledger/OwnerViews.cpp
+++ b/modules/shares/ledger/OwnerViews.cpp
@@ -74,6 +74,26 @@
     return askable;
 }
 
+std::int64_t OwnerViews::getAsked() const
+{
+    std::int64_t asked = 0;
+    for (const OwnerView& view : this->views)
+        asked += view.call != 0 ? view.asked : 0;
+    return asked;
+}
+
+void OwnerViews::giveUpCalls(Milliseconds now, const ShareSettings& settings)
+{
+    constexpr std::int64_t mostDoublings = 3;
+    for (OwnerView& view : this->views) {
+        if (view.call == 0 || now <= view.askedAt + settings.grantHold)
+            continue;
+        view.call = 0;
+        const std::int64_t doublings = std::min(view.silences++, mostDoublings);
+        view.silentUntil = now + settings.silentOwnerPause * (std::int64_t { 1 } << doublings);
+    }
+}
+
 Milliseconds OwnerViews::whenAvailable(Milliseconds now, const std::set<VmId>& liveVms, std::int64_t missing) const
 {
     std::int64_t rate = 0;
--- a/modules/shares/ledger/OwnerViews.h
+++ b/modules/shares/ledger/OwnerViews.h
@@ -42,6 +42,12 @@
     /** Those that can be asked now: local ones first, then by what they are believed to have, most first. */
     std::vector<OwnerView*> getAskable(Milliseconds now, const std::set<VmId>& liveVms);
 
+    /** Tokens that were asked for and have not been answered yet. */
+    std::int64_t getAsked() const;
+
+    /** Holds owners for silent whose answer would come too late now. */
+    void giveUpCalls(Milliseconds now, const ShareSettings& settings);
+
     /** When the owners, of whom something is known, will have brought in this many tokens; never() if not at all. */
     Milliseconds whenAvailable(Milliseconds now, const std::set<VmId>& liveVms, std::int64_t missing) const;
 
--- a/modules/shares/ledger/ShareBorrower.cpp
+++ b/modules/shares/ledger/ShareBorrower.cpp
@@ -13,7 +13,7 @@
 constexpr Milliseconds probePeriod { 250 };
 constexpr Milliseconds shortestTimer { 5 };
 constexpr Milliseconds shortestRetryAfter { 100 };
-constexpr std::int64_t mostSilenceDoublings = 3;
+constexpr std::int64_t permille = 1000;
 
 } // namespace
 
@@ -110,6 +110,7 @@
         }
         const std::int64_t available = std::max<std::int64_t>(0, bucket->getTokens(now) - kept);
         grant.tokens = std::clamp<std::int64_t>(message.tokens, 0, available);
+        grant.tokens += this->chooseStock(*bucket, available - grant.tokens, message);
         bucket->lend(now, grant.tokens);
         grant.left = available - grant.tokens;
         const std::int64_t rate = bucket->getLimit().tokensPerSecond;
@@ -212,13 +213,16 @@
 {
     Account& account = this->getAccount(workspace);
     this->dropLapsedLoans(now, workspace, account);
+    account.owners.giveUpCalls(now, this->settings);
     this->grantWaiting(now, workspace, account, output);
     this->refuseOverdue(now, workspace, account, output);
     this->grantWaiting(now, workspace, account, output);
-    if (account.waiting.empty())
+    if (account.waiting.empty()) {
         this->depositLoans(now, workspace, account);
-    else
+        this->askForStock(now, workspace, account, output);
+    } else {
         this->ask(now, workspace, account, output);
+    }
     this->setTimer(now, workspace, account);
 }
 
@@ -264,18 +268,8 @@
 
 void ShareBorrower::ask(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output)
 {
-    std::int64_t coming = this->getOwnTokens(now, workspace) + this->countLoans(account);
-    for (OwnerView& view : account.owners.getAll()) {
-        if (view.call == 0)
-            continue;
-        if (now <= view.askedAt + this->settings.grantHold) {
-            coming += view.asked;
-            continue;
-        }
-        view.call = 0;
-        const std::int64_t doublings = std::min(view.silences++, mostSilenceDoublings);
-        view.silentUntil = now + this->settings.silentOwnerPause * (std::int64_t { 1 } << doublings);
-    }
+    const std::int64_t coming
+        = this->getOwnTokens(now, workspace) + this->countLoans(account) + account.owners.getAsked();
     std::int64_t wanted = -coming;
     for (const Waiting& waiting : account.waiting)
         wanted += waiting.tokens;
@@ -301,6 +295,44 @@
     }
 }
 
+void ShareBorrower::askForStock(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output)
+{
+    TokenBucket* bucket = this->ownership.find(workspace);
+    const std::int64_t burst = bucket ? bucket->getLimit().burstTokens : 0;
+    if (burst <= 0 || now < account.nextStock)
+        return;
+    const std::int64_t ownPermille = bucket->getTokens(now) * permille / burst;
+    if (ownPermille >= this->settings.stockBelowPermille)
+        return;
+    OwnerView* fullest = nullptr;
+    std::int64_t fullestPermille
+        = std::max(ownPermille + this->settings.stockGapPermille, this->settings.stockGiverPermille);
+    for (OwnerView& view : account.owners.getAll()) {
+        const std::int64_t other
+            = view.limit.burstTokens > 0 ? view.estimate(now) * permille / view.limit.burstTokens : 0;
+        if (other < fullestPermille || !this->liveVms.contains(view.vm))
+            continue;
+        fullest = &view;
+        fullestPermille = other + 1;
+    }
+    if (!fullest)
+        return;
+    ShareRequest request;
+    request.workspace = workspace;
+    request.stockPermille = (ownPermille + fullestPermille) / 2;
+    request.stockTokens = (request.stockPermille - ownPermille) * burst / permille;
+    account.nextStock = now + this->settings.stockPeriod;
+    this->sendRequest(now, workspace, *fullest, request, output);
+}
+
+std::int64_t ShareBorrower::chooseStock(
+    const TokenBucket& bucket, std::int64_t available, const ShareRequest& message) const
+{
+    // Never so much that the giver would be the emptier one afterwards.
+    const std::int64_t kept = bucket.getLimit().burstTokens * message.stockPermille / permille;
+    return std::clamp<std::int64_t>(message.stockTokens, 0, std::max<std::int64_t>(0, available - kept));
+}
+
 void ShareBorrower::sendRequest(
     Milliseconds now, const WorkspaceId& workspace, OwnerView& owner, const ShareRequest& request, ShareOutput& output)
 {
@@ -355,15 +387,16 @@
     Milliseconds next = Milliseconds::never();
     for (const Loan& loan : account.loans)
         next = std::min(next, loan.lapse + Milliseconds(1));
+    for (const OwnerView& view : account.owners.getAll()) {
+        if (view.call != 0)
+            next = std::min(next, view.askedAt + this->settings.grantHold + Milliseconds(1));
+    }
     if (!account.waiting.empty()) {
         for (const Waiting& waiting : account.waiting)
             next = std::min(next, waiting.deadline);
         bool isAsking = false;
-        for (const OwnerView& view : account.owners.getAll()) {
-            if (view.call != 0)
-                next = std::min(next, view.askedAt + this->settings.grantHold + Milliseconds(1));
+        for (const OwnerView& view : account.owners.getAll())
             isAsking = isAsking || view.call != 0;
-        }
         const std::int64_t missing
             = account.waiting.front().tokens - this->getOwnTokens(now, workspace) - this->countLoans(account);
         TokenBucket* bucket = this->ownership.find(workspace);
--- a/modules/shares/ledger/ShareBorrower.h
+++ b/modules/shares/ledger/ShareBorrower.h
@@ -82,6 +82,7 @@
         std::vector<Loan> loans;
         OwnerViews owners;
         bool areOwnersKnown = false;
+        Milliseconds nextStock; // No question for stock before.
         Milliseconds timer = Milliseconds::never();
     };
 
@@ -96,11 +97,13 @@
     void grantWaiting(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output);
     void refuseOverdue(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output);
     void ask(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output);
+    void askForStock(Milliseconds now, const WorkspaceId& workspace, Account& account, ShareOutput& output);
     void sendRequest(Milliseconds now, const WorkspaceId& workspace, OwnerView& owner, const ShareRequest& request,
         ShareOutput& output);
     void dropLapsedLoans(Milliseconds now, const WorkspaceId& workspace, Account& account);
     void useLoans(Milliseconds now, Account& account, std::int64_t& missing, std::vector<Part>& parts);
     void depositLoans(Milliseconds now, const WorkspaceId& workspace, Account& account);
+    std::int64_t chooseStock(const TokenBucket& bucket, std::int64_t available, const ShareRequest& message) const;
     void setTimer(Milliseconds now, const WorkspaceId& workspace, Account& account);
     void refuse(RequestId request, const WorkspaceId& workspace, ShareRefusal reason, std::int64_t missing,
         ShareOutput& output);
--- a/modules/shares/settings/ShareSettings.h
+++ b/modules/shares/settings/ShareSettings.h
@@ -15,6 +15,12 @@
     Milliseconds grantMargin { 100 }; /**< How much longer the giver keeps the place of a grant occupied. */
     Milliseconds maximumWait { 2000 }; /**< Longest that a reservation waits for tokens. */
     std::size_t maximumWaiting = 256; /**< Reservations of one workspace that wait on one VM. */
+    std::int64_t stockBelowPermille
+        = 500; /**< An owner whose bucket is less full than this asks fuller ones for more. */
+    std::int64_t stockGapPermille = 150; /**< How much fuller the other must be. */
+    std::int64_t stockGiverPermille
+        = 400; /**< How full it must be at least: what is scarce is only moved for a request. */
+    Milliseconds stockPeriod { 200 }; /**< Least time between two such questions about one workspace. */
     Milliseconds returnPeriod { 100 }; /**< How often tokens that were not used go back to their givers. */
     Milliseconds silentOwnerPause { 1000 }; /**< How long an owner that did not answer is not asked. */
     Milliseconds unlistedGrace { 120000 }; /**< How long the platform's list must lack a VM before it counts as dead. */
