Weigh a nearly full batch against the link

Cause: while one region was full and the others idle, its requests waited up to a second; the cost of a full batch was counted as 100 ms, rising evenly, less than the link and the margin, so nearly nothing was sent away. Change: a full batch counts as 1500 ms, rising with the eighth power of the load. The test on spilling past a queue took any relay for its own request's; it now looks at the request itself, and over the following second too.

--- a/modules/routing/choice/Router.cpp
+++ b/modules/routing/choice/Router.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double serviceTimeBlend = 0.05;
+constexpr double fullBatchSteepness = 8;
 
 } // namespace
 
@@ -181,7 +182,9 @@
 
 double Router::waitFor(double load, const ServiceId& service) const
 {
-    const double batch = static_cast<double>(this->settings.fullBatchDelay.count()) * std::min(1.0, load);
+    // An engine slows down little until its batch is nearly full.
+    const double fullness = std::pow(std::min(1.0, load), fullBatchSteepness);
+    const double batch = static_cast<double>(this->settings.fullBatchDelay.count()) * fullness;
     return batch + std::max(0.0, load - 1.0) * this->getServiceTime(service);
 }
 
--- a/modules/routing/settings/RoutingSettings.h
+++ b/modules/routing/settings/RoutingSettings.h
@@ -42,7 +42,9 @@
     Milliseconds summaryLifetime { 10000 }; /**< A region not heard from for so long gets nothing. */
     Milliseconds regionRoundTrip { 60 };
     Milliseconds expectedServiceTime { 2000 }; /**< Length of an attempt before any was seen. */
-    Milliseconds fullBatchDelay { 100 }; /**< What a full batch adds to the first token. */
+    Milliseconds fullBatchDelay {
+        1500
+    }; /**< What a full batch costs the first token, queueing in the engine included. */
     Milliseconds spillMargin { 200 }; /**< Saving below which a request stays. */
     double prefillMillisecondsPerToken = 0.2; /**< What a prompt token costs where its prefix is not cached. */
     std::int64_t bytesPerToken = 6;
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -275,10 +275,22 @@
         router.handleRegionSummary(at, { second, assistant, 64, 0, 0 });
         const auto relays = pick<StartRelay>(dispatcher.submit(at, makeRequest(40), router));
         CPPUNIT_ASSERT_EQUAL(RequestId { 40 }, relays.front().request);
-        CPPUNIT_ASSERT(pick<StartRelay>(dispatcher.submit(at, makeRequest(41, boundWorkspace), router)).empty());
+        this->expectNoRelayOf(41, dispatcher.submit(at, makeRequest(41, boundWorkspace), router));
         AdmittedRequest relayed = makeRequest(42);
         relayed.isRelayed = true;
-        CPPUNIT_ASSERT(pick<StartRelay>(dispatcher.submit(at, relayed, router)).empty());
+        this->expectNoRelayOf(42, dispatcher.submit(at, relayed, router));
+        // Nor do they leave later, when the queue is looked at again.
+        for (int round = 1; round <= 20; ++round) {
+            const DispatchOutput output = dispatcher.tick(at + Milliseconds(50) * round, router);
+            this->expectNoRelayOf(41, output);
+            this->expectNoRelayOf(42, output);
+        }
+    }
+
+    void expectNoRelayOf(RequestId request, const DispatchOutput& output)
+    {
+        for (const StartRelay& relay : pick<StartRelay>(output))
+            CPPUNIT_ASSERT(relay.request != request);
     }
 };
 
