Follow cached prefixes up to 1.6 times the mean load

Cause: a talk left the engine that held its prompt at 1.25 times the mean load, which few requests on a small subset already make, and paid for its prefill again. Change: the bound is 1.6.

--- a/modules/routing/settings/RoutingSettings.h
+++ b/modules/routing/settings/RoutingSettings.h
@@ -29,7 +29,7 @@
 
     std::size_t subsetSize = 16; /**< Upstreams of one service that one VM uses and polls. */
     double concurrencyFactor = 1.0; /**< Requests sent to an upstream at once, per slot. */
-    double affinityLoadBound = 1.25; /**< Affinity is followed up to this multiple of the candidates' mean load. */
+    double affinityLoadBound = 1.6; /**< Affinity is followed up to this multiple of the candidates' mean load. */
     std::size_t prefixIndexEntries = 32768; /**< Most prefix hashes remembered. */
     Milliseconds loadReportLifetime { 5000 }; /**< Older reports say nothing. */
 
