Build texts of faults only when there is a fault

Each VM checks a whole revision before it adopts one. Lists of known names and of allowed values are made only for a fault, and places are not copied for documents that have none.

--- a/modules/settings/reading/TableReader.cpp
+++ b/modules/settings/reading/TableReader.cpp
@@ -57,6 +57,9 @@
 std::map<std::string, Position, std::less<>> TableReader::positions() const
 {
     std::map<std::string, Position, std::less<>> places;
+    // Stored documents have no places.
+    if (this->node->position == Position())
+        return places;
     for (const ConfigMember& member : std::get<ConfigNode::Table>(this->node->value))
         places.emplace(member.name, member.value.position);
     return places;
@@ -69,35 +72,35 @@
 
 void TableReader::finish()
 {
-    std::string names;
-    for (const std::string& name : this->known)
-        names += (names.empty() ? "" : ", ") + name;
     for (const ConfigMember& member : std::get<ConfigNode::Table>(this->node->value)) {
         if (!this->known.contains(member.name))
-            this->report(member.position, "unknown key " + this->qualified(member.name), names);
+            this->report(member.position, "unknown key " + this->qualified(member.name), this->knownNames());
     }
 }
 
+std::string TableReader::knownNames() const
+{
+    std::string names;
+    for (const std::string_view name : this->known)
+        names.append(names.empty() ? "" : ", ").append(name);
+    return names;
+}
+
 const ConfigMember* TableReader::take(std::string_view name)
 {
     this->known.emplace(name);
     return this->node->member(name);
 }
 
-std::vector<const ConfigNode*> TableReader::elements(std::string_view name, const std::string& allowed)
+const ConfigNode::List* TableReader::listOf(std::string_view name)
 {
-    std::vector<const ConfigNode*> result;
     const ConfigMember* member = this->take(name);
     if (!member)
-        return result;
+        return nullptr;
     const auto* list = std::get_if<ConfigNode::List>(&member->value.value);
-    if (!list) {
-        this->reportValue(name, member->value, "a list, each element " + allowed);
-        return result;
-    }
-    for (const ConfigNode& element : *list)
-        result.push_back(&element);
-    return result;
+    if (!list)
+        this->reportValue(name, member->value, "a list");
+    return list;
 }
 
 std::vector<const ConfigMember*> TableReader::members(std::string_view name)
--- a/modules/settings/reading/TableReader.h
+++ b/modules/settings/reading/TableReader.h
@@ -14,8 +14,8 @@
 /**
     Reads the fields of one table by rules and notes every fault, so that one pass finds all of them.
 
-    Name each field once, then call finish(), which reports the names that no field has. A field that is missing or
-    faulty leaves its target as it was.
+    Name each field once, by a literal, then call finish(), which reports the names that no field has. A field that is
+   missing or faulty leaves its target as it was.
 
     Thread safety: none. The node and the faults must outlive the reader.
 */
@@ -47,11 +47,14 @@
     requires FieldRule<Rule, Value>
     void list(std::string_view name, std::vector<Value>& target, const Rule& rule)
     {
-        for (const ConfigNode* element : this->elements(name, rule.allowed())) {
-            if (const auto value = rule.accept(*element))
+        const ConfigNode::List* elements = this->listOf(name);
+        if (!elements)
+            return;
+        for (const ConfigNode& element : *elements) {
+            if (const auto value = rule.accept(element))
                 target.push_back(*value);
             else
-                this->reportValue(name, *element, rule.allowed());
+                this->reportValue(name, element, rule.allowed());
         }
     }
 
@@ -80,7 +83,7 @@
     /** Where the field's value stands, or the table itself if there is none. */
     Position positionOf(std::string_view name) const;
 
-    /** Where the value of each field stands. */
+    /** Where the value of each field stands; empty for a document without places. */
     std::map<std::string, Position, std::less<>> positions() const;
 
     /** Notes a fault that only the caller can see. */
@@ -103,17 +106,18 @@
     }
 
     const ConfigMember* take(std::string_view name);
-    std::vector<const ConfigNode*> elements(std::string_view name, const std::string& allowed);
+    const ConfigNode::List* listOf(std::string_view name);
     std::vector<const ConfigMember*> members(std::string_view name);
     void reportMissing(std::string_view name, const std::string& allowed);
     void reportValue(std::string_view name, const ConfigNode& value, const std::string& allowed);
     std::string qualified(std::string_view name) const;
+    std::string knownNames() const;
 
     const ConfigNode* node = nullptr;
     std::string file;
     std::string path;
     Faults* faults = nullptr;
-    std::set<std::string, std::less<>> known;
+    std::set<std::string_view> known;
 };
 
 } // namespace papayashelf
