Ask VMs for their revision all at once

A VM that cannot be reached held up the answers of the others by its timeout, one after another. Now one wait serves all.

--- a/modules/publication/commands/PublishCommand.cpp
+++ b/modules/publication/commands/PublishCommand.cpp
@@ -103,8 +103,9 @@
 RevisionNumber highestInForce(const PublishOptions& options)
 {
     RevisionNumber highest = 0;
-    for (const Endpoint& vm : options.administration) {
-        if (const auto status = askVmStatus(vm, options.administrationKey, options.callTimeout))
+    const auto statuses = askVmStatuses(options.administration, options.administrationKey, options.callTimeout);
+    for (const auto& [vm, status] : statuses) {
+        if (status)
             highest = std::max(highest, status.value().revision);
     }
     return highest;
@@ -134,7 +135,10 @@
         const Clock clock;
         const Milliseconds end = clock.now() + this->options.wait;
         while (true) {
-            std::erase_if(this->missing, [&](const Endpoint& vm) { return this->hasRevision(vm, output); });
+            const auto statuses
+                = askVmStatuses(this->missing, this->options.administrationKey, this->options.callTimeout);
+            std::erase_if(
+                this->missing, [&](const Endpoint& vm) { return this->hasRevision(vm, statuses.at(vm), output); });
             if (this->missing.empty() || clock.now().count() >= end.count())
                 break;
             std::this_thread::sleep_for(statusPause);
@@ -147,9 +151,8 @@
     }
 
 private:
-    bool hasRevision(const Endpoint& vm, std::ostream& output)
+    bool hasRevision(const Endpoint& vm, const Outcome<VmStatus>& status, std::ostream& output)
     {
-        const auto status = askVmStatus(vm, this->options.administrationKey, this->options.callTimeout);
         if (!status) {
             this->reasons[vm] = "not reached, " + status.error().detail;
             return false;
--- a/modules/publication/commands/VmStatusPolling.cpp
+++ b/modules/publication/commands/VmStatusPolling.cpp
@@ -1,7 +1,8 @@
 #include "publication/commands/VmStatusPolling.h"
 
-#include "platform/http/BlockingHttpCall.h"
+#include "platform/http/HttpConnection.h"
 #include "settings/reading/ConfigNode.h"
+#include <memory>
 
 namespace papayashelf {
 
@@ -18,6 +19,18 @@
     return text ? *text : std::string();
 }
 
+Outcome<VmStatus> statusOf(const HttpResult& result)
+{
+    if (!result.answer)
+        return result.answer.error();
+    const int status = result.answer.value().status;
+    if (status == statusUnauthorized || status == statusForbidden)
+        return Error { ErrorCode::InvalidArgument, "the administration key is refused" };
+    if (status != statusOk)
+        return Error { ErrorCode::Unavailable, "the VM answered " + std::to_string(status) };
+    return decodeVmStatus(result.answer.value().body);
+}
+
 } // namespace
 
 Outcome<VmStatus> decodeVmStatus(std::string_view body)
@@ -31,17 +44,17 @@
     return VmStatus { VmId(textOf(root, "vm")), RegionId(region), static_cast<RevisionNumber>(*number) };
 }
 
-Outcome<VmStatus> askVmStatus(const Endpoint& administration, const std::string& key, Milliseconds timeout)
+VmStatuses askVmStatuses(const std::vector<Endpoint>& administration, const std::string& key, Milliseconds timeout)
 {
-    const HttpResult result = blockingHttpCall(administration, { "GET", "/v1/status", {}, key }, timeout);
-    if (!result.answer)
-        return result.answer.error();
-    const int status = result.answer.value().status;
-    if (status == statusUnauthorized || status == statusForbidden)
-        return Error { ErrorCode::InvalidArgument, "the administration key is refused" };
-    if (status != statusOk)
-        return Error { ErrorCode::Unavailable, "the VM answered " + std::to_string(status) };
-    return decodeVmStatus(result.answer.value().body);
+    VmStatuses statuses;
+    boost::asio::io_context context;
+    for (const Endpoint& vm : administration) {
+        const auto connection = std::make_shared<HttpConnection>(context, vm);
+        connection->exchange({ "GET", "/v1/status", {}, key }, timeout,
+            [&statuses, vm](const HttpResult& result) { statuses.insert_or_assign(vm, statusOf(result)); });
+    }
+    context.run();
+    return statuses;
 }
 
 } // namespace papayashelf
--- a/modules/publication/commands/VmStatusPolling.h
+++ b/modules/publication/commands/VmStatusPolling.h
@@ -4,8 +4,10 @@
 #include "foundation/outcomes/Outcome.h"
 #include "foundation/time/Clock.h"
 #include "model/documents/Document.h"
+#include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace papayashelf {
 
@@ -21,7 +23,13 @@
 /** Reads the body of GET /v1/status. Error: Damaged. */
 Outcome<VmStatus> decodeVmStatus(std::string_view body);
 
-/** Asks a VM and waits for its answer. Errors: Unavailable, Damaged, InvalidArgument (the key is refused). */
-Outcome<VmStatus> askVmStatus(const Endpoint& administration, const std::string& key, Milliseconds timeout);
+/** What each VM asked answered. */
+using VmStatuses = std::map<Endpoint, Outcome<VmStatus>>;
+
+/**
+    Asks VMs all at once and waits until each has answered or the timeout has passed, so that VMs that cannot be reached
+    hold up nobody else's answer. Errors of one: Unavailable, Damaged, InvalidArgument (the key is refused).
+*/
+VmStatuses askVmStatuses(const std::vector<Endpoint>& administration, const std::string& key, Milliseconds timeout);
 
 } // namespace papayashelf
--- a/tests/publication/CommandTest.cpp
+++ b/tests/publication/CommandTest.cpp
@@ -331,9 +331,10 @@
     {
         const StatusServer north("north", { 4 });
         const Milliseconds timeout = Milliseconds::fromSeconds(30);
+        const Endpoint vm = north.endpoint();
         CPPUNIT_ASSERT((VmStatus { VmId("vm"), RegionId("north"), 4 })
-            == askVmStatus(north.endpoint(), "admin-key", timeout).value());
-        CPPUNIT_ASSERT(ErrorCode::InvalidArgument == askVmStatus(north.endpoint(), "other", timeout).error().code);
+            == askVmStatuses({ vm }, "admin-key", timeout).at(vm).value());
+        CPPUNIT_ASSERT(ErrorCode::InvalidArgument == askVmStatuses({ vm }, "other", timeout).at(vm).error().code);
         for (const std::string body : { "", "{}", R"({"region":"north"})", R"({"region":"north","revision":-1})" })
             CPPUNIT_ASSERT(ErrorCode::Damaged == decodeVmStatus(body).error().code);
     }
