Set deadlines of connections without a timer for each read and write

Each read and write armed and cancelled a timer, which was the largest part of a token's cost. A deadline now only notes the moment; its timer looks again when an earlier moment comes.

--- a/modules/entrance/caller/CallerStream.h
+++ b/modules/entrance/caller/CallerStream.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "entrance/server/Deadline.h"
 #include "entrance/server/Signal.h"
 #include "foundation/time/Clock.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/ssl/stream.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,8 +43,9 @@
     void close();
 
 private:
-    boost::beast::tcp_stream tcp;
-    std::optional<boost::asio::ssl::stream<boost::beast::tcp_stream&>> tls;
+    boost::asio::ip::tcp::socket tcp;
+    Deadline deadline; /**< For a handshake or a write; reads take as long as they like. */
+    std::optional<boost::asio::ssl::stream<boost::asio::ip::tcp::socket&>> tls;
 };
 
 } // namespace papayashelf
--- a/modules/entrance/upstream/UpstreamPool.cpp
+++ b/modules/entrance/upstream/UpstreamPool.cpp
@@ -41,8 +41,8 @@
     const bool isTrusted = idle.generation == connection->generation && connection->buffer.size() == 0;
     if (!isTrusted || idle.connections.size() >= this->settings.maximumIdlePerUpstream)
         return;
-    connection->buffer.clear();
-    connection->stream.expires_never();
+    connection->buffer.shrink_to_fit();
+    connection->deadline.clear();
     connection->idleSince = std::chrono::steady_clock::now();
     idle.connections.push_back(std::move(connection));
 }
@@ -74,8 +74,7 @@
     // Anything readable now is the end of the connection, or an answer that belongs to no request.
     char byte = 0;
     boost::system::error_code error;
-    auto& socket = connection.stream.socket();
-    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    connection.socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
     return error == asio::error::would_block || error == asio::error::try_again;
 }
 
--- a/modules/entrance/upstream/UpstreamPool.h
+++ b/modules/entrance/upstream/UpstreamPool.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "entrance/server/Deadline.h"
 #include "entrance/server/EntranceSettings.h"
 #include "entrance/server/Signal.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -25,11 +25,13 @@
 /** One connection to an upstream. */
 struct UpstreamConnection {
     explicit UpstreamConnection(const boost::asio::any_io_executor& executor)
-        : stream(executor)
+        : socket(executor)
+        , deadline(this->socket)
     {
     }
 
-    boost::beast::tcp_stream stream;
+    boost::asio::ip::tcp::socket socket;
+    Deadline deadline;
     boost::beast::flat_buffer buffer;
     Endpoint endpoint;
     TimePoint openedAt;
--- a/modules/entrance/upstream/UpstreamSource.h
+++ b/modules/entrance/upstream/UpstreamSource.h
@@ -52,13 +52,21 @@
     boost::asio::awaitable<AttemptResult> connect();
     boost::asio::awaitable<AttemptResult> send();
     boost::asio::awaitable<AttemptResult> receiveHead();
+
+    /** Reads more bytes into the connection's buffer. @param otherwise  what an end that comes too early means */
+    boost::asio::awaitable<AttemptResult> receive(AttemptResult otherwise);
+
+    /** Takes what the buffer holds of the body. */
+    std::string_view parsePiece(AttemptResult& result);
     SourceHead describeHead() const;
     std::string formatHead() const;
     void limitNext(Milliseconds limit);
-    AttemptResult resultOf(const boost::system::error_code& error, AttemptResult otherwise) const;
+    AttemptResult resultOf(AttemptResult otherwise) const;
+    void closeConnection();
     AttemptResult fail(AttemptResult result);
 
-    static constexpr std::size_t pieceBytes = 8 * kibibyte;
+    static constexpr std::size_t pieceBytes = 4 * kibibyte;
+    static constexpr std::size_t receiveBytes = 4 * kibibyte;
 
     UpstreamPool& pool;
     const EntranceSettings& settings;
--- a/tests/standins/engine/StandinBatch.h
+++ b/tests/standins/engine/StandinBatch.h
@@ -44,6 +44,7 @@
     int priority = 0;
     std::vector<std::uint64_t> prefixes;
     bool isCancelled = false;
+    bool isHalted = false; /**< Makes no more tokens, but is not over. */
     boost::asio::steady_timer changed; /**< Cancelled whenever something changed. */
 
     bool isDone() const { return this->produced >= this->maximum || this->isCancelled; }
