Keep two servers from sharing a port by mistake, and test load reports and crossed answers

With several I/O threads each listens on the same port, which a second process with the same settings could then share unnoticed and take half the callers. The first listener now makes sure that the port is free.

--- a/modules/entrance/server/IoThread.cpp
+++ b/modules/entrance/server/IoThread.cpp
@@ -22,11 +22,22 @@
 constexpr std::chrono::seconds housekeepingPeriod { 5 };
 constexpr std::chrono::milliseconds acceptRetry { 50 };
 
-/** Lets several listeners share one port; the system spreads new connections over them. */
-bool sharePort(tcp::acceptor& acceptor)
+/** Opens a listener; one that shares its port leaves it to the system to spread new connections over all such. */
+boost::system::error_code openListener(tcp::acceptor& acceptor, const tcp::endpoint& endpoint, bool sharesPort)
 {
+    boost::system::error_code error;
     const int enabled = 1;
-    return ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof enabled) == 0;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error && sharesPort
+        && ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof enabled) != 0)
+        error = asio::error::no_protocol_option;
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    return error;
 }
 
 void logProblem(LogLevel level, std::string_view event, std::string_view detail)
@@ -72,15 +83,13 @@
     if (error)
         return Error { ErrorCode::InvalidArgument, "not an IP number: " + endpoint.address };
     const tcp::endpoint wanted(address, endpoint.port);
-    this->acceptor.open(wanted.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error && !sharePort(this->acceptor))
-        error = asio::error::no_protocol_option;
-    if (!error)
-        this->acceptor.bind(wanted, error);
+    if (this->index == 0) {
+        // Another process must not share the port by mistake, so the first listener makes sure that it is free.
+        tcp::acceptor probe(this->context);
+        error = openListener(probe, wanted, false);
+    }
     if (!error)
-        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+        error = openListener(this->acceptor, wanted, true);
     if (error)
         return Error { ErrorCode::Unavailable, "cannot listen on " + endpoint.string() + ": " + error.message() };
     return Endpoint { endpoint.address, this->acceptor.local_endpoint().port() };
--- a/tests/entrance/EntranceServerTest.cpp
+++ b/tests/entrance/EntranceServerTest.cpp
@@ -2,11 +2,16 @@
 #include "standins/engine/StandinEngine.h"
 #include "standins/engine/StandinService.h"
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
+#include <set>
 
 namespace papayashelf {
 
+namespace asio = boost::asio;
+
 /** Whole requests from caller to upstream and back. */
 class EntranceServerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(EntranceServerTest);
@@ -23,6 +28,9 @@
     CPPUNIT_TEST(testFullRingRefusesAsOverloaded);
     CPPUNIT_TEST(testConnectionsAreBounded);
     CPPUNIT_TEST(testArrivalDescribesRequest);
+    CPPUNIT_TEST(testThreadsShareThePortButServersDoNot);
+    CPPUNIT_TEST(testLoadIsReported);
+    CPPUNIT_TEST(testCrossedAnswerReachesNobody);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertHasAllTokens(const std::string& stream, int tokens)
@@ -279,6 +287,80 @@
         CPPUNIT_ASSERT(answer->body().find("too_many_connections") != std::string::npos);
     }
 
+    void testThreadsShareThePortButServersDoNot()
+    {
+        EntranceSettings settings;
+        settings.threads = 3;
+        StandinService service;
+        EntranceHarness harness(settings);
+        settings.listen = harness.start(service.start(), ServiceKind::PlainService);
+        std::set<std::size_t> threads;
+        // The system spreads connections by a hash of their ports, so a few hundred meet every thread.
+        for (int number = 0; number < 300 && threads.size() < 3; ++number) {
+            TestCaller caller(settings.listen);
+            caller.send("GET /a HTTP/1.1\r\nhost: g\r\n\r\n");
+            const auto answer = caller.readAnswer();
+            CPPUNIT_ASSERT(answer);
+            threads.insert(EntranceServer::threadOf(std::stoull(std::string((*answer)["papayashelf-request"]))));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, threads.size());
+        CPPUNIT_ASSERT(EntranceServer(settings, [] {}).start().error().code == ErrorCode::Unavailable);
+    }
+
+    void testLoadIsReported()
+    {
+        StandinEngine engine;
+        const Endpoint upstream = engine.start();
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(upstream, ServiceKind::ModelEngine);
+        const std::string content(600, 'x');
+        std::string body = R"({"model":"m","max_tokens":2,"messages":[{"role":"user","content":")" + content + "\"}]}";
+        TestCaller caller(entry);
+        caller.send("POST /v1/chat/completions HTTP/1.1\r\nhost: g\r\ncontent-length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body);
+        CPPUNIT_ASSERT(caller.readAnswer());
+        harness.getServer().setLoadSources({ { UpstreamId("stand-in"), upstream } }, Milliseconds(60'000));
+        const auto load = harness.waitForReport<LoadReport>();
+        CPPUNIT_ASSERT_EQUAL(std::string("stand-in"), load.upstream.string());
+        // The engine names what it cached by the hashes that the decisions were told.
+        CPPUNIT_ASSERT(load.prefixesAdded == harness.waitForReport<RequestArrival>().prefixHashes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, load.prefixesAdded.size());
+    }
+
+    /** Accepts a connection, reads a request's head and writes bytes; the connection stays open with the result. */
+    static asio::ip::tcp::socket answerOnce(asio::ip::tcp::acceptor& acceptor, const std::string& bytes)
+    {
+        asio::ip::tcp::socket socket = acceptor.accept();
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+        asio::write(socket, asio::buffer(bytes));
+        return socket;
+    }
+
+    void testCrossedAnswerReachesNobody()
+    {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+        EntranceHarness harness;
+        const Endpoint entry
+            = harness.start(Endpoint { "127.0.0.1", acceptor.local_endpoint().port() }, ServiceKind::PlainService);
+        const std::string head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
+        // The first connection brings an answer too many: whoever asks next must not get it.
+        std::thread upstream([&] {
+            const auto first = answerOnce(acceptor, head + "right" + head + "wrong");
+            const auto second = answerOnce(acceptor, head + "other");
+        });
+        TestCaller caller(entry);
+        caller.send("GET /a HTTP/1.1\r\nhost: g\r\n\r\n");
+        const auto first = caller.readAnswer();
+        caller.send("GET /b HTTP/1.1\r\nhost: g\r\n\r\n");
+        const auto second = caller.readAnswer();
+        upstream.join();
+        CPPUNIT_ASSERT(first && second);
+        CPPUNIT_ASSERT_EQUAL(std::string("right"), first->body());
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), second->body());
+    }
+
     void testArrivalDescribesRequest()
     {
         StandinEngine engine;
