--- a/tests/scenario/checks/PromiseBook.cpp
+++ b/tests/scenario/checks/PromiseBook.cpp
@@ -160,11 +160,13 @@
 
 void PromiseBook::checkOnce()
 {
-    std::map<std::uint64_t, int> executions;
+    // Operations and requests are numbered apart from each other.
+    std::map<std::pair<bool, std::uint64_t>, int> executions;
     for (const auto& [id, record] : this->records) {
         if (record.request.isIdempotent)
             continue;
-        const std::uint64_t subject = record.request.isKeyed ? record.request.operation : id;
+        const bool isKeyed = record.request.isKeyed;
+        const std::pair subject(isKeyed, isKeyed ? record.request.operation : id);
         executions[subject] += record.executions;
         if (executions[subject] == 2)
             this->breach("at-most-once", id, "ran twice");
--- a/tests/scenario/world/World.cpp
+++ b/tests/scenario/world/World.cpp
@@ -250,7 +250,8 @@
         if (VirtualVm* alive = this->findLife(id, life))
             this->deliver(*alive, StoreReplyArrived { number, reply });
     };
-    if (this->network.isCut(region, home)) {
+    const bool isBroken = this->sabotage == Sabotage::DropWithdrawals && call.request.key == withdrawalsKey;
+    if (this->network.isCut(region, home) || isBroken) {
         this->queue.after(unreachableStoreDelay, [answer] { answer(Error { ErrorCode::Unavailable, "cut off" }); });
         return;
     }
