Refuse a tree that keeps none of the keys in force

Withdrawals are for good, so publishing the wrong folder would have put an end to every caller's key.

--- a/modules/publication/commands/Commands.h
+++ b/modules/publication/commands/Commands.h
@@ -39,6 +39,7 @@
     Endpoint store;
     std::string author;
     bool isDryRun = false; /**< Only check and show the difference. */
+    bool mayWithdrawEveryKey = false; /**< Without it, a tree that keeps no key in force is refused. */
     std::vector<Endpoint> administration; /**< Administration endpoints of VMs, one or more of each region. */
     std::string administrationKey;
     Milliseconds wait; /**< Longest wait until the VMs have the revision in force; 0 does not wait. */
--- a/modules/publication/commands/PublishCommand.cpp
+++ b/modules/publication/commands/PublishCommand.cpp
@@ -186,6 +186,11 @@
         showDifference(publisher, output);
         if (options.isDryRun)
             return ExitCode::Success;
+        if (publisher.difference().withdrawsEveryKey() && !options.mayWithdrawEveryKey) {
+            errors
+                << "refused: it keeps none of the keys in force and would withdraw them for good; is this the tree?\n";
+            return ExitCode::FaultsFound;
+        }
         publisher.commit();
         drive(publisher, store);
     }
--- a/modules/publication/difference/RevisionDifference.cpp
+++ b/modules/publication/difference/RevisionDifference.cpp
@@ -99,8 +99,10 @@
             difference.lines.push_back("~ " + shown(key) + ", before of " + before->second.workspace.string());
     }
     for (const auto& [digest, key] : old.keys) {
-        if (next.keys.contains(digest))
+        if (next.keys.contains(digest)) {
+            ++difference.keptKeys;
             continue;
+        }
         difference.lines.push_back("- " + shown(key) + ", withdrawn for good");
         difference.withdrawnKeys.push_back(digest);
     }
--- a/modules/publication/difference/RevisionDifference.h
+++ b/modules/publication/difference/RevisionDifference.h
@@ -11,8 +11,12 @@
 struct RevisionDifference {
     std::vector<std::string> lines; /**< One change a line: '+' added, '-' removed, '~' changed. */
     std::vector<KeyDigest> withdrawnKeys; /**< In the old one and not in the new. Sorted. */
+    std::size_t keptKeys = 0; /**< In both. */
 
     bool operator==(const RevisionDifference&) const = default;
+
+    /** True if no key in force would go on working: more likely the wrong tree than a wish. */
+    bool withdrawsEveryKey() const { return !this->withdrawnKeys.empty() && this->keptKeys == 0; }
 };
 
 /**
--- a/tests/publication/CommandTest.cpp
+++ b/tests/publication/CommandTest.cpp
@@ -186,6 +186,7 @@
     CPPUNIT_TEST(testPublishNamesVmsThatAreBehindOrNotReached);
     CPPUNIT_TEST(testPublishRefusesUpstreamsThatAreVms);
     CPPUNIT_TEST(testDryRunCommitsNothing);
+    CPPUNIT_TEST(testWrongTreeDoesNotWithdrawEveryKey);
     CPPUNIT_TEST(testPublishWithoutAStore);
     CPPUNIT_TEST(testRefusedAdministrationKey);
     CPPUNIT_TEST(testMadeKeysDifferAndMatchTheirDigests);
@@ -313,6 +314,21 @@
         CPPUNIT_ASSERT(contains(publish(options).output, "revision 1: unchanged"));
     }
 
+    void testWrongTreeDoesNotWithdrawEveryKey()
+    {
+        const TemporaryTree tree(exampleTree());
+        const PlatformThread platform;
+        CPPUNIT_ASSERT_EQUAL(0, publish(optionsFor(tree.path(), platform.service)).code);
+        tree.write("club/keys.gateway.toml", "[keys]\nworkspace = \"club\"\n");
+        tree.write("shop/keys.gateway.toml", "[keys]\nworkspace = \"shop\"\n");
+        PublishOptions options = optionsFor(tree.path(), platform.service);
+        const Run refused = publish(options);
+        CPPUNIT_ASSERT_EQUAL(1, refused.code);
+        CPPUNIT_ASSERT(contains(refused.errors, "keeps none of the keys in force"));
+        options.mayWithdrawEveryKey = true;
+        CPPUNIT_ASSERT(contains(publish(options).output, "revision 2: committed"));
+    }
+
     void testPublishWithoutAStore()
     {
         const TemporaryTree tree(exampleTree());
