--- a/modules/membership/Membership.h
+++ b/modules/membership/Membership.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -39,6 +40,7 @@
     RevisionNumber revision = 0;
     std::uint64_t withdrawalsDigest = 0;
     std::uint64_t shareEpoch = 0;
+    std::string adopters {}; /**< Bitmap of VMs known to have had the revision. */
 
     bool operator==(const HeartbeatFacts&) const = default;
 };
@@ -68,7 +70,10 @@
     */
     MembershipOutput handleVmList(Milliseconds now, const VmList& list, const std::vector<Member>& seeds);
 
+    /** A heartbeat came in. One of an earlier life, or of a VM held to be Gone, is answered and not counted. */
     MembershipOutput handleHeartbeat(Milliseconds now, const Heartbeat& heartbeat, const VmId& from);
+
+    /** News came in: statements about members, or questions about Suspect ones. */
     MembershipOutput handleNews(Milliseconds now, const MemberNews& news, const VmId& from);
 
     /** Does what is due. Call at getNextDeadline() or sooner; a late call is taken as a pause of this VM. */
@@ -83,6 +88,9 @@
     /** Every known VM, this one included, Gone ones until they are forgotten. */
     const std::map<VmId, Member>& getMembers() const { return this->table.getMembers(); }
 
+    /** Hash of the member table, as heartbeats carry it. */
+    std::uint64_t getMembersDigest() const { return this->table.getDigest(); }
+
     /** The VMs that this one exchanges heartbeats with, sorted. */
     const std::vector<VmId>& getNeighbours() const { return this->neighbours; }
 
