Hold the system's buffers of a connection to a stated size

The system let the buffers between a fast engine and a slow caller grow to megabytes for each stream, outside every limit of the entrance. They are set now.

--- a/modules/entrance/caller/CallerStream.cpp
+++ b/modules/entrance/caller/CallerStream.cpp
@@ -1,5 +1,6 @@
 #include "entrance/caller/CallerStream.h"
 
+#include "entrance/server/Sizes.h"
 #include <boost/asio/write.hpp>
 
 namespace papayashelf {
@@ -13,6 +14,7 @@
     boost::system::error_code ignored;
     this->tcp.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->tcp.set_option(asio::socket_base::keep_alive(true), ignored);
+    this->tcp.set_option(asio::socket_base::send_buffer_size(socketBufferBytes), ignored);
     if (context)
         this->tls.emplace(this->tcp, *context);
 }
--- a/modules/entrance/upstream/UpstreamSource.cpp
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -144,6 +144,8 @@
     this->connection = this->pool.makeConnection(this->request.endpoint);
     this->limitNext(Milliseconds(std::min(this->settings.connectTimeout.count(), this->limits.firstByte.count())));
     auto& socket = this->connection->socket;
+    socket.open(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), error);
+    socket.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes), error);
     const asio::ip::tcp::endpoint endpoint(address, this->request.endpoint.port);
     const auto [connectError] = co_await socket.async_connect(endpoint, useResult);
     if (this->cancelled)
