--- a/benchmarks/dispatch/FleetRun.h
+++ b/benchmarks/dispatch/FleetRun.h
@@ -379,12 +379,12 @@
 {
     for (const Vm& from : this->vms) {
         const auto summaries = from.router->summariseOwnRegion(this->now(), from.dispatcher->countQueued());
-        for (std::size_t index = 0; index < this->vms.size(); ++index) {
-            if (this->vms[index].region == from.region || this->isCut(from.region, this->vms[index].region))
+        for (const Vm& to : this->vms) {
+            if (to.region == from.region || this->isCut(from.region, to.region))
                 continue;
-            this->after(linkLatency, [this, index, summaries] {
+            this->after(linkLatency, [this, router = to.router.get(), summaries] {
                 for (const RegionSummary& summary : summaries)
-                    this->vms[index].router->handleRegionSummary(this->now(), summary);
+                    router->handleRegionSummary(this->now(), summary);
             });
         }
     }
--- a/modules/routing/choice/Router.cpp
+++ b/modules/routing/choice/Router.cpp
@@ -130,7 +130,9 @@
 std::optional<RegionChoice> Router::offerElsewhere(Milliseconds now, const PermittedRegions& permitted,
     const RoutingQuery& query, const LocalOffer& local, std::mt19937_64& generator) const
 {
-    if (this->settings.spillPolicy == SpillPolicy::Never && local.isUsable)
+    const auto service = this->governance->services.find(query.service);
+    const bool isBarred = this->settings.spillPolicy == SpillPolicy::Never && local.isUsable;
+    if (isBarred || service == this->governance->services.end())
         return std::nullopt;
     const std::int64_t bytes = (query.promptTokens + query.maximumTokens) * this->settings.bytesPerToken;
     std::optional<RegionId> best;
@@ -155,8 +157,7 @@
     const auto target = this->regions.pickVm(now, *best, generator);
     if (!target)
         return std::nullopt;
-    const ServiceKind kind = this->governance->services.at(query.service).kind;
-    return RegionChoice { *best, query.service, target->vm, target->endpoint, kind, bytes };
+    return RegionChoice { *best, query.service, target->vm, target->endpoint, service->second.kind, bytes };
 }
 
 bool Router::isWorthLeaving(const RoutingQuery& query, const LocalOffer& local, double load, Milliseconds link) const
--- a/tests/dispatch/FakeStore.h
+++ b/tests/dispatch/FakeStore.h
@@ -25,7 +25,7 @@
         const Error lost { ErrorCode::OutcomeUnknown, "no answer" };
         if (fault == Fault::LosesRequest)
             return lost;
-        const StoreReply reply = this->applyWhole(request);
+        StoreReply reply = this->applyWhole(request);
         if (fault == Fault::LosesAnswer)
             return lost;
         return reply;
--- a/tests/routing/RegionChoiceTest.cpp
+++ b/tests/routing/RegionChoiceTest.cpp
@@ -174,6 +174,14 @@
         this->summarise(router, Milliseconds(1), second, 0);
         const auto relayed = router.choose(Milliseconds(1), makeQuery(), this->random);
         CPPUNIT_ASSERT(std::get<RegionChoice>(relayed).region == second);
+
+        // A region that is a revision behind still tells of a service that is no more.
+        Governance newer = makeGovernance(0);
+        newer.services.clear();
+        router.setGovernance(std::make_shared<const Governance>(newer));
+        this->summarise(router, Milliseconds(2), second, 0);
+        const auto removed = router.choose(Milliseconds(2), makeQuery(), this->random);
+        CPPUNIT_ASSERT(std::get<NoChoice>(removed).reason == NoChoiceReason::NoUpstream);
     }
 };
 
