--- a/tests/membership/VirtualCluster.h
+++ b/tests/membership/VirtualCluster.h
@@ -43,9 +43,11 @@
     /** Stops a node's processing; messages to it wait. */
     void pause(const VmId& vm) { this->paused.insert(vm); }
 
+    /** Lets a node go on: its timers are due before it gets to the messages that waited. */
     void resume(const VmId& vm)
     {
         this->paused.erase(vm);
+        this->send(vm, this->nodes.at(vm)->tick(this->time));
         for (auto& [from, message] : std::exchange(this->waiting[vm], {}))
             this->send(vm, this->nodes.at(vm)->receive(this->time, from, message));
     }
@@ -53,12 +55,12 @@
     void setLoss(double share) { this->loss = share; }
 
     /** Says which links are down, by sender and receiver. */
-    void setCut(std::function<bool(const VmId&, const VmId&)> isCut) { this->isCut = std::move(isCut); }
+    void setCut(const std::function<bool(const VmId&, const VmId&)>& isCut) { this->isCut = isCut; }
 
     /** Called with the sender for every message sent; for measurement. */
-    void setObserver(std::function<void(const VmId&, const Addressed<Message>&)> observer)
+    void setObserver(const std::function<void(const VmId&, const Addressed<Message>&)>& observer)
     {
-        this->observer = std::move(observer);
+        this->observer = observer;
     }
 
     void send(const VmId& from, const Sends& sends)
