Ask for stock only below a fifth of a bucket

Asking below a half moved tokens that the asker did not need yet; what comes back unused then finds its own bucket full.

--- a/modules/shares/settings/ShareSettings.h
+++ b/modules/shares/settings/ShareSettings.h
@@ -8,18 +8,15 @@
 
 /** What operators may set about shares; the same on every VM. */
 struct ShareSettings {
-    std::int64_t tokensPerSecondPerOwner
-        = 20'000; /**< A region's part of a rate is split over owners of at most this. */
+    std::int64_t tokensPerSecondPerOwner = 20'000; /**< A region's part of a rate is split into at most this. */
     std::size_t minimumOwners = 2; /**< In each region, as far as it has VMs. */
     Milliseconds grantHold { 250 }; /**< How long after asking a VM may use what it was granted. */
     Milliseconds grantMargin { 100 }; /**< How much longer the giver keeps the place of a grant occupied. */
     Milliseconds maximumWait { 2000 }; /**< Longest that a reservation waits for tokens. */
     std::size_t maximumWaiting = 256; /**< Reservations of one workspace that wait on one VM. */
-    std::int64_t stockBelowPermille
-        = 500; /**< An owner whose bucket is less full than this asks fuller ones for more. */
+    std::int64_t stockBelowPermille = 200; /**< An owner with a less full bucket asks fuller ones for more. */
     std::int64_t stockGapPermille = 150; /**< How much fuller the other must be. */
-    std::int64_t stockGiverPermille
-        = 400; /**< How full it must be at least: what is scarce is only moved for a request. */
+    std::int64_t stockGiverPermille = 400; /**< How full it must be; what is scarce moves only for a request. */
     Milliseconds stockPeriod { 200 }; /**< Least time between two such questions about one workspace. */
     Milliseconds returnPeriod { 100 }; /**< How often tokens that were not used go back to their givers. */
     Milliseconds silentOwnerPause { 1000 }; /**< How long an owner that did not answer is not asked. */
