--- a/tests/configuration/WithdrawalSetTest.cpp
+++ b/tests/configuration/WithdrawalSetTest.cpp
@@ -1,5 +1,6 @@
 #include "ControlNode.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
 #include <set>
@@ -13,6 +14,7 @@
     CPPUNIT_TEST(testCutOffRegionIsToldAndCatchesUp);
     CPPUNIT_TEST(testStoreKeepsItForTheNextVms);
     CPPUNIT_TEST(testRacingWatchersAndLostAnswersLoseNothing);
+    CPPUNIT_TEST(testOneWatcherSettlesConflictAndLostAnswer);
     CPPUNIT_TEST(testWithdrawalInTheStoreReachesAll);
     CPPUNIT_TEST(testUnknownSchemaIsNotWrittenOver);
     CPPUNIT_TEST(testNewVmLearnsTheSetFromPeers);
@@ -149,6 +151,64 @@
             CPPUNIT_ASSERT(allRefuse(cluster, key));
     }
 
+    /** Runs one set until its next call to the store. */
+    static StoreCall nextCall(WithdrawalSet& set, Milliseconds& now)
+    {
+        for (int tick = 0; tick < 100; ++tick) {
+            now = std::max(now, set.getNextDeadline());
+            const auto output = set.tick(now);
+            if (!output.storeCalls.empty())
+                return output.storeCalls.front();
+        }
+        CPPUNIT_FAIL("no call");
+        return {};
+    }
+
+    static StoreReply storedReply(const std::vector<Withdrawal>& withdrawals, StoreVersion version)
+    {
+        const std::string value = version == 0 ? std::string() : encodeWithdrawals(withdrawals).value();
+        return std::vector<StoreEntry> { { std::string(withdrawalsKey), value, version } };
+    }
+
+    void testOneWatcherSettlesConflictAndLostAnswer()
+    {
+        const Withdrawal own { KeyDigest("aa"), 1 };
+        const Withdrawal other { KeyDigest("bb"), 1 };
+        WithdrawalSet set(VmId("vm"), ConfigurationSettings {}, 1);
+        Milliseconds now = seconds(1);
+        set.setWatcher(now, true);
+        set.handleStoreReply(now, nextCall(set, now).call, storedReply({}, 0));
+        set.withdraw(now, own);
+        StoreCall call = nextCall(set, now);
+        while (call.request.operation == StoreOperation::Watch)
+            call = nextCall(set, now);
+        CPPUNIT_ASSERT(call.request.operation == StoreOperation::CompareAndSwap);
+        CPPUNIT_ASSERT_EQUAL(StoreVersion { 0 }, call.request.expectedVersion);
+
+        // Another wrote first: its entry is taken in, and both are written.
+        set.handleStoreReply(now, call.call, Error { ErrorCode::Conflict, {} });
+        call = nextCall(set, now);
+        CPPUNIT_ASSERT(call.request.operation == StoreOperation::Watch);
+        const auto read = set.handleStoreReply(now, call.call, storedReply({ other }, 1));
+        CPPUNIT_ASSERT(read.withdrawn == std::vector<Withdrawal> { other });
+        call = nextCall(set, now);
+        while (call.request.operation == StoreOperation::Watch)
+            call = nextCall(set, now);
+        CPPUNIT_ASSERT_EQUAL(StoreVersion { 1 }, call.request.expectedVersion);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, decodeWithdrawals(call.request.value).value().size());
+
+        // The write took effect but its answer was lost: it is read back and not written again.
+        set.handleStoreReply(now, call.call, Error { ErrorCode::OutcomeUnknown, {} });
+        call = nextCall(set, now);
+        CPPUNIT_ASSERT(call.request.operation == StoreOperation::Watch);
+        set.handleStoreReply(now, call.call, storedReply({ own, other }, 2));
+        for (int watch = 0; watch < 10; ++watch) {
+            call = nextCall(set, now);
+            CPPUNIT_ASSERT(call.request.operation == StoreOperation::Watch);
+            set.handleStoreReply(now, call.call, storedReply({ own, other }, 2));
+        }
+    }
+
     void testWithdrawalInTheStoreReachesAll()
     {
         ControlCluster cluster(8, 7);
