--- a/modules/entrance/caller/CallerConnection.cpp
+++ b/modules/entrance/caller/CallerConnection.cpp
@@ -103,7 +103,9 @@
     const ReceivedHead& head = reader.getHead();
     this->writer.reset(0, head.keepAlive, head.forwarded.method == "HEAD");
     const HeadCheck& check = this->thread.getShared().headCheck;
-    if (const auto refused = check ? check(head.digest, head.path) : std::nullopt)
+    // Questions about the gateway itself need no key and have no route.
+    const bool isAboutGateway = isProvided(head) && this->thread.getShared().entryProvider;
+    if (const auto refused = check && !isAboutGateway ? check(head.digest, head.path) : std::nullopt)
         co_return co_await this->refuseEarly(*refused, this->thread.makeRequestId(), head.hasBody);
     const std::vector<asio::const_buffer> goOn { asio::buffer(goOnAnswer) };
     if (head.expectsContinue && head.hasBody
