--- a/tests/membership/MembershipTest.cpp
+++ b/tests/membership/MembershipTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(testLossChangesNothing);
     CPPUNIT_TEST(testSuspicionEndsWithTheLink);
     CPPUNIT_TEST(testDeafVmCondemnsNobody);
+    CPPUNIT_TEST(testVmThatHearsNobodyReportsNobody);
     CPPUNIT_TEST(testHalvesPartAndJoinAgain);
     CPPUNIT_TEST(testNewLifeReplacesTheOldAtOnce);
     CPPUNIT_TEST(testPausedVmComesBack);
@@ -127,7 +128,8 @@
         const auto members = makeMembers(2);
         settle(cluster, members);
         cluster.crash(members[1].vm);
-        CPPUNIT_ASSERT(cluster.runUntil([&] { return allSee(cluster, 1); }, seconds(15)));
+        const VmId left = members[0].vm;
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return countAt(cluster, left, MemberState::Gone) == 1; }, seconds(15)));
     }
 
     void testBadLinkChangesNothing()
@@ -192,6 +194,20 @@
         }
     }
 
+    void testVmThatHearsNobodyReportsNobody()
+    {
+        Cluster cluster(15);
+        const auto members = makeMembers(20);
+        settle(cluster, members);
+        const VmId deaf = members[3].vm;
+        cluster.setCut([&](const VmId&, const VmId& to) { return to == deaf; });
+        cluster.runFor(seconds(60));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, countAllChangesTo(cluster, MemberState::Gone));
+        CPPUNIT_ASSERT(countAt(cluster, deaf, MemberState::Suspect) > 0);
+        cluster.setCut({});
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return allSee(cluster, 20); }, seconds(5)));
+    }
+
     void testHalvesPartAndJoinAgain()
     {
         Cluster cluster(9);
