--- a/modules/shares/settings/ShareSettings.h
+++ b/modules/shares/settings/ShareSettings.h
@@ -16,7 +16,7 @@
     std::size_t maximumWaiting = 256; /**< Reservations of one workspace that wait on one VM. */
     std::int64_t stockBelowPermille = 200; /**< An owner with a less full bucket asks fuller ones for more. */
     std::int64_t stockGapPermille = 150; /**< How much fuller the other must be. */
-    std::int64_t stockGiverPermille = 400; /**< How full it must be; what is scarce moves only for a request. */
+    std::int64_t stockGiverPermille = 800; /**< How full it must be; what is scarce moves only for a request. */
     Milliseconds stockPeriod { 200 }; /**< Least time between two such questions about one workspace. */
     Milliseconds returnPeriod { 100 }; /**< How often tokens that were not used go back to their givers. */
     Milliseconds silentOwnerPause { 1000 }; /**< How long an owner that did not answer is not asked. */
