Split the dispatcher and bound a stop by its limit

Change: service queues, flight table, attempt messages, backoff and claim subjects are classes and functions of their own; the running of attempts has its own file. Past the leaving limit a VM is drained also with claims unsettled, with a test of it.

--- a/modules/dispatch/claims/ClaimBook.cpp
+++ b/modules/dispatch/claims/ClaimBook.cpp
@@ -1,9 +1,7 @@
 #include "dispatch/claims/ClaimBook.h"
 
-#include "foundation/hashing/StableHash.h"
 #include <algorithm>
 #include <cassert>
-#include <cstdio>
 
 namespace papayashelf {
 
@@ -13,13 +11,6 @@
 constexpr Milliseconds settleLimit { 600000 };
 constexpr double allowanceSeconds = 2;
 
-std::string toHexadecimal(std::uint64_t number)
-{
-    char text[17];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(number));
-    return text;
-}
-
 } // namespace
 
 ClaimBook::ClaimBook(const DispatchSettings& settings, VmId self, Incarnation incarnation, Milliseconds wallClockAtZero)
@@ -31,18 +22,10 @@
 {
 }
 
-std::string ClaimBook::storeKey(const ClaimSubject& subject)
-{
-    // The workspace stands in the key itself, so that no workspace can collide with another one's operations.
-    const std::string text = subject.method + '\n' + subject.path + '\n' + subject.idempotencyKey;
-    return "claims/" + subject.workspace.string() + '/' + toHexadecimal(stableHash(text, 1))
-        + toHexadecimal(stableHash(text, 2));
-}
-
 ClaimOutput ClaimBook::claim(Milliseconds now, RequestId request, const ClaimSubject& subject)
 {
     ClaimOutput output;
-    const std::string key = storeKey(subject);
+    const std::string key = subject.storeKey();
     const auto standing = this->claims.find(key);
     if (standing != this->claims.end()) {
         output.verdicts.push_back(this->judgeRepeat(request, standing->second));
--- a/modules/dispatch/claims/ClaimBook.h
+++ b/modules/dispatch/claims/ClaimBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/claims/ClaimSubject.h"
 #include "dispatch/claims/ClaimValue.h"
 #include "dispatch/settings/DispatchSettings.h"
 #include "platform/store/StoreCall.h"
@@ -11,14 +12,6 @@
 
 namespace papayashelf {
 
-/** What names one operation of a caller, however often it is sent. */
-struct ClaimSubject {
-    WorkspaceId workspace;
-    std::string method;
-    std::string path;
-    std::string idempotencyKey;
-};
-
 enum class ClaimState {
     Granted, /**< This request may run; no other with the same key ever will. */
     Confirmed, /**< It ran before, and the answer's status is known. */
@@ -72,9 +65,6 @@
     /** Whether any confirmation or release is still on its way to the store. */
     bool hasUnsettled() const;
 
-    /** The key under which an operation's claim stands. */
-    static std::string storeKey(const ClaimSubject& subject);
-
 private:
     enum class Step {
         Writing, /**< The claim is being written. */
--- /dev/null
+++ b/modules/dispatch/claims/ClaimSubject.cpp
@@ -0,0 +1,27 @@
+#include "dispatch/claims/ClaimSubject.h"
+
+#include "foundation/hashing/StableHash.h"
+#include <cstdio>
+
+namespace papayashelf {
+
+namespace {
+
+std::string toHexadecimal(std::uint64_t number)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(number));
+    return text;
+}
+
+} // namespace
+
+std::string ClaimSubject::storeKey() const
+{
+    // The workspace stands in the key itself, so that no workspace can collide with another one's operations.
+    const std::string text = this->method + '\n' + this->path + '\n' + this->idempotencyKey;
+    return "claims/" + this->workspace.string() + '/' + toHexadecimal(stableHash(text, 1))
+        + toHexadecimal(stableHash(text, 2));
+}
+
+} // namespace papayashelf
--- a/modules/dispatch/dispatcher/Dispatcher.cpp
+++ b/modules/dispatch/dispatcher/Dispatcher.cpp
@@ -1,19 +1,18 @@
 #include "dispatch/dispatcher/Dispatcher.h"
 
+#include "dispatch/dispatcher/AttemptOrders.h"
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 
 namespace papayashelf {
 
 namespace {
 
 constexpr Milliseconds pumpPeriod { 50 };
-constexpr Milliseconds stoppingLimit { 2000 };
 constexpr Milliseconds soonestReturn { 1000 };
+constexpr Milliseconds returnAfterFailure { 2000 };
 constexpr Milliseconds latestReturn { 60000 };
 constexpr std::size_t headsTried = 4;
-constexpr double durationBlend = 0.05;
 
 Milliseconds clampReturn(Milliseconds wait)
 {
@@ -26,6 +25,7 @@
     Milliseconds wallClockAtZero, std::uint64_t seed)
     : settings(settings)
     , generator(seed)
+    , queues(this->settings.queueOrder)
     , budget(this->settings)
     , claims(this->settings, self, incarnation, wallClockAtZero)
 {
@@ -35,15 +35,12 @@
 DispatchOutput Dispatcher::submit(Milliseconds now, const AdmittedRequest& request, Router& router)
 {
     DispatchOutput output;
-    const RequestId id = request.arrival.request;
-    assert(!this->flights.contains(id));
-    Flight& flight = this->flights[id];
-    flight.admitted = request;
+    Flight& flight = this->flights.add(request);
     flight.admitted.costTokens = std::max<std::int64_t>(1, request.costTokens);
     flight.admitted.shareWeight = std::max<std::int64_t>(1, request.shareWeight);
     flight.answerTokens = request.resumeFromToken;
     this->budget.noteRequest();
-    this->setWake(flight, request.deadline);
+    this->flights.setWake(flight, request.deadline);
     if (this->leavingUntil) {
         this->refuse(now, flight, RefusalCode::Leaving, output);
         return output;
@@ -55,9 +52,10 @@
 void Dispatcher::takeIn(Milliseconds now, Flight& flight, Router& router, DispatchOutput& output)
 {
     const AdmittedRequest& admitted = flight.admitted;
-    const FairQueue& queue = this->queueOf(admitted.service);
+    const FairQueue& queue = this->queues.of(admitted.service);
     if (queue.countOf(admitted.workspace) >= this->settings.queuedPerWorkspace) {
-        this->refuse(now, flight, RefusalCode::Overloaded, output, clampReturn(this->estimateWait(flight)));
+        this->refuse(
+            now, flight, RefusalCode::Overloaded, output, clampReturn(this->queues.estimateWait(flight.admitted)));
         return;
     }
     if (flight_rules::needsClaim(admitted) && !flight.hasClaim) {
@@ -67,7 +65,7 @@
         this->applyClaims(now, this->claims.claim(now, flight.id(), subject), router, output);
         return;
     }
-    const Milliseconds wait = queue.isEmpty() ? Milliseconds() : this->estimateWait(flight);
+    const Milliseconds wait = queue.isEmpty() ? Milliseconds() : this->queues.estimateWait(flight.admitted);
     if (wait.count() > 0 && this->trySpill(now, flight, wait, router, output))
         return;
     const Milliseconds remaining = admitted.deadline - now;
@@ -83,9 +81,9 @@
 void Dispatcher::enqueue(Flight& flight, bool inFront, DispatchOutput& output)
 {
     flight.stage = FlightStage::Queued;
-    this->setWake(flight, flight.admitted.deadline);
+    this->flights.setWake(flight, flight.admitted.deadline);
     const AdmittedRequest& admitted = flight.admitted;
-    this->queueOf(admitted.service)
+    this->queues.of(admitted.service)
         .push({ flight.id(), admitted.workspace, admitted.shareWeight, admitted.costTokens }, inFront);
     output.events.push_back({ DispatchEventKind::Queued, flight.id(), flight.attempt, {} });
 }
@@ -94,13 +92,13 @@
 void Dispatcher::pumpAll(Milliseconds now, Router& router, DispatchOutput& output)
 {
     this->pumpedAt = now;
-    for (auto& [service, queue] : this->queues)
+    for (const ServiceId& service : this->queues.listServices())
         this->pump(now, service, router, output);
 }
 
 void Dispatcher::pump(Milliseconds now, const ServiceId& service, Router& router, DispatchOutput& output)
 {
-    FairQueue& queue = this->queueOf(service);
+    FairQueue& queue = this->queues.of(service);
     while (!queue.isEmpty() && this->pumpOne(now, queue, router, output)) { }
 }
 
@@ -108,7 +106,7 @@
 {
     // The head of one workspace may be bound to a region while the next one's may go elsewhere.
     for (const RequestId head : queue.peekHeads(headsTried)) {
-        Flight& flight = this->flights.at(head);
+        Flight& flight = *this->flights.find(head);
         if (this->applyChoice(now, flight, this->ask(now, flight, Milliseconds(), router), router, output))
             return true;
     }
@@ -126,17 +124,8 @@
 
 RoutingChoice Dispatcher::ask(Milliseconds now, const Flight& flight, Milliseconds queueWait, Router& router)
 {
-    const AdmittedRequest& admitted = flight.admitted;
-    RoutingQuery query;
-    query.workspace = admitted.workspace;
-    query.service = admitted.service;
-    query.promptTokens = admitted.arrival.promptTokens;
-    query.maximumTokens = admitted.arrival.maximumTokens;
-    query.prefixHashes = admitted.arrival.prefixHashes;
-    query.queueWait = queueWait;
-    query.triedUpstreams = flight.triedUpstreams;
-    query.triedRegions = flight.triedRegions;
-    if (!admitted.isRelayed)
+    RoutingQuery query = attempt_orders::makeQuery(flight, queueWait);
+    if (!flight.admitted.isRelayed)
         return router.choose(now, query, this->generator);
     const RelayedChoice choice = router.choose(now, RelayedQuery { std::move(query) }, this->generator);
     if (const auto* const upstream = std::get_if<UpstreamChoice>(&choice))
@@ -162,274 +151,12 @@
         this->refuse(now, flight, RefusalCode::OutsideResidency, output);
         return true;
     case NoChoiceReason::NoUpstream:
-        this->refuse(now, flight, RefusalCode::NoUpstream, output, soonestReturn * 2);
+        this->refuse(now, flight, RefusalCode::NoUpstream, output, returnAfterFailure);
         return true;
     }
     return false;
 }
 
-//======================================================================================================================
-void Dispatcher::start(
-    Milliseconds now, Flight& flight, const UpstreamChoice& choice, Router& router, DispatchOutput& output)
-{
-    this->beginAttempt(now, flight, choice.upstream.string(), output);
-    flight.target = choice;
-    router.noteStarted(now, choice, flight.admitted.arrival.prefixHashes);
-    ++this->paces[choice.service].running;
-
-    const Milliseconds remaining = flight.admitted.deadline - now;
-    const auto limits = flight_rules::silenceLimits(flight.admitted, this->settings, remaining);
-    output.directives.push_back(StartAttempt { flight.id(), flight.attempt, flight.admitted.workspace, choice.upstream,
-        choice.endpoint, choice.kind, flight.admitted.priority, flight.answerTokens, limits.firstByte,
-        limits.betweenBytes, remaining });
-}
-
-void Dispatcher::start(
-    Milliseconds now, Flight& flight, const RegionChoice& choice, Router& router, DispatchOutput& output)
-{
-    assert(!flight.admitted.isRelayed);
-    this->beginAttempt(now, flight, choice.vm.string(), output);
-    flight.target = choice;
-    router.noteStarted(now, choice);
-
-    const Milliseconds remaining = flight.admitted.deadline - now;
-    const auto limits = flight_rules::silenceLimits(flight.admitted, this->settings, remaining);
-    output.directives.push_back(StartRelay { flight.id(), flight.attempt, flight.admitted.workspace, choice.vm,
-        choice.endpoint, flight.answerTokens, limits.firstByte, limits.betweenBytes, remaining });
-    output.events.push_back({ DispatchEventKind::Relayed, flight.id(), flight.attempt, choice.region.string() });
-}
-
-void Dispatcher::beginAttempt(Milliseconds now, Flight& flight, const std::string& where, DispatchOutput& output)
-{
-    assert(flight_rules::mayStart(flight));
-    assert(!flight_rules::needsClaim(flight.admitted) || flight.hasClaim);
-    if (flight.stage == FlightStage::Queued) {
-        FairQueue& queue = this->queueOf(flight.admitted.service);
-        // A further attempt was paid for by the first.
-        if (flight.attempt == 0)
-            queue.take(flight.id());
-        else
-            queue.remove(flight.id());
-    }
-    ++flight.attempt;
-    flight.stage = FlightStage::Running;
-    flight.startedAt = now;
-    this->setWake(flight, flight.admitted.deadline);
-    output.events.push_back({ DispatchEventKind::Started, flight.id(), flight.attempt, where });
-}
-
-void Dispatcher::releaseTarget(Milliseconds now, Flight& flight, AttemptSignal signal, Router& router)
-{
-    const Milliseconds duration = now - flight.startedAt;
-    if (const auto* const upstream = std::get_if<UpstreamChoice>(&flight.target)) {
-        router.noteEnded(now, *upstream, signal, duration, this->generator);
-        ServicePace& pace = this->paces[upstream->service];
-        --pace.running;
-        if (signal == AttemptSignal::Answered) {
-            const auto length = static_cast<double>(duration.count());
-            pace.meanDuration += pace.meanDuration > 0 ? durationBlend * (length - pace.meanDuration) : length;
-        }
-        if (signal != AttemptSignal::Answered)
-            flight.triedUpstreams.push_back(upstream->upstream);
-    } else if (const auto* const region = std::get_if<RegionChoice>(&flight.target)) {
-        router.noteEnded(now, *region, signal);
-        if (signal != AttemptSignal::Answered)
-            flight.triedRegions.push_back(region->region);
-    }
-    flight.target = std::monostate();
-}
-
-//======================================================================================================================
-DispatchOutput Dispatcher::handle(Milliseconds /*now*/, const AttemptBegan& began, Router& /*router*/)
-{
-    DispatchOutput output;
-    Flight* const flight = this->find(began.request);
-    if (flight && flight->stage == FlightStage::Running && flight->attempt == began.attempt)
-        flight->hasBegun = true;
-    else
-        output.events.push_back({ DispatchEventKind::StaleReport, began.request, began.attempt, {} });
-    return output;
-}
-
-DispatchOutput Dispatcher::handle(Milliseconds /*now*/, const AnswerToKeep& answer)
-{
-    Flight* const flight = this->find(answer.request);
-    if (flight && flight->stage == FlightStage::Running && flight->attempt == answer.attempt)
-        flight->answer = answer;
-    return {};
-}
-
-DispatchOutput Dispatcher::handle(Milliseconds now, const AttemptEnded& ended, Router& router)
-{
-    DispatchOutput output;
-    Flight* const flight = this->find(ended.request);
-    const bool isExpected = flight && (flight->stage == FlightStage::Running || flight->stage == FlightStage::Stopping);
-    if (!isExpected || flight->attempt != ended.attempt) {
-        output.events.push_back({ DispatchEventKind::StaleReport, ended.request, ended.attempt, {} });
-        return output;
-    }
-    const ServiceId service = flight->admitted.service;
-    this->endAttempt(now, *flight, ended, router, output);
-    this->pump(now, service, router, output);
-    return output;
-}
-
-void Dispatcher::endAttempt(
-    Milliseconds now, Flight& flight, const AttemptEnded& ended, Router& router, DispatchOutput& output)
-{
-    const bool hasProgressed = ended.answerTokens > flight.answerTokens;
-    flight.answerTokens = std::max(flight.answerTokens, ended.answerTokens);
-    flight.promptTokens = std::max(flight.promptTokens, ended.promptTokens);
-    if (flight.stage == FlightStage::Stopping) {
-        this->close(flight, output);
-        return;
-    }
-    this->releaseTarget(now, flight, flight_rules::signalFor(ended.result, ended.status), router);
-    const bool isUnsent = ended.result == AttemptResult::NotSent || ended.result == AttemptResult::RejectedBusy;
-    flight.mayHaveRun = flight.mayHaveRun || !isUnsent;
-    flight.stage = FlightStage::BackingOff;
-    if (ended.result == AttemptResult::Completed) {
-        this->finish(now, flight, ended.status, output);
-        return;
-    }
-    const bool isLost = flight.hasBegun && !flight_rules::canResume(flight);
-    if (isLost || !flight_rules::mayStart(flight)) {
-        this->refuse(now, flight, RefusalCode::UpstreamFailed, output);
-        return;
-    }
-    this->tryAgain(now, flight, ended.result == AttemptResult::NotSent, hasProgressed, output);
-}
-
-void Dispatcher::tryAgain(
-    Milliseconds now, Flight& flight, bool isImmediate, bool hasProgressed, DispatchOutput& output)
-{
-    // An answer that grew cannot multiply work without end, so going on with it needs no budget.
-    flight.attemptsWithoutProgress = hasProgressed ? 0 : flight.attemptsWithoutProgress + 1;
-    const bool isAllowed = flight.attemptsWithoutProgress < this->settings.attemptsPerRequest;
-    if (!isAllowed || (!hasProgressed && !this->budget.tryTake(now))) {
-        this->refuse(now, flight, RefusalCode::UpstreamFailed, output, soonestReturn * 2);
-        return;
-    }
-    const auto kind = flight.hasBegun ? DispatchEventKind::Resumed : DispatchEventKind::Retried;
-    output.events.push_back({ kind, flight.id(), flight.attempt, {} });
-    if (isImmediate) {
-        this->enqueue(flight, true, output);
-        return;
-    }
-    flight.stage = FlightStage::BackingOff;
-    const Milliseconds at = now + this->drawBackoff(flight.attemptsWithoutProgress);
-    this->setWake(flight, std::min(flight.admitted.deadline, at));
-}
-
-Milliseconds Dispatcher::drawBackoff(int attempts)
-{
-    constexpr int mostDoublings = 10;
-    const std::int64_t factor = std::int64_t { 1 } << std::clamp(attempts - 1, 0, mostDoublings);
-    const Milliseconds longest = std::min(this->settings.firstBackoff * factor, this->settings.longestBackoff);
-    std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 2, longest.count());
-    return Milliseconds(jitter(this->generator));
-}
-
-//======================================================================================================================
-DispatchOutput Dispatcher::handle(Milliseconds now, const CallerGone& gone, Router& router)
-{
-    DispatchOutput output;
-    Flight* const flight = this->find(gone.request);
-    if (!flight || flight->stage == FlightStage::Stopping)
-        return output;
-    flight->isCallerGone = true;
-    // What may not be repeated runs on, so that its outcome is known when the caller asks again.
-    if (flight->stage == FlightStage::Running && !flight->admitted.isIdempotent)
-        return output;
-    const ServiceId service = flight->admitted.service;
-    this->stop(now, *flight, RefusalCode::StoppedMidway, router, output);
-    this->pump(now, service, router, output);
-    return output;
-}
-
-DispatchOutput Dispatcher::withdrawKey(Milliseconds now, const KeyDigest& key, Router& router)
-{
-    DispatchOutput output;
-    std::vector<RequestId> affected;
-    for (const auto& [id, flight] : this->flights) {
-        if (!key.isEmpty() && flight.admitted.arrival.key == key && flight.stage != FlightStage::Stopping)
-            affected.push_back(id);
-    }
-    for (const RequestId id : affected) {
-        Flight& flight = this->flights.at(id);
-        const bool wasSent = flight_rules::whetherRan(flight) == Ran::Unknown;
-        this->stop(now, flight, wasSent ? RefusalCode::StoppedMidway : RefusalCode::NotAuthenticated, router, output);
-    }
-    if (!affected.empty())
-        this->pumpAll(now, router, output);
-    return output;
-}
-
-void Dispatcher::stop(Milliseconds now, Flight& flight, RefusalCode code, Router& router, DispatchOutput& output)
-{
-    if (flight.stage != FlightStage::Running) {
-        this->refuse(now, flight, code, output);
-        return;
-    }
-    output.directives.push_back(CancelAttempt { flight.id(), flight.attempt });
-    this->releaseTarget(now, flight, AttemptSignal::Cancelled, router);
-    flight.stage = FlightStage::Stopping;
-    flight.mayHaveRun = true;
-    this->refuse(now, flight, code, output);
-}
-
-void Dispatcher::finish(Milliseconds now, Flight& flight, int status, DispatchOutput& output)
-{
-    if (flight.hasClaim) {
-        AnswerToKeep answer = flight.answer.value_or(AnswerToKeep());
-        ClaimOutput confirmed = this->claims.confirm(
-            now, flight.id(), status, flight.answer.has_value(), std::move(answer.contentType), std::move(answer.body));
-        std::move(confirmed.calls.begin(), confirmed.calls.end(), std::back_inserter(output.storeCalls));
-        flight.hasClaim = false;
-    }
-    output.directives.push_back(FinishRequest { flight.id() });
-    output.events.push_back({ DispatchEventKind::Finished, flight.id(), flight.attempt, {} });
-    this->close(flight, output);
-}
-
-void Dispatcher::refuse(Milliseconds now, Flight& flight, RefusalCode wanted, DispatchOutput& output,
-    std::optional<Milliseconds> retryAfter, const std::string& detail)
-{
-    const RefusalCode code = flight_rules::refusalFor(flight, wanted);
-    const Ran ran = flight_rules::whetherRan(flight);
-    this->settleClaim(now, flight, output);
-    output.directives.push_back(RefuseRequest { flight.id(), code, ran, retryAfter, detail });
-    output.events.push_back({ DispatchEventKind::Refused, flight.id(), flight.attempt, detail });
-    if (flight.stage == FlightStage::Stopping)
-        this->setWake(flight, now + stoppingLimit);
-    else
-        this->close(flight, output);
-}
-
-void Dispatcher::settleClaim(Milliseconds now, Flight& flight, DispatchOutput& output)
-{
-    if (!flight_rules::needsClaim(flight.admitted))
-        return;
-    if (flight_rules::whetherRan(flight) == Ran::Unknown) {
-        this->claims.leaveUnknown(now, flight.id());
-    } else if (flight.hasClaim || flight.stage == FlightStage::Claiming) {
-        ClaimOutput released = this->claims.release(now, flight.id());
-        std::move(released.calls.begin(), released.calls.end(), std::back_inserter(output.storeCalls));
-    }
-    flight.hasClaim = false;
-}
-
-void Dispatcher::close(Flight& flight, DispatchOutput& output)
-{
-    if (flight.stage == FlightStage::Queued)
-        this->queueOf(flight.admitted.service).remove(flight.id());
-    // The VM that relayed a request settles it.
-    if (!flight.admitted.isRelayed && !flight.admitted.workspace.isEmpty())
-        output.settlements.push_back({ flight.id(), flight.admitted.workspace, flight_rules::usedTokens(flight) });
-    this->timers.erase({ flight.wakeAt, flight.id() });
-    this->flights.erase(flight.id());
-}
-
 //======================================================================================================================
 DispatchOutput Dispatcher::handleStoreReply(
     Milliseconds now, std::uint64_t call, const StoreReply& reply, Router& router)
@@ -448,7 +175,7 @@
 
 void Dispatcher::applyVerdict(Milliseconds now, const ClaimVerdict& verdict, Router& router, DispatchOutput& output)
 {
-    Flight* const flight = this->find(verdict.request);
+    Flight* const flight = this->flights.find(verdict.request);
     if (!flight || flight->stage != FlightStage::Claiming)
         return;
     switch (verdict.state) {
@@ -473,7 +200,7 @@
         return;
     case ClaimState::Unavailable:
         flight->stage = FlightStage::Arrived;
-        this->refuse(now, *flight, RefusalCode::ClaimUnavailable, output, soonestReturn * 2,
+        this->refuse(now, *flight, RefusalCode::ClaimUnavailable, output, returnAfterFailure,
             "this request was not run; an earlier one with the same key may have been");
         return;
     }
@@ -484,19 +211,14 @@
 {
     DispatchOutput output;
     this->applyClaims(now, this->claims.tick(now), router, output);
-    while (!this->timers.empty() && this->timers.begin()->first <= now) {
-        Flight& flight = this->flights.at(this->timers.begin()->second);
-        this->handleWake(now, flight, router, output);
-    }
+    while (Flight* const flight = this->flights.findDue(now))
+        this->handleWake(now, *flight, router, output);
     if (this->leavingUntil && now >= *this->leavingUntil && !this->isLeavingEnforced) {
         this->isLeavingEnforced = true;
-        std::vector<RequestId> left;
-        for (const auto& [id, flight] : this->flights) {
-            if (flight.stage != FlightStage::Stopping)
-                left.push_back(id);
-        }
+        const std::vector<RequestId> left
+            = this->flights.select([](const Flight& flight) { return flight.stage != FlightStage::Stopping; });
         for (const RequestId id : left)
-            this->stop(now, this->flights.at(id), RefusalCode::Leaving, router, output);
+            this->stop(now, *this->flights.find(id), RefusalCode::Leaving, router, output);
     }
     this->pumpAll(now, router, output);
     return output;
@@ -518,14 +240,10 @@
 
 Milliseconds Dispatcher::getNextDeadline() const
 {
-    Milliseconds next = this->claims.getNextDeadline();
-    if (!this->timers.empty())
-        next = std::min(next, this->timers.begin()->first);
+    Milliseconds next = std::min(this->claims.getNextDeadline(), this->flights.getNextWake());
     if (this->leavingUntil && !this->isLeavingEnforced)
         next = std::min(next, *this->leavingUntil);
-    const bool isWaiting = std::any_of(
-        this->queues.begin(), this->queues.end(), [](const auto& entry) { return !entry.second.isEmpty(); });
-    return isWaiting ? std::min(next, this->pumpedAt + pumpPeriod) : next;
+    return this->queues.isEmpty() ? next : std::min(next, this->pumpedAt + pumpPeriod);
 }
 
 void Dispatcher::beginLeaving(Milliseconds now)
@@ -536,48 +254,8 @@
 
 bool Dispatcher::isDrained() const
 {
-    return this->leavingUntil && this->flights.empty() && !this->claims.hasUnsettled();
-}
-
-std::map<ServiceId, std::int64_t> Dispatcher::countQueued() const
-{
-    std::map<ServiceId, std::int64_t> queued;
-    for (const auto& [service, queue] : this->queues)
-        queued[service] = static_cast<std::int64_t>(queue.size());
-    return queued;
-}
-
-//======================================================================================================================
-Flight* Dispatcher::find(RequestId request)
-{
-    const auto found = this->flights.find(request);
-    return found == this->flights.end() ? nullptr : &found->second;
-}
-
-void Dispatcher::setWake(Flight& flight, Milliseconds at)
-{
-    this->timers.erase({ flight.wakeAt, flight.id() });
-    flight.wakeAt = at;
-    this->timers.emplace(at, flight.id());
-}
-
-Milliseconds Dispatcher::estimateWait(const Flight& flight) const
-{
-    const auto queue = this->queues.find(flight.admitted.service);
-    const auto pace = this->paces.find(flight.admitted.service);
-    if (queue == this->queues.end() || pace == this->paces.end())
-        return {};
-    const auto running = static_cast<double>(std::max<std::int64_t>(1, pace->second.running));
-    const double perRequest = pace->second.meanDuration / running;
-    const double share = queue->second.getShareOf(flight.admitted.workspace, flight.admitted.shareWeight);
-    const auto ahead = static_cast<double>(queue->second.countOf(flight.admitted.workspace) + 1);
-    const auto everyone = static_cast<double>(queue->second.size() + 1);
-    return Milliseconds(std::llround(perRequest * std::min(everyone, ahead / share)));
-}
-
-FairQueue& Dispatcher::queueOf(const ServiceId& service)
-{
-    return this->queues.try_emplace(service, this->settings.queueOrder).first->second;
+    const bool mayLeaveClaims = this->isLeavingEnforced || !this->claims.hasUnsettled();
+    return this->leavingUntil && this->flights.size() == 0 && mayLeaveClaims;
 }
 
 } // namespace papayashelf
--- a/modules/dispatch/dispatcher/Dispatcher.h
+++ b/modules/dispatch/dispatcher/Dispatcher.h
@@ -3,14 +3,14 @@
 #include "dispatch/claims/ClaimBook.h"
 #include "dispatch/dispatcher/DispatchMessages.h"
 #include "dispatch/dispatcher/Flight.h"
-#include "dispatch/queues/FairQueue.h"
+#include "dispatch/dispatcher/FlightTable.h"
+#include "dispatch/queues/ServiceQueues.h"
 #include "dispatch/retries/RetryBudget.h"
 #include "dispatch/settings/DispatchSettings.h"
 #include "routing/choice/Router.h"
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 
 namespace papayashelf {
 
@@ -55,23 +55,15 @@
     /** Stops taking requests; those that are here finish within the leaving limit. */
     void beginLeaving(Milliseconds now);
 
-    /** True once it is leaving and has no request left and no claim to settle. */
+    /** True once it is leaving with no request left, and has settled its claims or passed the leaving limit. */
     bool isDrained() const;
 
     //==================================================================================================================
     /** Requests waiting here, by service. */
-    std::map<ServiceId, std::int64_t> countQueued() const;
+    std::map<ServiceId, std::int64_t> countQueued() const { return this->queues.count(); }
     std::size_t countRequests() const { return this->flights.size(); }
 
 private:
-    using Flights = std::map<RequestId, Flight>;
-
-    /** How fast one service has been going. */
-    struct ServicePace {
-        std::int64_t running = 0; /**< Attempts of this VM under way in this region. */
-        double meanDuration = 0; /**< Of a completed attempt, in milliseconds; 0 until one completed. */
-    };
-
     void takeIn(Milliseconds now, Flight& flight, Router& router, DispatchOutput& output);
     void enqueue(Flight& flight, bool inFront, DispatchOutput& output);
     void pumpAll(Milliseconds now, Router& router, DispatchOutput& output);
@@ -89,7 +81,6 @@
     void endAttempt(
         Milliseconds now, Flight& flight, const AttemptEnded& ended, Router& router, DispatchOutput& output);
     void tryAgain(Milliseconds now, Flight& flight, bool isImmediate, bool hasProgressed, DispatchOutput& output);
-    Milliseconds drawBackoff(int attempts);
 
     void finish(Milliseconds now, Flight& flight, int status, DispatchOutput& output);
     void refuse(Milliseconds now, Flight& flight, RefusalCode wanted, DispatchOutput& output,
@@ -101,19 +92,12 @@
     void applyClaims(Milliseconds now, ClaimOutput claimed, Router& router, DispatchOutput& output);
     void applyVerdict(Milliseconds now, const ClaimVerdict& verdict, Router& router, DispatchOutput& output);
 
-    Flight* find(RequestId request);
-    void setWake(Flight& flight, Milliseconds at);
-    Milliseconds estimateWait(const Flight& flight) const;
-    FairQueue& queueOf(const ServiceId& service);
-
     const DispatchSettings settings;
     std::mt19937_64 generator;
-    std::map<ServiceId, FairQueue> queues;
-    std::map<ServiceId, ServicePace> paces;
+    ServiceQueues queues;
     RetryBudget budget;
     ClaimBook claims;
-    Flights flights;
-    std::set<std::pair<Milliseconds, RequestId>> timers;
+    FlightTable flights;
     std::optional<Milliseconds> leavingUntil;
     bool isLeavingEnforced = false;
     Milliseconds pumpedAt;
--- /dev/null
+++ b/modules/dispatch/dispatcher/FlightTable.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "dispatch/dispatcher/Flight.h"
+#include <map>
+#include <set>
+#include <utility>
+
+namespace papayashelf {
+
+/**
+    The flights by request, each with one timer.
+
+    Thread safety: none; owned by one thread.
+*/
+class FlightTable {
+public:
+    /** Adds a flight. Precondition: its request is not in the table. The reference stays good until it is erased. */
+    Flight& add(const AdmittedRequest& admitted);
+
+    /** The flight of a request, or nothing. */
+    Flight* find(RequestId request);
+
+    /** Sets when the flight's timer is due, in place of what was set before. */
+    void setWake(Flight& flight, Milliseconds at);
+
+    /** A flight whose timer is due, or nothing. It stays due until its timer is set anew or it is erased. */
+    Flight* findDue(Milliseconds now);
+
+    void erase(Flight& flight);
+
+    /** The requests whose flights satisfy a condition, in order of their ids. */
+    template <typename Condition> std::vector<RequestId> select(Condition condition) const
+    {
+        std::vector<RequestId> selected;
+        for (const auto& [id, flight] : this->flights) {
+            if (condition(flight))
+                selected.push_back(id);
+        }
+        return selected;
+    }
+
+    Milliseconds getNextWake() const;
+    std::size_t size() const { return this->flights.size(); }
+
+private:
+    std::map<RequestId, Flight> flights;
+    std::set<std::pair<Milliseconds, RequestId>> timers;
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/dispatch/queues/ServiceQueues.cpp
@@ -0,0 +1,75 @@
+#include "dispatch/queues/ServiceQueues.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayashelf {
+
+namespace {
+
+constexpr double durationBlend = 0.05;
+
+} // namespace
+
+ServiceQueues::ServiceQueues(QueueOrder order)
+    : order(order)
+{
+}
+
+FairQueue& ServiceQueues::of(const ServiceId& service)
+{
+    return this->queues.try_emplace(service, this->order).first->second;
+}
+
+std::vector<ServiceId> ServiceQueues::listServices() const
+{
+    std::vector<ServiceId> services;
+    for (const auto& [service, queue] : this->queues)
+        services.push_back(service);
+    return services;
+}
+
+void ServiceQueues::noteStarted(const ServiceId& service)
+{
+    ++this->paces[service].running;
+}
+
+void ServiceQueues::noteEnded(const ServiceId& service, Milliseconds duration, bool isAnswered)
+{
+    Pace& pace = this->paces[service];
+    --pace.running;
+    if (!isAnswered)
+        return;
+    const auto length = static_cast<double>(duration.count());
+    pace.meanDuration += pace.meanDuration > 0 ? durationBlend * (length - pace.meanDuration) : length;
+}
+
+Milliseconds ServiceQueues::estimateWait(const AdmittedRequest& request) const
+{
+    const auto queue = this->queues.find(request.service);
+    const auto pace = this->paces.find(request.service);
+    if (queue == this->queues.end() || pace == this->paces.end())
+        return {};
+    const auto running = static_cast<double>(std::max<std::int64_t>(1, pace->second.running));
+    const double perRequest = pace->second.meanDuration / running;
+    const double share = queue->second.getShareOf(request.workspace, request.shareWeight);
+    const auto ahead = static_cast<double>(queue->second.countOf(request.workspace) + 1);
+    const auto everyone = static_cast<double>(queue->second.size() + 1);
+    return Milliseconds(std::llround(perRequest * std::min(everyone, ahead / share)));
+}
+
+std::map<ServiceId, std::int64_t> ServiceQueues::count() const
+{
+    std::map<ServiceId, std::int64_t> queued;
+    for (const auto& [service, queue] : this->queues)
+        queued[service] = static_cast<std::int64_t>(queue.size());
+    return queued;
+}
+
+bool ServiceQueues::isEmpty() const
+{
+    return std::all_of(
+        this->queues.begin(), this->queues.end(), [](const auto& entry) { return entry.second.isEmpty(); });
+}
+
+} // namespace papayashelf
--- a/tests/dispatch/ClaimTest.cpp
+++ b/tests/dispatch/ClaimTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(testAClaimNotRunIsReleased);
     CPPUNIT_TEST(testUnreadableClaimsAreUnknown);
     CPPUNIT_TEST(testClaimsKeepWithinTheStoreBudget);
+    CPPUNIT_TEST(testLeavingWaitsForConfirmationsWithinItsLimit);
     CPPUNIT_TEST(testAtMostOnceUnderEveryFault);
     CPPUNIT_TEST_SUITE_END();
 
@@ -185,7 +186,7 @@
         FakeStore store;
         Vm vm("a");
         const ClaimSubject subject { freeWorkspace, "POST", "/reservations", "fee-7" };
-        const std::string key = ClaimBook::storeKey(subject);
+        const std::string key = subject.storeKey();
         store.entries[key] = { key, R"({"schema":2,"state":"elsewhere"})", 1 };
         this->expectUnknown(this->submit(vm, 1, store));
         store.entries[key] = { key, "{", 1 };
@@ -209,6 +210,22 @@
         CPPUNIT_ASSERT_EQUAL(1000, calls + refused);
     }
 
+    void testLeavingWaitsForConfirmationsWithinItsLimit()
+    {
+        FakeStore store;
+        Vm vm("a");
+        const StartAttempt started = pick<StartAttempt>(this->submit(vm, 1, store)).front();
+        vm.dispatcher.beginLeaving(this->now);
+        const DispatchOutput output
+            = vm.dispatcher.handle(this->now, end(started, AttemptResult::Completed), vm.router);
+        this->settle(vm, output, store, FakeStore::Fault::Out);
+        CPPUNIT_ASSERT(!vm.dispatcher.isDrained());
+        const Milliseconds limit = this->now + DispatchSettings().leavingLimit;
+        CPPUNIT_ASSERT(vm.dispatcher.getNextDeadline() <= limit);
+        vm.dispatcher.tick(limit, vm.router);
+        CPPUNIT_ASSERT(vm.dispatcher.isDrained());
+    }
+
     /** What became of one operation over all its repeats. */
     struct Tally {
         int sent = 0; /**< Attempts that may have reached an upstream. */
