Test that a stream is never gone on with by another kind of answer

An attempt that follows a cut stream may meet something that answers whole; it must count as cut and leave the caller's stream alone.

--- a/tests/entrance/StreamTest.cpp
+++ b/tests/entrance/StreamTest.cpp
@@ -11,6 +11,7 @@
 class StreamTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(StreamTest);
     CPPUNIT_TEST(testCutStreamGoesOnAtAnotherEngine);
+    CPPUNIT_TEST(testStreamIsNotGoneOnWithByAnotherKindOfAnswer);
     CPPUNIT_TEST(testMissingTokenIsNeverSkipped);
     CPPUNIT_TEST(testRepeatedTokensAreDropped);
     CPPUNIT_TEST(testStreamWithoutEndMarkIsNotShownAsComplete);
@@ -91,6 +92,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("12"), third.getHttp().getRequests().at(0).header("x-resume-from"));
     }
 
+    void testStreamIsNotGoneOnWithByAnotherKindOfAnswer()
+    {
+        StandinEngine first;
+        StandinService notAnEngine;
+        StandinEngine third;
+        const std::vector<Endpoint> endpoints { first.start(), notAnEngine.start(), third.start() };
+        first.getHttp().setFault({ StandinFault::Die, 4, 1 });
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(retryOver(harness, endpoints));
+        TestCaller caller(entry);
+        caller.send(TestCaller::chatRequest(true, 10));
+        const auto answer = caller.readAnswer();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT(countTo(10) == tokensOf(answer->body()));
+        CPPUNIT_ASSERT(answer->body().find("executions") == std::string::npos);
+    }
+
     void testMissingTokenIsNeverSkipped()
     {
         StandinEngine first;
