Carry debts of shares between VMs

A return of a negative number of tokens says that more was used than granted. The codec refused it and with it every refund in the same message; found on reading the two parts together.

--- a/modules/peers/codec/ShareCodec.cpp
+++ b/modules/peers/codec/ShareCodec.cpp
@@ -106,14 +106,12 @@
     return message;
 }
 
-Outcome<ShareReturns> decodeReturns(const wire::ShareReturns& wire)
+ShareReturns decodeReturns(const wire::ShareReturns& wire)
 {
     ShareReturns message;
     message.incarnation = wire.incarnation();
     message.sequence = wire.sequence();
     for (const wire::ShareReturn& entry : wire.returns()) {
-        if (entry.tokens() < 0)
-            return negativeTokens();
         message.returns.push_back(ShareReturn {
             WorkspaceId(entry.workspace()), entry.tokens(), Milliseconds(entry.granted_at_ms()), entry.epoch() });
     }
--- a/modules/peers/codec/ShareCodec.h
+++ b/modules/peers/codec/ShareCodec.h
@@ -16,7 +16,9 @@
 /** Errors: Damaged for a negative number of tokens. */
 Outcome<ShareRequest> decodeRequest(const wire::ShareRequest& wire);
 Outcome<ShareGrant> decodeGrant(const wire::ShareGrant& wire);
-Outcome<ShareReturns> decodeReturns(const wire::ShareReturns& wire);
+
+/** A negative number of tokens is a debt: more was used than had been granted. */
+ShareReturns decodeReturns(const wire::ShareReturns& wire);
 
 /** Errors: Damaged or UnknownSchemaVersion for a record that cannot be read. */
 Outcome<ShareEpochNews> decodeEpochNews(const wire::ShareEpochNews& wire);
