--- a/modules/routing/choice/Router.cpp
+++ b/modules/routing/choice/Router.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double serviceTimeBlend = 0.05;
+constexpr double fullBatchSteepness = 8;
 
 } // namespace
 
@@ -129,7 +130,9 @@
 std::optional<RegionChoice> Router::offerElsewhere(Milliseconds now, const PermittedRegions& permitted,
     const RoutingQuery& query, const LocalOffer& local, std::mt19937_64& generator) const
 {
-    if (this->settings.spillPolicy == SpillPolicy::Never && local.isUsable)
+    const auto service = this->governance->services.find(query.service);
+    const bool isBarred = this->settings.spillPolicy == SpillPolicy::Never && local.isUsable;
+    if (isBarred || service == this->governance->services.end())
         return std::nullopt;
     const std::int64_t bytes = (query.promptTokens + query.maximumTokens) * this->settings.bytesPerToken;
     std::optional<RegionId> best;
@@ -154,8 +157,7 @@
     const auto target = this->regions.pickVm(now, *best, generator);
     if (!target)
         return std::nullopt;
-    const ServiceKind kind = this->governance->services.at(query.service).kind;
-    return RegionChoice { *best, query.service, target->vm, target->endpoint, kind, bytes };
+    return RegionChoice { *best, query.service, target->vm, target->endpoint, service->second.kind, bytes };
 }
 
 bool Router::isWorthLeaving(const RoutingQuery& query, const LocalOffer& local, double load, Milliseconds link) const
@@ -181,7 +183,9 @@
 
 double Router::waitFor(double load, const ServiceId& service) const
 {
-    const double batch = static_cast<double>(this->settings.fullBatchDelay.count()) * std::min(1.0, load);
+    // An engine slows down little until its batch is nearly full.
+    const double fullness = std::pow(std::min(1.0, load), fullBatchSteepness);
+    const double batch = static_cast<double>(this->settings.fullBatchDelay.count()) * fullness;
     return batch + std::max(0.0, load - 1.0) * this->getServiceTime(service);
 }
 
