--- a/modules/shares/ledger/ShareBorrower.cpp
+++ b/modules/shares/ledger/ShareBorrower.cpp
@@ -26,6 +26,7 @@
     , owners(owners)
     , ownership(ownership)
     , lastCall(this->self.incarnation << callBitsPerIncarnation)
+    , returns(this->self.incarnation, settings.returnPeriod)
 {
 }
 
@@ -94,30 +95,24 @@
         this->serve(now, reservation.workspace, output);
 }
 
-void ShareBorrower::lend(Milliseconds now, const VmId& borrower, const ShareRequest& message, ShareOutput& output)
+OwnDemand ShareBorrower::getDemand(Milliseconds now, const WorkspaceId& workspace) const
 {
-    ShareGrant grant { message.call, message.workspace, 0, {}, now, this->ownership.getEpoch(), 0 };
-    if (TokenBucket* bucket = this->ownership.find(message.workspace)) {
-        std::int64_t kept = 0;
-        const auto account = this->accounts.find(message.workspace);
-        if (account != this->accounts.end() && !account->second.waiting.empty()) {
-            // Whichever has waited longer goes first, or two owners could keep their halves from each other.
-            const std::deque<Waiting>& waiting = account->second.waiting;
-            if (now - waiting.front().since >= message.waited) {
-                for (const Waiting& own : waiting)
-                    kept += own.tokens;
-            }
-        }
-        const std::int64_t available = std::max<std::int64_t>(0, bucket->getTokens(now) - kept);
-        grant.tokens = std::clamp<std::int64_t>(message.tokens, 0, available);
-        grant.tokens += this->chooseStock(*bucket, available - grant.tokens, message);
-        bucket->lend(now, grant.tokens);
-        grant.left = available - grant.tokens;
-        const std::int64_t rate = bucket->getLimit().tokensPerSecond;
-        if (grant.tokens < message.tokens && rate > 0)
-            grant.waitHint = Milliseconds((message.tokens - grant.tokens) * 1000 / rate + 1);
+    const auto account = this->accounts.find(workspace);
+    if (account == this->accounts.end() || account->second.waiting.empty())
+        return {};
+    OwnDemand demand { 0, now - account->second.waiting.front().since };
+    for (const Waiting& waiting : account->second.waiting)
+        demand.tokens += waiting.tokens;
+    return demand;
+}
+
+void ShareBorrower::serveWaiting(Milliseconds now, const std::set<WorkspaceId>& workspaces, ShareOutput& output)
+{
+    for (const WorkspaceId& workspace : workspaces) {
+        const auto account = this->accounts.find(workspace);
+        if (account != this->accounts.end() && !account->second.waiting.empty())
+            this->serve(now, workspace, output);
     }
-    output.sends.push_back({ borrower, grant });
 }
 
 void ShareBorrower::takeGrant(Milliseconds now, const VmId& giver, const ShareGrant& message, ShareOutput& output)
@@ -146,31 +141,6 @@
     this->serve(now, call.workspace, output);
 }
 
-void ShareBorrower::takeBack(Milliseconds now, const VmId& borrower, const ShareReturns& message, ShareOutput& output)
-{
-    auto& seen = this->returnsSeen[borrower];
-    const std::pair<Incarnation, std::uint64_t> number { message.incarnation, message.sequence };
-    if (number <= seen)
-        return;
-    seen = number;
-    std::set<WorkspaceId> served;
-    for (const ShareReturn& returned : message.returns) {
-        TokenBucket* bucket = this->ownership.findOwnedSince(returned.workspace, returned.epoch);
-        if (!bucket)
-            continue;
-        if (returned.tokens < 0)
-            bucket->chargeBeyondReservation(now, -returned.tokens);
-        else
-            bucket->takeBack(now, returned.grantedAt, returned.tokens);
-        served.insert(returned.workspace);
-    }
-    for (const WorkspaceId& workspace : served) {
-        const auto account = this->accounts.find(workspace);
-        if (account != this->accounts.end() && !account->second.waiting.empty())
-            this->serve(now, workspace, output);
-    }
-}
-
 void ShareBorrower::setLiveVms(std::set<VmId> vms)
 {
     this->liveVms = std::move(vms);
@@ -199,14 +169,16 @@
     for (const WorkspaceId& workspace : due)
         this->serve(now, workspace, output);
     this->forgetOldCalls(now);
-    if (now >= this->returnsDueAt)
-        this->flushReturns(output);
+    if (now < this->returns.getDueTime())
+        return;
+    for (auto& message : this->returns.flush())
+        output.sends.push_back(std::move(message));
 }
 
 Milliseconds ShareBorrower::getNextDeadline() const
 {
     const Milliseconds timer = this->timers.empty() ? Milliseconds::never() : this->timers.begin()->first;
-    return std::min(timer, this->returnsDueAt);
+    return std::min(timer, this->returns.getDueTime());
 }
 
 void ShareBorrower::serve(Milliseconds now, const WorkspaceId& workspace, ShareOutput& output)
@@ -325,14 +297,6 @@
     this->sendRequest(now, workspace, *fullest, request, output);
 }
 
-std::int64_t ShareBorrower::chooseStock(
-    const TokenBucket& bucket, std::int64_t available, const ShareRequest& message) const
-{
-    // Never so much that the giver would be the emptier one afterwards.
-    const std::int64_t kept = bucket.getLimit().burstTokens * message.stockPermille / permille;
-    return std::clamp<std::int64_t>(message.stockTokens, 0, std::max<std::int64_t>(0, available - kept));
-}
-
 void ShareBorrower::sendRequest(
     Milliseconds now, const WorkspaceId& workspace, OwnerView& owner, const ShareRequest& request, ShareOutput& output)
 {
@@ -428,28 +392,7 @@
 
 void ShareBorrower::giveBack(Milliseconds now, const WorkspaceId& workspace, const Part& part, std::int64_t tokens)
 {
-    if (tokens == 0)
-        return;
-    this->returnsDueAt = std::min(this->returnsDueAt, now + this->settings.returnPeriod);
-    std::vector<ShareReturn>& list = this->returns[part.giver];
-    for (ShareReturn& listed : list) {
-        if (listed.workspace == workspace && listed.grantedAt == part.chargedAt && listed.epoch == part.epoch
-            && (listed.tokens > 0) == (tokens > 0)) {
-            listed.tokens += tokens;
-            return;
-        }
-    }
-    list.push_back({ workspace, tokens, part.chargedAt, part.epoch });
-}
-
-void ShareBorrower::flushReturns(ShareOutput& output)
-{
-    for (auto& [giver, list] : this->returns) {
-        ShareReturns message { this->self.incarnation, ++this->returnsSent, std::move(list) };
-        output.sends.push_back({ giver, std::move(message) });
-    }
-    this->returns.clear();
-    this->returnsDueAt = Milliseconds::never();
+    this->returns.add(now, part.giver, { workspace, tokens, part.chargedAt, part.epoch });
 }
 
 void ShareBorrower::forgetOldCalls(Milliseconds now)
--- a/modules/shares/ledger/ShareBorrower.h
+++ b/modules/shares/ledger/ShareBorrower.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "shares/ledger/OwnerViews.h"
+#include "shares/ledger/ReturnBatch.h"
+#include "shares/ledger/ShareLender.h"
 #include "shares/ledger/ShareOutput.h"
 #include "shares/ledger/ShareOwnership.h"
 #include "shares/owners/OwnerMap.h"
@@ -30,15 +32,15 @@
     void settle(Milliseconds now, RequestId request, std::int64_t usedTokens, ShareOutput& output);
 
     //==================================================================================================================
-    /** Answers another VM that asks for tokens of this VM's bucket. */
-    void lend(Milliseconds now, const VmId& borrower, const ShareRequest& message, ShareOutput& output);
+    /** What this VM's reservations of a workspace wait for. */
+    OwnDemand getDemand(Milliseconds now, const WorkspaceId& workspace) const;
+
+    /** To be called after tokens came back to buckets of this VM. */
+    void serveWaiting(Milliseconds now, const std::set<WorkspaceId>& workspaces, ShareOutput& output);
 
     /** Takes the answer of another owner. */
     void takeGrant(Milliseconds now, const VmId& giver, const ShareGrant& message, ShareOutput& output);
 
-    /** Takes back what another VM borrowed here and did not use. */
-    void takeBack(Milliseconds now, const VmId& borrower, const ShareReturns& message, ShareOutput& output);
-
     //==================================================================================================================
     /** Replaces the set of VMs that it makes sense to ask. */
     void setLiveVms(std::set<VmId> vms);
@@ -103,12 +105,10 @@
     void dropLapsedLoans(Milliseconds now, const WorkspaceId& workspace, Account& account);
     void useLoans(Milliseconds now, Account& account, std::int64_t& missing, std::vector<Part>& parts);
     void depositLoans(Milliseconds now, const WorkspaceId& workspace, Account& account);
-    std::int64_t chooseStock(const TokenBucket& bucket, std::int64_t available, const ShareRequest& message) const;
     void setTimer(Milliseconds now, const WorkspaceId& workspace, Account& account);
     void refuse(RequestId request, const WorkspaceId& workspace, ShareRefusal reason, std::int64_t missing,
         ShareOutput& output);
     void giveBack(Milliseconds now, const WorkspaceId& workspace, const Part& part, std::int64_t tokens);
-    void flushReturns(ShareOutput& output);
     void forgetOldCalls(Milliseconds now);
     Account& getAccount(const WorkspaceId& workspace);
     std::int64_t countLoans(const Account& account) const;
@@ -127,10 +127,7 @@
     std::set<std::pair<Milliseconds, WorkspaceId>> timers;
     std::map<std::uint64_t, Call> calls; // By number, which grows with time.
     std::uint64_t lastCall;
-    std::map<VmId, std::vector<ShareReturn>> returns;
-    Milliseconds returnsDueAt = Milliseconds::never();
-    std::uint64_t returnsSent = 0;
-    std::map<VmId, std::pair<Incarnation, std::uint64_t>> returnsSeen;
+    ReturnBatch returns;
 };
 
 } // namespace papayashelf
--- a/modules/shares/ledger/ShareLedger.cpp
+++ b/modules/shares/ledger/ShareLedger.cpp
@@ -21,6 +21,7 @@
     , region(std::move(region))
     , settings(settings)
     , ownership({ self, incarnation }, this->region, settings)
+    , lender(this->ownership)
     , borrower({ self, incarnation }, this->region, settings, this->voted, this->owners, this->ownership)
     , keeper({ self, incarnation }, this->region, settings, this->owners, seed)
 {
@@ -137,7 +138,8 @@
 
 void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareRequest& message, ShareOutput& output)
 {
-    this->borrower.lend(now, from, message, output);
+    const OwnDemand own = this->borrower.getDemand(now, message.workspace);
+    output.sends.push_back({ from, this->lender.lend(now, message, own) });
 }
 
 void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareGrant& message, ShareOutput& output)
@@ -147,7 +149,7 @@
 
 void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareReturns& message, ShareOutput& output)
 {
-    this->borrower.takeBack(now, from, message, output);
+    this->borrower.serveWaiting(now, this->lender.takeBack(now, from, message), output);
 }
 
 void ShareLedger::handle(Milliseconds now, const VmId& from, const ShareEpochNews& message, ShareOutput& output)
--- a/modules/shares/ledger/ShareLedger.h
+++ b/modules/shares/ledger/ShareLedger.h
@@ -4,6 +4,7 @@
 #include "platform/vms/VmRecord.h"
 #include "shares/epochs/EpochKeeper.h"
 #include "shares/ledger/ShareBorrower.h"
+#include "shares/ledger/ShareLender.h"
 #include "shares/ledger/ShareOutput.h"
 #include "shares/ledger/ShareOwnership.h"
 #include "shares/owners/OwnerMap.h"
@@ -108,6 +109,7 @@
     VotedShares voted;
     OwnerMap owners;
     ShareOwnership ownership;
+    ShareLender lender;
     ShareBorrower borrower;
     EpochKeeper keeper;
 };
