Tell other regions what goes before a relayed request

Cause: under overload by one workspace the p99 first token of the others was 16 to 24 s. The backlog of that workspace in another region counted as the region's load, so nobody else was sent there, although a relayed request of a workspace within its share passes the backlog by. Change: Dispatcher::countAhead() counts one request of each waiting workspace; it is what summariseOwnRegion() takes.

--- a/benchmarks/dispatch/FleetRun.h
+++ b/benchmarks/dispatch/FleetRun.h
@@ -378,7 +378,7 @@
 inline void FleetModel::spreadSummaries()
 {
     for (const Vm& from : this->vms) {
-        const auto summaries = from.router->summariseOwnRegion(this->now(), from.dispatcher->countQueued());
+        const auto summaries = from.router->summariseOwnRegion(this->now(), from.dispatcher->countAhead());
         for (const Vm& to : this->vms) {
             if (to.region == from.region || this->isCut(from.region, to.region))
                 continue;
--- a/modules/dispatch/dispatcher/Dispatcher.h
+++ b/modules/dispatch/dispatcher/Dispatcher.h
@@ -61,6 +61,9 @@
     //==================================================================================================================
     /** Requests waiting here, by service. */
     std::map<ServiceId, std::int64_t> countQueued() const { return this->queues.count(); }
+
+    /** What Router::summariseOwnRegion() takes: the requests that go before one from a region that relays here. */
+    std::map<ServiceId, std::int64_t> countAhead() const { return this->queues.countAhead(); }
     std::size_t countRequests() const { return this->flights.size(); }
 
 private:
--- a/modules/dispatch/queues/FairQueue.h
+++ b/modules/dispatch/queues/FairQueue.h
@@ -49,6 +49,12 @@
     bool isEmpty() const { return this->places.empty(); }
     std::size_t countOf(const WorkspaceId& workspace) const;
 
+    /** The requests that go before one that comes now from a workspace that has not had its share: one of each line. */
+    std::size_t countAhead() const
+    {
+        return this->order == QueueOrder::ArrivalOrder ? this->size() : this->waiting.size();
+    }
+
     /** The part of the service's throughput that a workspace gets while all that wait now go on waiting; 0 to 1. */
     double getShareOf(const WorkspaceId& workspace, std::int64_t weight) const;
 
--- a/modules/dispatch/queues/ServiceQueues.cpp
+++ b/modules/dispatch/queues/ServiceQueues.cpp
@@ -66,6 +66,14 @@
     return queued;
 }
 
+std::map<ServiceId, std::int64_t> ServiceQueues::countAhead() const
+{
+    std::map<ServiceId, std::int64_t> ahead;
+    for (const auto& [service, queue] : this->queues)
+        ahead[service] = static_cast<std::int64_t>(queue.countAhead());
+    return ahead;
+}
+
 bool ServiceQueues::isEmpty() const
 {
     return std::all_of(
--- a/modules/dispatch/queues/ServiceQueues.h
+++ b/modules/dispatch/queues/ServiceQueues.h
@@ -30,6 +30,9 @@
 
     /** Waiting requests, by service. */
     std::map<ServiceId, std::int64_t> count() const;
+
+    /** Requests that go before one of a workspace that has not had its share, by service. */
+    std::map<ServiceId, std::int64_t> countAhead() const;
     bool isEmpty() const;
 
 private:
--- a/modules/routing/choice/Router.h
+++ b/modules/routing/choice/Router.h
@@ -85,7 +85,7 @@
     /**
         What to tell VMs of other regions, a line for each service of this region.
 
-        @param queued  requests waiting in this VM's own queues, by service
+        @param queued  requests of this VM's own queues, by service, that go before one that is relayed here
     */
     std::vector<RegionSummary> summariseOwnRegion(
         Milliseconds now, const std::map<ServiceId, std::int64_t>& queued) const;
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -248,6 +248,9 @@
         RequestId id = 10;
         for (; id < 110; ++id)
             dispatcher.submit(Milliseconds(1000), makeRequest(id), router);
+        // To a region that would relay here, a hundred of one workspace are one request ahead.
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 100 }, dispatcher.countQueued().at(assistant));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, dispatcher.countAhead().at(assistant));
         // One quiet request at a time, each of which must be next although a hundred wait.
         for (int round = 0; round < 8; ++round) {
             const RequestId quiet = ++id;
