--- a/tests/entrance/EntranceHarness.cpp
+++ b/tests/entrance/EntranceHarness.cpp
@@ -88,8 +88,11 @@
     body += isStreamed ? R"(,"stream":true})" : R"(,"stream":false})";
     std::string request = "POST /v1/chat/completions HTTP/1.1\r\nhost: gateway\r\nauthorization: Bearer ";
     request += key;
-    request += "\r\n" + extraHeaders + "content-type: application/json\r\ncontent-length: ";
-    request += std::to_string(body.size()) + "\r\n\r\n" + body;
+    request += "\r\n";
+    request += extraHeaders;
+    request += "content-type: application/json\r\ncontent-length: " + std::to_string(body.size());
+    request += "\r\n\r\n";
+    request += body;
     return request;
 }
 
@@ -159,6 +162,53 @@
     return this->seen[checked];
 }
 
+EntranceHarness::Script EntranceHarness::retryOver(const std::vector<Endpoint>& endpoints)
+{
+    return [this, endpoints](const RequestReport& report) {
+        if (const auto* const arrival = std::get_if<RequestArrival>(&report))
+            this->direct(attemptOf(arrival->request, endpoints.front(), ServiceKind::ModelEngine));
+        const auto* const ended = std::get_if<AttemptEnded>(&report);
+        if (!ended)
+            return;
+        if (ended->result == AttemptResult::Completed)
+            return this->direct(FinishRequest { ended->request });
+        if (ended->attempt >= endpoints.size())
+            return this->direct(
+                RefuseRequest { ended->request, RefusalCode::UpstreamFailed, Ran::Unknown, std::nullopt, {} });
+        StartAttempt next = attemptOf(ended->request, endpoints[ended->attempt], ServiceKind::ModelEngine);
+        next.attempt = ended->attempt + 1;
+        next.resumeFromToken = ended->answerTokens;
+        this->direct(next);
+    };
+}
+
+EntranceHarness::Script EntranceHarness::impatient(const Endpoint& upstream, ServiceKind kind)
+{
+    return [this, upstream, kind](const RequestReport& report) {
+        if (const auto* const arrival = std::get_if<RequestArrival>(&report)) {
+            StartAttempt start = attemptOf(arrival->request, upstream, kind);
+            start.firstByteLimit = Milliseconds(300);
+            start.betweenBytesLimit = Milliseconds(300);
+            this->direct(start);
+        }
+        if (const auto* const ended = std::get_if<AttemptEnded>(&report)) {
+            if (ended->result == AttemptResult::Completed)
+                this->direct(FinishRequest { ended->request });
+            else
+                this->direct(
+                    RefuseRequest { ended->request, RefusalCode::UpstreamFailed, Ran::Unknown, std::nullopt, {} });
+        }
+    };
+}
+
+void EntranceHarness::assertVisiblyIncomplete(const std::string& answer)
+{
+    CPPUNIT_ASSERT(answer.find("HTTP/1.1 200") == 0);
+    CPPUNIT_ASSERT(answer.find("data: {\"error\":{\"code\":") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("[DONE]") == std::string::npos);
+    CPPUNIT_ASSERT(answer.find("\r\n0\r\n") == std::string::npos);
+}
+
 void EntranceHarness::stop()
 {
     {
--- a/tests/entrance/EntranceHarness.h
+++ b/tests/entrance/EntranceHarness.h
@@ -74,6 +74,15 @@
     /** A first attempt with generous limits. */
     static StartAttempt attemptOf(RequestId request, const Endpoint& upstream, ServiceKind kind);
 
+    /** Each failed attempt is followed by one at the next endpoint, resumed where the caller stands. */
+    Script retryOver(const std::vector<Endpoint>& endpoints);
+
+    /** Each request goes to the endpoint once, with limits on its silence that pass soon. */
+    Script impatient(const Endpoint& upstream, ServiceKind kind);
+
+    /** Fails the test unless a stream began and then broke off visibly, with an error event. */
+    static void assertVisiblyIncomplete(const std::string& answer);
+
     /** Waits until some report satisfies the condition and returns it; fails the test if none ever does. */
     RequestReport waitFor(const std::function<bool(const RequestReport&)>& condition);
 
--- a/tests/entrance/StreamTest.cpp
+++ b/tests/entrance/StreamTest.cpp
@@ -16,8 +16,6 @@
     CPPUNIT_TEST(testRepeatedTokensAreDropped);
     CPPUNIT_TEST(testStreamWithoutEndMarkIsNotShownAsComplete);
     CPPUNIT_TEST(testRefusalMidwayIsVisible);
-    CPPUNIT_TEST(testSilentEngineIsReported);
-    CPPUNIT_TEST(testSilentDeathEmptiesPool);
     CPPUNIT_TEST(testSlowCallerHoldsBackUpstream);
     CPPUNIT_TEST(testRefusalStopsAnswerToStuckCaller);
     CPPUNIT_TEST(testCancelReachesEngineWhenCallerGoes);
@@ -25,12 +23,6 @@
     CPPUNIT_TEST(testLateAttemptNumberIsIgnored);
     CPPUNIT_TEST(testDirectiveAfterCallerWentIsAnsweredAsNotSent);
     CPPUNIT_TEST(testHeartbeatsComeInSilence);
-    CPPUNIT_TEST(testWholeAnswerCutIsNotBegun);
-    CPPUNIT_TEST(testUnreachableAndBusyAreCertainlyNotRun);
-    CPPUNIT_TEST(testLostAnswerIsNotCalledNotSent);
-    CPPUNIT_TEST(testPlainAnswerCutIsVisible);
-    CPPUNIT_TEST(testPlainCallRunsOnWhenCallerGoes);
-    CPPUNIT_TEST(testEngineSilentBeforeHeadOfWholeAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     static std::vector<std::int64_t> tokensOf(const std::string& stream)
@@ -50,29 +42,6 @@
         return tokens;
     }
 
-    /** Each failed attempt is followed by one at the next endpoint, resumed where the caller stands. */
-    static EntranceHarness::Script retryOver(EntranceHarness& harness, const std::vector<Endpoint>& endpoints)
-    {
-        return [&harness, endpoints](const RequestReport& report) {
-            if (const auto* const arrival = std::get_if<RequestArrival>(&report))
-                harness.direct(
-                    EntranceHarness::attemptOf(arrival->request, endpoints.front(), ServiceKind::ModelEngine));
-            const auto* const ended = std::get_if<AttemptEnded>(&report);
-            if (!ended)
-                return;
-            if (ended->result == AttemptResult::Completed)
-                return harness.direct(FinishRequest { ended->request });
-            if (ended->attempt >= endpoints.size())
-                return harness.direct(
-                    RefuseRequest { ended->request, RefusalCode::UpstreamFailed, Ran::Unknown, std::nullopt, {} });
-            StartAttempt next
-                = EntranceHarness::attemptOf(ended->request, endpoints[ended->attempt], ServiceKind::ModelEngine);
-            next.attempt = ended->attempt + 1;
-            next.resumeFromToken = ended->answerTokens;
-            harness.direct(next);
-        };
-    }
-
     void testCutStreamGoesOnAtAnotherEngine()
     {
         StandinEngine first;
@@ -82,7 +51,7 @@
         first.getHttp().setFault({ StandinFault::Die, 7, 1 });
         second.getHttp().setFault({ StandinFault::Die, 5, 1 });
         EntranceHarness harness;
-        const Endpoint entry = harness.start(retryOver(harness, endpoints));
+        const Endpoint entry = harness.start(harness.retryOver(endpoints));
         TestCaller caller(entry);
         caller.send(TestCaller::chatRequest(true, 40));
         const auto answer = caller.readAnswer();
@@ -100,7 +69,7 @@
         const std::vector<Endpoint> endpoints { first.start(), notAnEngine.start(), third.start() };
         first.getHttp().setFault({ StandinFault::Die, 4, 1 });
         EntranceHarness harness;
-        const Endpoint entry = harness.start(retryOver(harness, endpoints));
+        const Endpoint entry = harness.start(harness.retryOver(endpoints));
         TestCaller caller(entry);
         caller.send(TestCaller::chatRequest(true, 10));
         const auto answer = caller.readAnswer();
@@ -116,7 +85,7 @@
         const std::vector<Endpoint> endpoints { first.start(), second.start() };
         first.getHttp().setFault({ StandinFault::SkipToken, 3, 1 });
         EntranceHarness harness;
-        const Endpoint entry = harness.start(retryOver(harness, endpoints));
+        const Endpoint entry = harness.start(harness.retryOver(endpoints));
         TestCaller caller(entry);
         caller.send(TestCaller::chatRequest(true, 10));
         const auto answer = caller.readAnswer();
@@ -148,15 +117,7 @@
         caller.send(TestCaller::chatRequest(true, 10));
         const std::string answer = caller.readAll();
         CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Cut);
-        assertVisiblyIncomplete(answer);
-    }
-
-    static void assertVisiblyIncomplete(const std::string& answer)
-    {
-        CPPUNIT_ASSERT(answer.find("HTTP/1.1 200") == 0);
-        CPPUNIT_ASSERT(answer.find("data: {\"error\":{\"code\":") != std::string::npos);
-        CPPUNIT_ASSERT(answer.find("[DONE]") == std::string::npos);
-        CPPUNIT_ASSERT(answer.find("\r\n0\r\n") == std::string::npos);
+        EntranceHarness::assertVisiblyIncomplete(answer);
     }
 
     void testRefusalMidwayIsVisible()
@@ -175,84 +136,11 @@
         TestCaller caller(entry);
         caller.send(TestCaller::chatRequest(true, 10));
         const std::string answer = caller.readAll();
-        assertVisiblyIncomplete(answer);
+        EntranceHarness::assertVisiblyIncomplete(answer);
         CPPUNIT_ASSERT(answer.find("stopped_midway") != std::string::npos);
         CPPUNIT_ASSERT(engine.getHttp().waitForCount("cancelled", 1));
     }
 
-    static EntranceHarness::Script impatient(EntranceHarness& harness, const Endpoint& upstream, ServiceKind kind)
-    {
-        return [&harness, upstream, kind](const RequestReport& report) {
-            if (const auto* const arrival = std::get_if<RequestArrival>(&report)) {
-                StartAttempt start = EntranceHarness::attemptOf(arrival->request, upstream, kind);
-                start.firstByteLimit = Milliseconds(300);
-                start.betweenBytesLimit = Milliseconds(300);
-                harness.direct(start);
-            }
-            if (const auto* const ended = std::get_if<AttemptEnded>(&report)) {
-                if (ended->result == AttemptResult::Completed)
-                    harness.direct(FinishRequest { ended->request });
-                else
-                    harness.direct(
-                        RefuseRequest { ended->request, RefusalCode::UpstreamFailed, Ran::Unknown, std::nullopt, {} });
-            }
-        };
-    }
-
-    void testSilentEngineIsReported()
-    {
-        StandinEngine engine;
-        const Endpoint upstream = engine.start();
-        engine.getHttp().setFault({ StandinFault::GoSilent, 4, 1 });
-        EntranceHarness harness;
-        const Endpoint entry = harness.start(impatient(harness, upstream, ServiceKind::ModelEngine));
-        TestCaller caller(entry);
-        caller.send(TestCaller::chatRequest(true, 10));
-        assertVisiblyIncomplete(caller.readAll());
-        const auto ended = harness.waitForReport<AttemptEnded>();
-        CPPUNIT_ASSERT(ended.result == AttemptResult::Silent);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, ended.answerTokens);
-        CPPUNIT_ASSERT(engine.getHttp().waitForCount("cancelled", 1));
-    }
-
-    void testEngineSilentBeforeHeadOfWholeAnswer()
-    {
-        StandinEngine engine;
-        const Endpoint upstream = engine.start();
-        engine.getHttp().setFault({ StandinFault::GoSilent, 0, 1 });
-        EntranceHarness harness;
-        const Endpoint entry = harness.start(impatient(harness, upstream, ServiceKind::ModelEngine));
-        TestCaller caller(entry);
-        caller.send(TestCaller::chatRequest(false, 10));
-        const auto answer = caller.readAnswer();
-        CPPUNIT_ASSERT(answer);
-        CPPUNIT_ASSERT_EQUAL(502u, answer->result_int());
-        CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Silent);
-    }
-
-    void testSilentDeathEmptiesPool()
-    {
-        StandinService service;
-        const Endpoint upstream = service.start();
-        EntranceHarness harness;
-        const Endpoint entry = harness.start(impatient(harness, upstream, ServiceKind::PlainService));
-        TestCaller first(entry);
-        TestCaller second(entry);
-        const std::string get = "GET /a HTTP/1.1\r\nhost: g\r\n\r\n";
-        // Two connections are open at once and then idle.
-        service.getHttp().setFault({ StandinFault::Slow, 0, 1 });
-        first.send(get);
-        CPPUNIT_ASSERT(service.getHttp().waitForRequests(1));
-        second.send(get);
-        CPPUNIT_ASSERT_EQUAL(200u, second.readAnswer()->result_int());
-        CPPUNIT_ASSERT_EQUAL(502u, first.readAnswer()->result_int());
-        CPPUNIT_ASSERT_EQUAL(2, service.getHttp().getCount("connection"));
-        // The idle one was opened before the silence: it must not be used again.
-        second.send(get);
-        CPPUNIT_ASSERT_EQUAL(200u, second.readAnswer()->result_int());
-        CPPUNIT_ASSERT_EQUAL(3, service.getHttp().getCount("connection"));
-    }
-
     void testSlowCallerHoldsBackUpstream()
     {
         StandinEngine engine;
@@ -411,86 +299,6 @@
         const std::string answer = caller.readUntil(": keep-alive\n\n");
         CPPUNIT_ASSERT(answer.find("\"token\":2,") < answer.find(": keep-alive"));
     }
-
-    void testWholeAnswerCutIsNotBegun()
-    {
-        StandinEngine first;
-        StandinEngine second;
-        const std::vector<Endpoint> endpoints { first.start(), second.start() };
-        first.getHttp().setFault({ StandinFault::Die, 0, 1 });
-        EntranceHarness harness;
-        const Endpoint entry = harness.start(retryOver(harness, endpoints));
-        TestCaller caller(entry);
-        caller.send(TestCaller::chatRequest(false, 10));
-        const auto answer = caller.readAnswer();
-        CPPUNIT_ASSERT(answer);
-        CPPUNIT_ASSERT_EQUAL(200u, answer->result_int());
-        CPPUNIT_ASSERT(answer->body().find("\"completion_tokens\":10") != std::string::npos);
-        CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Cut);
-        CPPUNIT_ASSERT_EQUAL(2u, harness.waitForReport<AttemptBegan>().attempt);
-    }
-
-    AttemptResult resultOfPost(const Endpoint& upstream)
-    {
-        EntranceHarness harness;
-        const Endpoint entry = harness.start(upstream, ServiceKind::PlainService);
-        TestCaller caller(entry);
-        caller.send("POST /a HTTP/1.1\r\nhost: g\r\ncontent-length: 2\r\n\r\nid");
-        CPPUNIT_ASSERT(caller.readAnswer());
-        return harness.waitForReport<AttemptEnded>().result;
-    }
-
-    void testUnreachableAndBusyAreCertainlyNotRun()
-    {
-        Endpoint closed;
-        {
-            StandinService gone;
-            closed = gone.start();
-        }
-        CPPUNIT_ASSERT(resultOfPost(closed) == AttemptResult::NotSent);
-        StandinService service;
-        const Endpoint upstream = service.start();
-        service.getHttp().setFault({ StandinFault::RefuseBusy, 0, 1 });
-        CPPUNIT_ASSERT(resultOfPost(upstream) == AttemptResult::RejectedBusy);
-        CPPUNIT_ASSERT_EQUAL(0, service.getExecutions("id"));
-    }
-
-    void testLostAnswerIsNotCalledNotSent()
-    {
-        StandinService service;
-        const Endpoint upstream = service.start();
-        service.getHttp().setFault({ StandinFault::LoseAnswer, 0, 1 });
-        CPPUNIT_ASSERT(resultOfPost(upstream) == AttemptResult::NoAnswer);
-        CPPUNIT_ASSERT_EQUAL(1, service.getExecutions("id"));
-    }
-
-    void testPlainAnswerCutIsVisible()
-    {
-        StandinService service;
-        EntranceHarness harness;
-        const Endpoint entry = harness.start(service.start(), ServiceKind::PlainService);
-        service.getHttp().setFault({ StandinFault::Die, 0, 1 });
-        TestCaller caller(entry);
-        caller.send("GET /a HTTP/1.1\r\nhost: g\r\n\r\n");
-        CPPUNIT_ASSERT(!caller.readAnswer());
-        CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Cut);
-    }
-
-    void testPlainCallRunsOnWhenCallerGoes()
-    {
-        StandinService service;
-        EntranceHarness harness;
-        const Endpoint entry = harness.start(service.start(), ServiceKind::PlainService);
-        service.getHttp().setFault({ StandinFault::Slow, 0, 1 });
-        TestCaller caller(entry);
-        caller.send("POST /a HTTP/1.1\r\nhost: g\r\ncontent-length: 2\r\n\r\nid");
-        CPPUNIT_ASSERT(service.getHttp().waitForRequests(1));
-        caller.close();
-        harness.waitForReport<CallerGone>();
-        const auto ended = harness.waitForReport<AttemptEnded>();
-        CPPUNIT_ASSERT(ended.result == AttemptResult::Completed);
-        CPPUNIT_ASSERT_EQUAL(1, service.getExecutions("id"));
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamTest);
--- /dev/null
+++ b/tests/entrance/UpstreamFaultTest.cpp
@@ -0,0 +1,159 @@
+#include "entrance/EntranceHarness.h"
+#include "standins/engine/StandinEngine.h"
+#include "standins/engine/StandinService.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace papayashelf {
+
+/** How attempts that fail are told apart, and what a failure leaves behind. */
+class UpstreamFaultTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(UpstreamFaultTest);
+    CPPUNIT_TEST(testSilentEngineIsReported);
+    CPPUNIT_TEST(testEngineSilentBeforeHeadOfWholeAnswer);
+    CPPUNIT_TEST(testSilentDeathEmptiesPool);
+    CPPUNIT_TEST(testWholeAnswerCutIsNotBegun);
+    CPPUNIT_TEST(testUnreachableAndBusyAreCertainlyNotRun);
+    CPPUNIT_TEST(testLostAnswerIsNotCalledNotSent);
+    CPPUNIT_TEST(testPlainAnswerCutIsVisible);
+    CPPUNIT_TEST(testPlainCallRunsOnWhenCallerGoes);
+    CPPUNIT_TEST_SUITE_END();
+
+    AttemptResult resultOfPost(const Endpoint& upstream)
+    {
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(upstream, ServiceKind::PlainService);
+        TestCaller caller(entry);
+        caller.send("POST /a HTTP/1.1\r\nhost: g\r\ncontent-length: 2\r\n\r\nid");
+        CPPUNIT_ASSERT(caller.readAnswer());
+        return harness.waitForReport<AttemptEnded>().result;
+    }
+
+    void testSilentEngineIsReported()
+    {
+        StandinEngine engine;
+        const Endpoint upstream = engine.start();
+        engine.getHttp().setFault({ StandinFault::GoSilent, 4, 1 });
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(harness.impatient(upstream, ServiceKind::ModelEngine));
+        TestCaller caller(entry);
+        caller.send(TestCaller::chatRequest(true, 10));
+        EntranceHarness::assertVisiblyIncomplete(caller.readAll());
+        const auto ended = harness.waitForReport<AttemptEnded>();
+        CPPUNIT_ASSERT(ended.result == AttemptResult::Silent);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, ended.answerTokens);
+        CPPUNIT_ASSERT(engine.getHttp().waitForCount("cancelled", 1));
+    }
+
+    void testEngineSilentBeforeHeadOfWholeAnswer()
+    {
+        StandinEngine engine;
+        const Endpoint upstream = engine.start();
+        engine.getHttp().setFault({ StandinFault::GoSilent, 0, 1 });
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(harness.impatient(upstream, ServiceKind::ModelEngine));
+        TestCaller caller(entry);
+        caller.send(TestCaller::chatRequest(false, 10));
+        const auto answer = caller.readAnswer();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(502u, answer->result_int());
+        CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Silent);
+    }
+
+    void testSilentDeathEmptiesPool()
+    {
+        StandinService service;
+        const Endpoint upstream = service.start();
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(harness.impatient(upstream, ServiceKind::PlainService));
+        TestCaller first(entry);
+        TestCaller second(entry);
+        const std::string get = "GET /a HTTP/1.1\r\nhost: g\r\n\r\n";
+        // Two connections are open at once and then idle.
+        service.getHttp().setFault({ StandinFault::Slow, 0, 1 });
+        first.send(get);
+        CPPUNIT_ASSERT(service.getHttp().waitForRequests(1));
+        second.send(get);
+        CPPUNIT_ASSERT_EQUAL(200u, second.readAnswer()->result_int());
+        CPPUNIT_ASSERT_EQUAL(502u, first.readAnswer()->result_int());
+        CPPUNIT_ASSERT_EQUAL(2, service.getHttp().getCount("connection"));
+        // The idle one was opened before the silence: it must not be used again.
+        second.send(get);
+        CPPUNIT_ASSERT_EQUAL(200u, second.readAnswer()->result_int());
+        CPPUNIT_ASSERT_EQUAL(3, service.getHttp().getCount("connection"));
+    }
+
+    void testWholeAnswerCutIsNotBegun()
+    {
+        StandinEngine first;
+        StandinEngine second;
+        const std::vector<Endpoint> endpoints { first.start(), second.start() };
+        first.getHttp().setFault({ StandinFault::Die, 0, 1 });
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(harness.retryOver(endpoints));
+        TestCaller caller(entry);
+        caller.send(TestCaller::chatRequest(false, 10));
+        const auto answer = caller.readAnswer();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200u, answer->result_int());
+        CPPUNIT_ASSERT(answer->body().find("\"completion_tokens\":10") != std::string::npos);
+        CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Cut);
+        CPPUNIT_ASSERT_EQUAL(2u, harness.waitForReport<AttemptBegan>().attempt);
+    }
+
+    void testUnreachableAndBusyAreCertainlyNotRun()
+    {
+        Endpoint closed;
+        {
+            StandinService gone;
+            closed = gone.start();
+        }
+        CPPUNIT_ASSERT(resultOfPost(closed) == AttemptResult::NotSent);
+        StandinService service;
+        const Endpoint upstream = service.start();
+        service.getHttp().setFault({ StandinFault::RefuseBusy, 0, 1 });
+        CPPUNIT_ASSERT(resultOfPost(upstream) == AttemptResult::RejectedBusy);
+        CPPUNIT_ASSERT_EQUAL(0, service.getExecutions("id"));
+    }
+
+    void testLostAnswerIsNotCalledNotSent()
+    {
+        StandinService service;
+        const Endpoint upstream = service.start();
+        service.getHttp().setFault({ StandinFault::LoseAnswer, 0, 1 });
+        CPPUNIT_ASSERT(resultOfPost(upstream) == AttemptResult::NoAnswer);
+        CPPUNIT_ASSERT_EQUAL(1, service.getExecutions("id"));
+    }
+
+    void testPlainAnswerCutIsVisible()
+    {
+        StandinService service;
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(service.start(), ServiceKind::PlainService);
+        service.getHttp().setFault({ StandinFault::Die, 0, 1 });
+        TestCaller caller(entry);
+        caller.send("GET /a HTTP/1.1\r\nhost: g\r\n\r\n");
+        CPPUNIT_ASSERT(!caller.readAnswer());
+        CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Cut);
+    }
+
+    void testPlainCallRunsOnWhenCallerGoes()
+    {
+        StandinService service;
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(service.start(), ServiceKind::PlainService);
+        service.getHttp().setFault({ StandinFault::Slow, 0, 1 });
+        TestCaller caller(entry);
+        caller.send("POST /a HTTP/1.1\r\nhost: g\r\ncontent-length: 2\r\n\r\nid");
+        CPPUNIT_ASSERT(service.getHttp().waitForRequests(1));
+        caller.close();
+        harness.waitForReport<CallerGone>();
+        const auto ended = harness.waitForReport<AttemptEnded>();
+        CPPUNIT_ASSERT(ended.result == AttemptResult::Completed);
+        CPPUNIT_ASSERT_EQUAL(1, service.getExecutions("id"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamFaultTest);
+
+} // namespace papayashelf
