--- a/tests/entrance/EntranceHarness.cpp
+++ b/tests/entrance/EntranceHarness.cpp
@@ -69,7 +69,7 @@
     std::string all;
     while (all.find(text) == std::string::npos) {
         const std::string piece = this->readSome();
-        CPPUNIT_ASSERT_MESSAGE("connection ended before: " + text + " after: " + all, !piece.empty());
+        CPPUNIT_ASSERT_MESSAGE(all, !piece.empty());
         all += piece;
     }
     return all;
