Tell other regions how much waits ahead of a new request

The summaries counted requests in this VM's queues only; what is ahead of a new one is what the other region's choice compares.

--- a/modules/application/commands/CommandLine.cpp
+++ b/modules/application/commands/CommandLine.cpp
@@ -18,6 +18,7 @@
 ABSL_FLAG(std::string, tree, "", "check, publish: the folder below which operators' files are collected");
 ABSL_FLAG(std::string, store, "", "publish: IP:port of the key-value service");
 ABSL_FLAG(std::string, author, "", "publish: who makes the change; shown to whoever loses a race against it");
+ABSL_FLAG(bool, withdraw_every_key, false, "publish: allow a tree that keeps none of the keys in force");
 ABSL_FLAG(bool, dry_run, false, "publish: only check and show what would change");
 ABSL_FLAG(int, wait_seconds, 0, "publish: how long to wait until the given VMs have the revision in force");
 ABSL_FLAG(std::vector<std::string>, vms, {}, "status, timeline, withdraw, publish: administration IP:port of VMs");
@@ -70,6 +71,7 @@
     options.directory = absl::GetFlag(FLAGS_tree);
     options.author = absl::GetFlag(FLAGS_author);
     options.isDryRun = absl::GetFlag(FLAGS_dry_run);
+    options.mayWithdrawEveryKey = absl::GetFlag(FLAGS_withdraw_every_key);
     const std::optional<Endpoint> store = parseEndpoint(absl::GetFlag(FLAGS_store));
     if (options.directory.empty() || !store) {
         std::cerr << "publish needs --tree=FOLDER and --store=IP:PORT\n";
@@ -112,7 +114,8 @@
         { "check", "check a VM's settings or a tree of operators' files and report every fault",
             "--settings=FILE | --tree=FOLDER", check },
         { "publish", "check a tree, show what changes, and put it in force as one revision",
-            "--tree=FOLDER --store=IP:PORT [--author=NAME] [--dry_run] [--vms=IP:PORT,... --wait_seconds=N "
+            "--tree=FOLDER --store=IP:PORT --author=NAME [--dry_run] [--withdraw_every_key] [--vms=IP:PORT,... "
+            "--wait_seconds=N "
             "--key_file=FILE]",
             publish },
         { "withdraw", "withdraw a key at once, ahead of the revision that drops it",
--- a/modules/application/runtime/Runtime.cpp
+++ b/modules/application/runtime/Runtime.cpp
@@ -100,8 +100,8 @@
     this->entrance->setHeadCheck(
         [this](const KeyDigest& key, const std::string& path) { return this->checkHead(key, path); });
     this->entrance->setRelayTransport(
-        [this](const StartRelay& directive, RelayedRequest request, std::shared_ptr<RelayExchange> answer) {
-            this->relayCaller->start(directive, std::move(request), std::move(answer));
+        [this](const StartRelay& directive, const RelayedRequest& request, std::shared_ptr<RelayExchange> answer) {
+            this->relayCaller->start(directive, request, std::move(answer));
         });
 }
 
--- a/modules/node/node/NodeAgreement.cpp
+++ b/modules/node/node/NodeAgreement.cpp
@@ -187,7 +187,7 @@
 void Node::sendSummaries(Milliseconds now, NodeOutput& output)
 {
     this->nextSummary = now + this->settings.summaryPeriod;
-    const RegionSummaries message { this->router.summariseOwnRegion(now, this->dispatcher.countQueued()) };
+    const RegionSummaries message { this->router.summariseOwnRegion(now, this->dispatcher.countAhead()) };
     if (message.summaries.empty())
         return;
     // One VM of each other region a period: every VM there hears of this region about once a period in turn.
--- a/modules/peers/relay/RelayCaller.cpp
+++ b/modules/peers/relay/RelayCaller.cpp
@@ -11,7 +11,8 @@
 {
 }
 
-void RelayCaller::start(const StartRelay& directive, RelayedRequest request, std::shared_ptr<RelayExchange> answer)
+void RelayCaller::start(
+    const StartRelay& directive, const RelayedRequest& request, std::shared_ptr<RelayExchange> answer)
 {
     const RelayLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
     RelayCall::start(this->channels.getChannel(directive.vm, directive.endpoint),
--- a/modules/peers/relay/RelayCaller.h
+++ b/modules/peers/relay/RelayCaller.h
@@ -16,7 +16,7 @@
     RelayCaller(VmId self, PeerChannels& channels);
 
     /** Starts one relay, as RelayTransport asks. */
-    void start(const StartRelay& directive, RelayedRequest request, std::shared_ptr<RelayExchange> answer);
+    void start(const StartRelay& directive, const RelayedRequest& request, std::shared_ptr<RelayExchange> answer);
 
 private:
     VmId self;
