--- a/tests/peers/PeerTransportTest.cpp
+++ b/tests/peers/PeerTransportTest.cpp
@@ -1,5 +1,5 @@
 #include "peers/transport/PeerTransport.h"
-#include "peers/TestAuthority.h"
+#include "standins/certificates/TestAuthority.h"
 
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/peers/RelayTest.cpp
+++ b/tests/peers/RelayTest.cpp
@@ -1,7 +1,7 @@
-#include "peers/TestAuthority.h"
 #include "peers/relay/RelayCaller.h"
 #include "peers/relay/RelayService.h"
 #include "peers/transport/PeerTransport.h"
+#include "standins/certificates/TestAuthority.h"
 
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/peers/TestAuthority.cpp
+++ b/tests/standins/certificates/TestAuthority.cpp
@@ -1,4 +1,4 @@
-#include "peers/TestAuthority.h"
+#include "standins/certificates/TestAuthority.h"
 
 #include <openssl/bio.h>
 #include <openssl/ec.h>
