--- a/modules/application/commands/ObserveCommands.cpp
+++ b/modules/application/commands/ObserveCommands.cpp
@@ -2,6 +2,9 @@
 
 #include "application/commands/VmClient.h"
 #include "timeline/timeline.h"
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <iomanip>
 #include <iostream>
@@ -125,6 +128,48 @@
     std::cout << "\n";
 }
 
+/** Prints what a VM knows of a withdrawal's reach; true if every region holds it. */
+bool printReach(const json::value& answer)
+{
+    const json::value* regions = answer.is_object() ? answer.as_object().if_contains("regions") : nullptr;
+    if (!regions || !regions->is_array())
+        return false;
+    bool isEverywhere = true;
+    for (const json::value& region : regions->as_array()) {
+        const bool isReached = fieldOf(region, "reached") == "true";
+        isEverywhere = isEverywhere && isReached;
+        std::cout << "region " << fieldOf(region, "region")
+                  << (isReached ? ": withdrawn" : ": not reached, it may still accept the key") << "\n";
+    }
+    return isEverywhere;
+}
+
+bool isReachedEverywhere(const json::value& answer)
+{
+    return json::serialize(answer).find(R"("reached":false)") == std::string::npos;
+}
+
+/** Asks the VMs that took a withdrawal how far it has come, for some seconds or until it is everywhere. */
+bool followReach(const ObserveOptions& options)
+{
+    constexpr int mostQuestions = 20;
+    constexpr std::chrono::milliseconds betweenQuestions { 250 };
+    const HttpCall question { "GET", "/v1/withdrawals?key_digest=" + options.digest, {}, {} };
+    boost::asio::io_context context;
+    for (int count = 1; count <= mostQuestions; ++count) {
+        const auto answers = askEveryVm(options, question);
+        if (!answers)
+            return false;
+        const auto known = std::find_if(answers.value().begin(), answers.value().end(),
+            [](const VmAnswer& answer) { return answer.answer.has_value(); });
+        const bool isKnown = known != answers.value().end();
+        if (isKnown && (count == mostQuestions || isReachedEverywhere(known->answer.value())))
+            return printReach(known->answer.value());
+        boost::asio::steady_timer(context, betweenQuestions).wait();
+    }
+    return false;
+}
+
 } // namespace
 
 ExitCode showStatus(const ObserveOptions& options)
@@ -194,7 +239,9 @@
         }
     }
     reportSilentVms(answers.value());
-    return taken > 0 ? ExitCode::Success : ExitCode::Unavailable;
+    if (taken == 0)
+        return ExitCode::Unavailable;
+    return followReach(options) ? ExitCode::Success : ExitCode::NotEverywhere;
 }
 
 } // namespace papayashelf
--- a/modules/application/commands/ObserveCommands.h
+++ b/modules/application/commands/ObserveCommands.h
@@ -25,7 +25,11 @@
 /** Prints which VMs callers should use. */
 ExitCode showEntries(const ObserveOptions& options);
 
-/** Withdraws a key at every given VM; Unavailable unless at least one took it. Says which did not. */
+/**
+    Withdraws a key at every given VM, then tells by region how far it has come.
+
+    @returns Unavailable unless at least one VM took it; NotEverywhere if a region was not reached within 5 s
+*/
 ExitCode withdrawKey(const ObserveOptions& options);
 
 } // namespace papayashelf
--- a/modules/application/reports/Reports.cpp
+++ b/modules/application/reports/Reports.cpp
@@ -117,6 +117,23 @@
         { "counters", describe(snapshot.counters) }, { "workspaces", workspaces } });
 }
 
+std::string writeReach(const std::vector<RegionReach>& reach, const NodeSnapshot& snapshot)
+{
+    std::map<RegionId, RegionReach> byRegion;
+    if (snapshot.governance) {
+        for (const auto& [id, region] : snapshot.governance->regions)
+            byRegion[id].region = id;
+    }
+    for (const RegionReach& entry : reach)
+        byRegion[entry.region] = entry;
+    json::array regions;
+    for (const auto& [id, entry] : byRegion) {
+        regions.emplace_back(json::object { { "region", id.string() }, { "reached", entry.isReached() },
+            { "confirmed", entry.confirmed }, { "members", entry.members } });
+    }
+    return json::serialize(json::object { { "regions", regions } });
+}
+
 std::string writeTimeline(const std::vector<TimelineEvent>& events, Milliseconds wallClockAtZero)
 {
     json::array array;
--- a/modules/application/reports/Reports.h
+++ b/modules/application/reports/Reports.h
@@ -24,6 +24,12 @@
 /** Counts and quantiles by workspace. */
 std::string writeMetrics(const NodeSnapshot& snapshot, const FiguresByWorkspace& figures);
 
+/**
+    Which regions hold a withdrawal. A region of the configuration that has no reachable VM counts as not reached: it
+    may still accept the key.
+*/
+std::string writeReach(const std::vector<RegionReach>& reach, const NodeSnapshot& snapshot);
+
 /** Events, each with the wall-clock time at which its VM's clock showed it. */
 std::string writeTimeline(const std::vector<TimelineEvent>& events, Milliseconds wallClockAtZero);
 
--- a/modules/application/runtime/OperatorApi.cpp
+++ b/modules/application/runtime/OperatorApi.cpp
@@ -57,6 +57,8 @@
         return succeed(writeShares(*snapshot));
     if (request.path == "/v1/metrics")
         return this->answerMetrics(*snapshot);
+    if (request.path == "/v1/withdrawals")
+        return this->answerReach(request, *snapshot);
     if (request.path == "/v1/timeline")
         return this->answerTimeline(request);
     return fail(404, "not_found", "status, members, upstreams, shares, metrics, timeline, withdrawals");
@@ -82,6 +84,23 @@
     return succeed(writeMetrics(snapshot, *figures));
 }
 
+AdministrationAnswer OperatorApi::answerReach(const AdministrationRequest& request, const NodeSnapshot& snapshot)
+{
+    constexpr std::string_view name = "key_digest=";
+    const std::size_t place = request.query.find(name);
+    if (place == std::string::npos)
+        return fail(400, "invalid_argument", "give key_digest=");
+    const KeyDigest key(request.query.substr(place + name.size(), digestCharacters));
+    using Reach = std::vector<RegionReach>;
+    const std::optional<Reach> reach
+        = this->decisions.ask<Reach>([key](const Node& node) { return node.getWithdrawalReach(key); });
+    if (!reach)
+        return fail(503, "busy", "the decision thread did not answer in time");
+    if (reach->empty())
+        return fail(404, "not_found", "the key was not withdrawn at this VM");
+    return succeed(writeReach(*reach, snapshot));
+}
+
 AdministrationAnswer OperatorApi::withdraw(const AdministrationRequest& request)
 {
     boost::system::error_code failure;
--- a/modules/application/runtime/OperatorApi.h
+++ b/modules/application/runtime/OperatorApi.h
@@ -19,6 +19,7 @@
 private:
     AdministrationAnswer answerTimeline(const AdministrationRequest& request);
     AdministrationAnswer answerMetrics(const NodeSnapshot& snapshot);
+    AdministrationAnswer answerReach(const AdministrationRequest& request, const NodeSnapshot& snapshot);
     AdministrationAnswer withdraw(const AdministrationRequest& request);
 
     DecisionThread& decisions;
