Give settings the effect that their page promises

Advertised endpoints, the log level, the store's poll period and the time until a silent VM counts as gone were read and checked, and not all handed on.

--- a/modules/application/commands/ServeCommand.cpp
+++ b/modules/application/commands/ServeCommand.cpp
@@ -61,7 +61,11 @@
             std::cerr << fault.string() << "\n";
         return ExitCode::FaultsFound;
     }
-    startJsonLog("papayashelf");
+    if (settings.value().policy.shares != SharePolicy::Escrow) {
+        std::cerr << settingsPath << ": policy.shares: fixed_fractions is only played by the share benchmark\n";
+        return ExitCode::FaultsFound;
+    }
+    startJsonLog("papayashelf", settings.value().logLevel);
     setCommonLogFields({ { "vm", settings.value().vm.string() }, { "region", settings.value().region.string() } });
     Runtime runtime(settings.value());
     const Outcome<void> started = runtime.start();
--- a/modules/application/runtime/NodeSettingsFrom.cpp
+++ b/modules/application/runtime/NodeSettingsFrom.cpp
@@ -56,7 +56,12 @@
     made.wallClockAtZero = start.wallClockAtZero;
     made.membership.heartbeatPeriod = settings.timers.heartbeat;
     made.membership.suspectAfter = settings.timers.suspectAfter;
-    made.membership.goneAfter = settings.timers.goneAfter;
+    // A neighbour's other neighbours are asked before it is suspected.
+    made.membership.askAfter = settings.timers.suspectAfter * 2 / 3;
+    // The setting counts from the last sign of life, membership from the suspicion.
+    made.membership.goneAfter = std::max(
+        settings.timers.goneAfter - settings.timers.suspectAfter, made.membership.verifyAfter + Milliseconds(1000));
+    made.configuration.watchInterval = settings.timers.storePoll;
     made.routing.upstreamPolicy = toUpstreamPolicy(settings.policy.routing);
     made.routing.spillPolicy = settings.policy.mayUseOtherRegions ? SpillPolicy::ByCost : SpillPolicy::Never;
     made.routing.affinityLoadBound = settings.policy.prefixLoadBound;
--- a/modules/application/runtime/Runtime.cpp
+++ b/modules/application/runtime/Runtime.cpp
@@ -36,6 +36,12 @@
     return {};
 }
 
+/** What others are told: the advertised endpoint, or the real one if a free port was taken. */
+Endpoint announce(const Endpoint& advertised, const Endpoint& real)
+{
+    return advertised.port != 0 ? advertised : real;
+}
+
 } // namespace
 
 struct Runtime::State {
@@ -132,7 +138,8 @@
     this->makeEntrance();
     BOOST_OUTCOME_TRY(const Endpoint peerEndpoint, this->peers->start(this->relayService.get()));
     BOOST_OUTCOME_TRY(const Endpoint entryEndpoint, this->entrance->start());
-    this->startDecisions(peerEndpoint, entryEndpoint);
+    this->startDecisions(announce(this->settings.peer.advertised, peerEndpoint),
+        announce(this->settings.entry.advertised, entryEndpoint));
     this->operatorApi = std::make_unique<OperatorApi>(*this->decisions, this->wallClockAtZero);
     this->administration = std::make_unique<AdministrationServer>(this->settings.administration.listen,
         this->settings.administration.keyDigest,
--- a/modules/foundation/logging/JsonLog.cpp
+++ b/modules/foundation/logging/JsonLog.cpp
@@ -35,8 +35,9 @@
 
 } // namespace
 
-void startJsonLog(const char* program)
+void startJsonLog(const char* program, LogLevel lowest)
 {
+    FLAGS_minloglevel = static_cast<int>(lowest);
     FLAGS_log_prefix = false;
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(program);
--- a/modules/foundation/logging/JsonLog.h
+++ b/modules/foundation/logging/JsonLog.h
@@ -47,9 +47,10 @@
     Starts the process's log: one JSON object a line on standard error, through glog.
 
     @param program  the program's name; must outlive the process
+    @param lowest   lines below this level are left out
     Precondition: called once, before any thread starts. Lines logged before the call are plain text.
 */
-void startJsonLog(const char* program);
+void startJsonLog(const char* program, LogLevel lowest = LogLevel::Info);
 
 /** Sets fields that every later line carries, such as the VM's id. Call before threads start. */
 void setCommonLogFields(std::initializer_list<LogField> fields);
