--- a/modules/peers/relay/RelayCall.cpp
+++ b/modules/peers/relay/RelayCall.cpp
@@ -18,25 +18,27 @@
 
 } // namespace
 
-RelayCall::RelayCall(std::shared_ptr<const std::string> requestBody, const RelayLimits& timeLimits,
-    std::shared_ptr<RelayExchange> exchange)
-    : body(std::move(requestBody))
+RelayCall::RelayCall(PeerChannels& channels, std::shared_ptr<const std::string> requestBody,
+    const RelayLimits& timeLimits, std::shared_ptr<RelayExchange> exchange)
+    : use(channels)
+    , body(std::move(requestBody))
     , limits(timeLimits)
     , answer(std::move(exchange))
 {
 }
 
-void RelayCall::start(const std::shared_ptr<grpc::Channel>& channel, wire::RelayHead head,
-    std::shared_ptr<const std::string> body, const RelayLimits& limits, std::shared_ptr<RelayExchange> answer)
+void RelayCall::start(PeerChannels& channels, const StartRelay& directive, wire::RelayHead head,
+    std::shared_ptr<const std::string> body, std::shared_ptr<RelayExchange> answer)
 {
-    const std::shared_ptr<RelayCall> call(new RelayCall(std::move(body), limits, std::move(answer)));
+    const RelayLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
+    const std::shared_ptr<RelayCall> call(new RelayCall(channels, std::move(body), limits, std::move(answer)));
     call->self = call;
     const std::weak_ptr<RelayCall> weak = call;
     call->answer->setProducerWake([weak] {
         if (const auto alive = weak.lock())
             alive->handleConsumer();
     });
-    call->begin(channel, std::move(head));
+    call->begin(channels.getChannel(directive.vm, directive.endpoint), std::move(head));
 }
 
 void RelayCall::begin(const std::shared_ptr<grpc::Channel>& channel, wire::RelayHead head)
@@ -82,11 +84,13 @@
     std::optional<RelayAnswerEvent> event;
     {
         const std::scoped_lock lock(this->mutex);
-        this->isReading = false;
-        if (!isOk)
+        if (!isOk) {
+            this->isReading = false;
             return this->dropHold();
+        }
         Outcome<RelayAnswerEvent> decoded = decodeRelayEvent(std::move(this->down));
         if (!decoded) {
+            this->isReading = false;
             this->context.TryCancel();
             return this->dropHold();
         }
@@ -96,8 +100,10 @@
         this->armSilenceLimit(this->limits.betweenBytes);
     }
     // Written outside the lock: the exchange may wake the consumer, whose answer comes back through handleConsumer().
+    // It still counts as reading, so that no other thread reads, and overtakes, the next step meanwhile.
     this->answer->write(std::move(*event));
     const std::scoped_lock lock(this->mutex);
+    this->isReading = false;
     this->readWhenRoom();
 }
 
--- a/modules/peers/relay/RelayCall.h
+++ b/modules/peers/relay/RelayCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entrance/relay/RelayTransport.h"
+#include "peers/transport/PeerChannels.h"
 #include <grpcpp/alarm.h>
 #include <memory>
 #include <mutex>
@@ -23,16 +24,16 @@
 */
 class RelayCall : public grpc::ClientBidiReactor<wire::RelayUp, wire::RelayDown> {
 public:
-    static void start(const std::shared_ptr<grpc::Channel>& channel, wire::RelayHead head,
-        std::shared_ptr<const std::string> body, const RelayLimits& limits, std::shared_ptr<RelayExchange> answer);
+    static void start(PeerChannels& channels, const StartRelay& directive, wire::RelayHead head,
+        std::shared_ptr<const std::string> body, std::shared_ptr<RelayExchange> answer);
 
     void OnWriteDone(bool isOk) override;
     void OnReadDone(bool isOk) override;
     void OnDone(const grpc::Status& status) override;
 
 private:
-    RelayCall(
-        std::shared_ptr<const std::string> body, const RelayLimits& limits, std::shared_ptr<RelayExchange> answer);
+    RelayCall(PeerChannels& channels, std::shared_ptr<const std::string> body, const RelayLimits& limits,
+        std::shared_ptr<RelayExchange> answer);
 
     void begin(const std::shared_ptr<grpc::Channel>& channel, wire::RelayHead head);
     void writeNextPiece();
@@ -42,6 +43,7 @@
     void dropHold();
     AttemptResult resultOf(const grpc::Status& status) const;
 
+    PeerChannels::Use use;
     grpc::ClientContext context;
     std::unique_ptr<wire::PeerRelay::Stub> stub;
     std::shared_ptr<RelayCall> self;
--- a/modules/peers/relay/RelayCaller.cpp
+++ b/modules/peers/relay/RelayCaller.cpp
@@ -14,9 +14,8 @@
 void RelayCaller::start(
     const StartRelay& directive, const RelayedRequest& request, std::shared_ptr<RelayExchange> answer)
 {
-    const RelayLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
-    RelayCall::start(this->channels.getChannel(directive.vm, directive.endpoint),
-        encodeRelayHead(this->self, directive, request), request.body, limits, std::move(answer));
+    RelayCall::start(
+        this->channels, directive, encodeRelayHead(this->self, directive, request), request.body, std::move(answer));
 }
 
 } // namespace papayashelf
--- a/modules/peers/transport/ControlStream.cpp
+++ b/modules/peers/transport/ControlStream.cpp
@@ -4,17 +4,18 @@
 
 namespace papayashelf {
 
-ControlStream::ControlStream(std::size_t capacity)
-    : queue(capacity)
+ControlStream::ControlStream(PeerChannels& channels, std::size_t capacity)
+    : use(channels)
+    , queue(capacity)
 {
 }
 
-std::shared_ptr<ControlStream> ControlStream::open(
-    const std::shared_ptr<grpc::Channel>& channel, std::size_t capacity, std::chrono::system_clock::time_point deadline)
+std::shared_ptr<ControlStream> ControlStream::open(PeerChannels& channels, const VmId& vm, const Endpoint& endpoint,
+    std::size_t capacity, std::chrono::system_clock::time_point deadline)
 {
-    std::shared_ptr<ControlStream> stream(new ControlStream(capacity));
+    std::shared_ptr<ControlStream> stream(new ControlStream(channels, capacity));
     stream->self = stream;
-    stream->stub = wire::PeerControl::NewStub(channel);
+    stream->stub = wire::PeerControl::NewStub(channels.getChannel(vm, endpoint));
     stream->context.set_deadline(deadline);
     stream->stub->async()->Send(&stream->context, &stream->summary, stream.get());
     // Writes start from send(), outside the reactor's own callbacks, so the call must be held open for them.
--- a/modules/peers/transport/ControlStream.h
+++ b/modules/peers/transport/ControlStream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peers/transport/PeerChannels.h"
 #include <atomic>
 #include <boost/circular_buffer.hpp>
 #include <chrono>
@@ -17,8 +18,8 @@
 class ControlStream : public grpc::ClientWriteReactor<wire::Envelope> {
 public:
     /** Opens the stream; it ends by itself at the deadline. */
-    static std::shared_ptr<ControlStream> open(const std::shared_ptr<grpc::Channel>& channel, std::size_t capacity,
-        std::chrono::system_clock::time_point deadline);
+    static std::shared_ptr<ControlStream> open(PeerChannels& channels, const VmId& vm, const Endpoint& endpoint,
+        std::size_t capacity, std::chrono::system_clock::time_point deadline);
 
     /** Queues a message; false if the stream has ended or its queue is full. */
     bool send(wire::Envelope&& envelope);
@@ -33,10 +34,11 @@
     void OnDone(const grpc::Status& status) override;
 
 private:
-    explicit ControlStream(std::size_t capacity);
+    ControlStream(PeerChannels& channels, std::size_t capacity);
     void writeNext();
     void end();
 
+    PeerChannels::Use use;
     grpc::ClientContext context;
     wire::ControlSummary summary;
     std::unique_ptr<wire::PeerControl::Stub> stub;
--- a/modules/peers/transport/PeerChannels.cpp
+++ b/modules/peers/transport/PeerChannels.cpp
@@ -19,6 +19,27 @@
 {
 }
 
+PeerChannels::Use::Use(PeerChannels& owner)
+    : channels(owner)
+{
+    const std::scoped_lock lock(this->channels.mutex);
+    ++this->channels.uses;
+}
+
+PeerChannels::Use::~Use()
+{
+    const std::scoped_lock lock(this->channels.mutex);
+    --this->channels.uses;
+    // Told with the lock held: the waiting thread destroys the condition as soon as it has the lock.
+    this->channels.unused.notify_all();
+}
+
+PeerChannels::~PeerChannels()
+{
+    std::unique_lock lock(this->mutex);
+    this->unused.wait(lock, [this] { return this->uses == 0; });
+}
+
 std::shared_ptr<grpc::Channel> PeerChannels::getChannel(const VmId& vm, const Endpoint& endpoint)
 {
     const std::scoped_lock lock(this->mutex);
--- a/modules/peers/transport/PeerChannels.h
+++ b/modules/peers/transport/PeerChannels.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peers/transport/PeerTransportSettings.h"
+#include <condition_variable>
 #include <grpcpp/channel.h>
 #include <map>
 #include <memory>
@@ -15,8 +16,30 @@
 */
 class PeerChannels {
 public:
+    /**
+        Held by each call as its first member, so that it goes last.
+
+        gRPC ends its threads with the last channel and must not do so on one of them, so the channels outlive every
+        call that uses them.
+    */
+    class Use {
+    public:
+        explicit Use(PeerChannels& owner);
+        ~Use();
+        Use(const Use&) = delete;
+        Use& operator=(const Use&) = delete;
+
+    private:
+        PeerChannels& channels;
+    };
+
     explicit PeerChannels(const PeerTransportSettings& settings);
 
+    /** Waits until no call uses a channel any more. Precondition: every call has ended or is being cancelled. */
+    ~PeerChannels();
+    PeerChannels(const PeerChannels&) = delete;
+    PeerChannels& operator=(const PeerChannels&) = delete;
+
     /** The channel to a VM; a new one if the VM's endpoint has changed. Connects by itself when used. */
     std::shared_ptr<grpc::Channel> getChannel(const VmId& vm, const Endpoint& endpoint);
 
@@ -33,6 +56,8 @@
 
     PeerTransportSettings settings;
     std::mutex mutex;
+    std::condition_variable unused;
+    std::size_t uses = 0;
     std::map<VmId, Entry> entries;
 };
 
--- a/modules/peers/transport/PeerTransport.cpp
+++ b/modules/peers/transport/PeerTransport.cpp
@@ -168,7 +168,7 @@
         outgoing.stream->cancel();
     const auto lifetime = std::chrono::milliseconds(this->settings.streamLifetime.count());
     outgoing = Outgoing { endpoint,
-        ControlStream::open(this->channels.getChannel(vm, endpoint), this->settings.queuedMessagesPerPeer,
+        ControlStream::open(this->channels, vm, endpoint, this->settings.queuedMessagesPerPeer,
             std::chrono::system_clock::now() + lifetime),
         now };
     return outgoing.stream;
