Let the test's producer obey the rule that a wake must not block

The test of a slow consumer stalled in one run of 16: the stack showed its own producer waiting for a lock that its thread already held, since a wake may come from within a write. It now looks again instead of waiting; what it asserts is unchanged. 30 of 30 runs of test_peers pass.

--- a/tests/peers/RelayTest.cpp
+++ b/tests/peers/RelayTest.cpp
@@ -3,6 +3,7 @@
 #include "peers/transport/PeerTransport.h"
 #include "standins/certificates/TestAuthority.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
@@ -206,8 +207,8 @@
         const std::string piece(std::size_t { 16 } * 1024, 'z');
         std::mutex mutex;
         std::size_t written = 0;
-        const auto produce = [&] {
-            const std::scoped_lock lock(mutex);
+        std::atomic<bool> isWanted = false;
+        const auto writeWhileRoom = [&] {
             while (written < allBytes && answer->getRoom() >= piece.size()) {
                 written += piece.size();
                 answer->write(RelayAnswerBytes { piece });
@@ -215,6 +216,17 @@
                     answer->write(RelayAnswerEnd { AttemptResult::Completed, std::nullopt });
             }
         };
+        // A wake must not block, and may come from within a write: whoever produces already looks again instead.
+        const auto produce = [&] {
+            isWanted = true;
+            while (isWanted) {
+                const std::unique_lock lock(mutex, std::try_to_lock);
+                if (!lock)
+                    return;
+                isWanted = false;
+                writeWhileRoom();
+            }
+        };
         answer->setProducerWake(produce);
         produce();
         Reader reader(this->exchange);
