--- a/modules/application/runtime/OperatorApi.cpp
+++ b/modules/application/runtime/OperatorApi.cpp
@@ -1,6 +1,7 @@
 #include "application/runtime/OperatorApi.h"
 
 #include "application/reports/Reports.h"
+#include "application/runtime/QueryParameter.h"
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -21,14 +22,12 @@
     return { 200, "application/json", std::move(body) };
 }
 
-/** The number behind "after=" in a query; 0 when there is none. */
+/** Which events the caller has already; 0 when it does not say. */
 std::uint64_t readAfter(const std::string& query)
 {
-    constexpr std::string_view name = "after=";
-    const std::size_t place = query.find(name);
+    const std::string text = findParameter(query, "after");
     std::uint64_t value = 0;
-    if (place != std::string::npos)
-        std::from_chars(query.data() + place + name.size(), query.data() + query.size(), value);
+    std::from_chars(text.data(), text.data() + text.size(), value);
     return value;
 }
 
@@ -86,11 +85,9 @@
 
 AdministrationAnswer OperatorApi::answerReach(const AdministrationRequest& request, const NodeSnapshot& snapshot)
 {
-    constexpr std::string_view name = "key_digest=";
-    const std::size_t place = request.query.find(name);
-    if (place == std::string::npos)
+    const KeyDigest key(findParameter(request.query, "key_digest"));
+    if (key.isEmpty())
         return fail(400, "invalid_argument", "give key_digest=");
-    const KeyDigest key(request.query.substr(place + name.size(), digestCharacters));
     using Reach = std::vector<RegionReach>;
     const std::optional<Reach> reach
         = this->decisions.ask<Reach>([key](const Node& node) { return node.getWithdrawalReach(key); });
--- a/modules/application/runtime/Runtime.cpp
+++ b/modules/application/runtime/Runtime.cpp
@@ -4,6 +4,7 @@
 #include "application/runtime/DecisionThread.h"
 #include "application/runtime/NodeSettingsFrom.h"
 #include "application/runtime/OperatorApi.h"
+#include "application/runtime/QueryParameter.h"
 #include "foundation/hashing/StableHash.h"
 #include "foundation/logging/JsonLog.h"
 #include "peers/codec/EnvelopeCodec.h"
@@ -22,20 +23,6 @@
     return Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
-/** The value of one parameter of a query; empty when it is not there. */
-std::string findParameter(const std::string& query, const std::string& name)
-{
-    std::size_t start = 0;
-    while (start < query.size()) {
-        const std::size_t end = std::min(query.find('&', start), query.size());
-        const std::string pair = query.substr(start, end - start);
-        if (pair.compare(0, name.size() + 1, name + "=") == 0)
-            return pair.substr(name.size() + 1);
-        start = end + 1;
-    }
-    return {};
-}
-
 /** What others are told: the advertised endpoint, or the real one if a free port was taken. */
 Endpoint announce(const Endpoint& advertised, const Endpoint& real)
 {
--- a/modules/node/node/Node.cpp
+++ b/modules/node/node/Node.cpp
@@ -100,8 +100,6 @@
     snapshot.self = this->membership.getSelf();
     snapshot.isReady = this->governance != nullptr;
     snapshot.isLeaving = this->isLeaving;
-    snapshot.isDrained = this->dispatcher.isDrained();
-    snapshot.isReplaced = this->isReplaced();
     snapshot.revision = this->revisions.getNumber();
     snapshot.revisionDigest = this->revisions.getRevision() ? this->revisions.getRevision()->digest : std::string();
     snapshot.isRevisionEverywhere = this->isAdoptedEverywhere();
--- a/modules/node/node/Node.h
+++ b/modules/node/node/Node.h
@@ -73,11 +73,6 @@
     bool isReplaced() const { return this->membership.isReplaced(); }
 
 private:
-    /** Waits for its tokens. */
-    struct PendingRequest {
-        AdmittedRequest request;
-    };
-
     // Requests: NodeRequests.cpp
     void on(Milliseconds now, const RequestReport& report, NodeOutput& output);
     void take(Milliseconds now, const RequestArrival& arrival, NodeOutput& output);
@@ -135,7 +130,7 @@
     RevisionNumber announcedEverywhere = 0;
 
     std::shared_ptr<const Governance> governance;
-    std::map<RequestId, PendingRequest> pending;
+    std::map<RequestId, AdmittedRequest> pending; /**< Wait for their tokens. */
     std::shared_ptr<const OwnersByWorkspace> owners;
     RevisionNumber ownersRevision = 0;
     std::uint64_t ownersEpoch = 0;
--- a/modules/node/node/NodeRequests.cpp
+++ b/modules/node/node/NodeRequests.cpp
@@ -66,7 +66,7 @@
     const WorkspaceId workspace = admitted.workspace;
     const std::int64_t cost = admitted.costTokens;
     const Milliseconds deadline = admitted.deadline;
-    this->pending.emplace(arrival.request, PendingRequest { std::move(admitted) });
+    this->pending.emplace(arrival.request, std::move(admitted));
     this->applyShares(now, this->shares.reserve(now, arrival.request, workspace, cost, deadline), output);
 }
 
@@ -115,7 +115,7 @@
         if (waiting.empty())
             continue;
         ++this->counters.admitted;
-        this->applyDispatch(now, this->dispatcher.submit(now, waiting.mapped().request, this->router), output);
+        this->applyDispatch(now, this->dispatcher.submit(now, waiting.mapped(), this->router), output);
     }
     for (const ReservationRefused& refused : from.refused) {
         if (this->pending.erase(refused.request) == 0)
@@ -180,7 +180,7 @@
 {
     std::vector<RequestId> ended;
     for (const auto& [request, waiting] : this->pending) {
-        if (waiting.request.arrival.key == key)
+        if (waiting.arrival.key == key)
             ended.push_back(request);
     }
     for (const RequestId request : ended) {
--- a/modules/node/snapshot/NodeSnapshot.h
+++ b/modules/node/snapshot/NodeSnapshot.h
@@ -34,8 +34,6 @@
     Member self;
     bool isReady = false; /**< Whether it holds a whole checked revision. */
     bool isLeaving = false;
-    bool isDrained = false;
-    bool isReplaced = false; /**< A later life of this VM was heard of. */
     RevisionNumber revision = 0;
     std::string revisionDigest;
     bool isRevisionEverywhere = false; /**< Whether every VM is known to have had it in force. */
--- a/tests/scenario/checks/Expectations.cpp
+++ b/tests/scenario/checks/Expectations.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr Milliseconds warmUp = Milliseconds::fromSeconds(10);
-
 /** What became of one operation over all its repeats. */
 struct OperationResult {
     const WorldRecord* first = nullptr;
--- a/tests/scenario/plan/ScenarioPlan.h
+++ b/tests/scenario/plan/ScenarioPlan.h
@@ -99,6 +99,9 @@
     DropGrants, /**< No tokens are lent between VMs. */
 };
 
+/** Between the start of the VMs and that of the load; the times of a scenario file count from its end. */
+constexpr Milliseconds warmUp = Milliseconds::fromSeconds(10);
+
 /** One scenario as its file says. */
 struct ScenarioPlan {
     std::string name;
--- a/tests/scenario/world/World.cpp
+++ b/tests/scenario/world/World.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Milliseconds warmUp = Milliseconds::fromSeconds(10);
 constexpr Milliseconds listPeriod = Milliseconds::fromSeconds(5);
 constexpr Milliseconds loadPeriod = Milliseconds::fromSeconds(1);
 constexpr Milliseconds unreachableStoreDelay { 1000 };
--- a/tests/scenario/world/WorldCallers.cpp
+++ b/tests/scenario/world/WorldCallers.cpp
@@ -22,7 +22,7 @@
 
 void World::arrive(const LoadPlan& load)
 {
-    const Milliseconds end = Milliseconds::fromSeconds(10) + load.until;
+    const Milliseconds end = warmUp + load.until;
     if (this->queue.now() >= end)
         return;
     std::uniform_int_distribution<std::int64_t> spread(
--- a/tests/scenario/world/WorldFaults.cpp
+++ b/tests/scenario/world/WorldFaults.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Milliseconds warmUp = Milliseconds::fromSeconds(10);
 constexpr int lostAnswersInARow = 3;
 
 boost::json::object parseBody(const std::string& body)
