--- a/modules/application/commands/CommandLine.cpp
+++ b/modules/application/commands/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "application/commands/CommandLine.h"
 
+#include "adapter/PlatformGateway.h"
 #include "application/commands/ObserveCommands.h"
 #include "application/commands/ServeCommand.h"
 #include "application/commands/VmClient.h"
@@ -107,10 +108,20 @@
     return ExitCode::Usage;
 }
 
+ExitCode gateway()
+{
+    const std::string file = absl::GetFlag(FLAGS_settings);
+    if (!file.empty())
+        return static_cast<ExitCode>(runPlatformGateway(file));
+    std::cerr << "gateway needs --settings=FILE\n";
+    return ExitCode::Usage;
+}
+
 const std::vector<Subcommand>& getSubcommands()
 {
     static const std::vector<Subcommand> subcommands {
         { "serve", "run one VM until SIGTERM; a second signal ends it at once", "--settings=FILE", serve },
+        { "gateway", "run one VM on a platform whose store keeps everything that lasts", "--settings=FILE", gateway },
         { "check", "check a VM's settings or a tree of operators' files and report every fault",
             "--settings=FILE | --tree=FOLDER", check },
         { "publish", "check a tree, show what changes, and put it in force as one revision",
--- a/modules/application/runtime/OperatorApi.cpp
+++ b/modules/application/runtime/OperatorApi.cpp
@@ -1,7 +1,7 @@
 #include "application/runtime/OperatorApi.h"
 
 #include "application/reports/Reports.h"
-#include "application/runtime/QueryParameter.h"
+#include "foundation/text/QueryParameter.h"
 #include <boost/json.hpp>
 #include <charconv>
 
--- a/modules/application/runtime/Runtime.cpp
+++ b/modules/application/runtime/Runtime.cpp
@@ -4,7 +4,7 @@
 #include "application/runtime/DecisionThread.h"
 #include "application/runtime/NodeSettingsFrom.h"
 #include "application/runtime/OperatorApi.h"
-#include "application/runtime/QueryParameter.h"
+#include "foundation/text/QueryParameter.h"
 #include "foundation/hashing/StableHash.h"
 #include "foundation/logging/JsonLog.h"
 #include "peers/codec/EnvelopeCodec.h"
--- a/modules/entrance/exchange/ExchangeAttempts.h
+++ b/modules/entrance/exchange/ExchangeAttempts.h
@@ -4,6 +4,7 @@
 
 #include "entrance/exchange/Exchange.h"
 #include "entrance/request/ChatRequest.h"
+#include "entrance/request/HeaderFields.h"
 #include "entrance/upstream/TokenStream.h"
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
@@ -11,14 +12,6 @@
 
 namespace papayashelf {
 
-/** The value of a field, or nothing. */
-inline std::string_view findHeader(const std::vector<HeaderField>& headers, std::string_view name)
-{
-    const auto found = std::find_if(headers.begin(), headers.end(),
-        [name](const HeaderField& field) { return boost::beast::iequals(field.first, name); });
-    return found == headers.end() ? std::string_view() : std::string_view(found->second);
-}
-
 template <AnswerSink Sink>
 template <typename Source>
 boost::asio::awaitable<void> Exchange<Sink>::runAttempt(
--- a/modules/foundation/foundation.h
+++ b/modules/foundation/foundation.h
@@ -14,6 +14,8 @@
 #include "foundation/hashing/StableHash.h"
 #include "foundation/identity/Addressed.h"
 #include "foundation/identity/Identifier.h"
+#include "foundation/logging/DecisionLog.h"
 #include "foundation/logging/JsonLog.h"
 #include "foundation/outcomes/Outcome.h"
+#include "foundation/text/QueryParameter.h"
 #include "foundation/time/Clock.h"
--- a/modules/application/runtime/QueryParameter.cpp
+++ b/modules/foundation/text/QueryParameter.cpp
@@ -1,4 +1,4 @@
-#include "application/runtime/QueryParameter.h"
+#include "foundation/text/QueryParameter.h"
 
 #include <algorithm>
 
--- a/modules/foundation/time/Clock.h
+++ b/modules/foundation/time/Clock.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <limits>
+#include <time.h>
 
 namespace papayashelf {
 
@@ -48,7 +48,8 @@
 };
 
 /**
-    Reads this process's monotonic clock.
+    Reads this process's monotonic clock, which counts the time that the VM is suspended: ages of leases and of views
+    rest on it.
 
     Only the runtime owns a Clock; decision code is handed the time with each event.
     Thread safety: any thread may call now().
@@ -58,8 +59,9 @@
     /** The time since an arbitrary start that never moves back. */
     Milliseconds now() const
     {
-        const auto elapsed = std::chrono::steady_clock::now().time_since_epoch();
-        return Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
+        timespec elapsed {};
+        ::clock_gettime(CLOCK_BOOTTIME, &elapsed);
+        return Milliseconds(std::int64_t { elapsed.tv_sec } * 1000 + elapsed.tv_nsec / 1'000'000);
     }
 };
 
--- /dev/null
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -0,0 +1,226 @@
+#include "gateway/core/GatewayCore.h"
+
+#include <algorithm>
+
+namespace papayashelf {
+
+namespace {
+
+constexpr double retryCaution = 0.9; /**< Of the ratio: requests counted here may be counted in another window. */
+constexpr double extraCaution = 0.5; /**< Of the extra retries: half is there at once, half comes over the window. */
+constexpr double retryWindowSeconds = 10;
+constexpr Milliseconds storeRetry { 500 }; /**< Until a VM that lost the store may have it back, or callers moved. */
+constexpr Milliseconds shortestWait { 50 };
+
+/** Regions that are in both lists; a list without entries allows all. */
+std::vector<RegionId> intersectHomes(const std::vector<RegionId>& left, const std::vector<RegionId>& right)
+{
+    if (left.empty() || right.empty())
+        return left.empty() ? right : left;
+    std::vector<RegionId> both;
+    for (const RegionId& region : left) {
+        if (isHome(right, region))
+            both.push_back(region);
+    }
+    // An unnamed region stands for "none": an empty list would allow all.
+    if (both.empty())
+        both.emplace_back();
+    return both;
+}
+
+} // namespace
+
+std::string_view toString(RefusalCause cause)
+{
+    switch (cause) {
+    case RefusalCause::NoConfiguration:
+        return "no_configuration";
+    case RefusalCause::StaleConfiguration:
+        return "stale_configuration";
+    case RefusalCause::UnknownRoute:
+        return "unknown_route";
+    case RefusalCause::UnknownKey:
+        return "unknown_key";
+    case RefusalCause::OverLimit:
+        return "over_limit";
+    case RefusalCause::Stopping:
+        return "stopping";
+    case RefusalCause::NoUpstream:
+        return "no_upstream";
+    case RefusalCause::AllFull:
+        return "all_full";
+    case RefusalCause::AllCold:
+        return "all_cold";
+    case RefusalCause::NoRetryLeft:
+        return "no_retry_left";
+    case RefusalCause::NoTimeLeft:
+        return "no_time_left";
+    }
+    return "unknown";
+}
+
+GatewayCore::GatewayCore(const GatewaySettings& settings, std::string relayKey, std::uint64_t seed)
+    : settings(settings)
+    , relayKey(std::move(relayKey))
+    , random(seed)
+    , freshness(settings.bounds.keyWithdrawal)
+    , placement(settings.vm, settings.region, this->upstreams, this->vms, seed + 1)
+{
+}
+
+bool GatewayCore::applyConfiguration(ServingDocument document)
+{
+    if (this->configuration && document.version <= this->configuration->getVersion())
+        return false;
+    this->configuration = std::make_shared<const ServingConfiguration>(std::move(document));
+    for (const ServingWorkspace& workspace : this->configuration->getDocument().workspaces)
+        this->allowances[workspace.id].setLimit({ workspace.unitsPerSecond, workspace.burstUnits });
+    return true;
+}
+
+void GatewayCore::putVm(Milliseconds now, VmAnnouncement status)
+{
+    this->vms.put(std::move(status));
+    this->shareLimits(now);
+}
+
+void GatewayCore::tick(Milliseconds now)
+{
+    this->upstreams.expire(now);
+    if (!this->vms.expire(now).empty())
+        this->shareLimits(now);
+}
+
+void GatewayCore::shareLimits(Milliseconds)
+{
+    std::map<WorkspaceId, double> elsewhere;
+    for (const auto& [vm, status] : this->vms.getAll()) {
+        if (vm == this->settings.vm)
+            continue;
+        for (const auto& [workspace, demand] : status.demand)
+            elsewhere[workspace] += demand;
+    }
+    for (auto& [workspace, allowance] : this->allowances)
+        allowance.setElsewhere({ elsewhere[workspace], this->vms.countVms() });
+}
+
+AdmissionDecision GatewayCore::admit(Milliseconds now, const AdmissionQuery& query)
+{
+    if (!this->configuration)
+        return Refusal { RefusalCause::NoConfiguration, storeRetry };
+    const bool isFresh = this->freshness.isFresh(now);
+    const ServingRoute* route = this->configuration->findRoute(query.host, query.path);
+    if (!route) {
+        return isFresh ? Refusal { RefusalCause::UnknownRoute, Milliseconds(0) }
+                       : Refusal { RefusalCause::StaleConfiguration, storeRetry };
+    }
+    Admitted admitted { this->configuration, route, {}, this->chooseService(*route), route->homes, route->priority };
+    if (route->isPublic || !this->configuration->hasWorkspaces())
+        return admitted;
+    if (!isFresh)
+        return Refusal { RefusalCause::StaleConfiguration, storeRetry };
+    const ServingWorkspace* workspace = this->configuration->findWorkspaceOfKey(query.key);
+    if (!workspace)
+        return Refusal { RefusalCause::UnknownKey, Milliseconds(0) };
+    WorkspaceAllowance& allowance = this->allowances[workspace->id];
+    const double units = !workspace->countsTokens ? 1
+        : query.tokens                            ? static_cast<double>(*query.tokens)
+                                                  : workspace->plainRequestUnits;
+    if (!allowance.tryTake(now, units))
+        return Refusal { RefusalCause::OverLimit, std::max(shortestWait, allowance.getWait(now)) };
+    admitted.workspace = workspace->id;
+    admitted.homes = intersectHomes(route->homes, workspace->homes);
+    admitted.priority = workspace->priority.value_or(route->priority);
+    return admitted;
+}
+
+const ServiceId& GatewayCore::chooseService(const ServingRoute& route)
+{
+    int total = 0;
+    for (const WeightedService& part : route.services)
+        total += part.weight;
+    int ticket = std::uniform_int_distribution<int>(0, std::max(0, total - 1))(this->random);
+    for (const WeightedService& part : route.services) {
+        ticket -= part.weight;
+        if (ticket < 0)
+            return part.service;
+    }
+    return route.services.front().service;
+}
+
+PlacementDecision GatewayCore::place(Milliseconds now, const PlacementQuery& query)
+{
+    static const ServingService unknown;
+    return this->placement.choose(
+        now, query, this->configuration ? this->configuration->getService(query.service) : unknown);
+}
+
+RetryBudget& GatewayCore::getBudget(const ServiceId& service)
+{
+    if (this->budgetVms != this->vms.countVms()) {
+        this->budgets.clear();
+        this->budgetVms = this->vms.countVms();
+    }
+    const auto found = this->budgets.find(service);
+    if (found != this->budgets.end())
+        return found->second;
+    DispatchSettings dispatch;
+    const double extra = this->settings.bounds.extraRetries * extraCaution / static_cast<double>(this->budgetVms);
+    dispatch.retriesPerRequest = this->settings.bounds.retryRatio * retryCaution;
+    dispatch.retriesPerSecond = extra / retryWindowSeconds;
+    dispatch.retryBudgetLimit = std::max(1.0, extra);
+    return this->budgets.emplace(service, RetryBudget(dispatch)).first->second;
+}
+
+void GatewayCore::noteRequest(const ServiceId& service)
+{
+    this->getBudget(service).noteRequest();
+}
+
+bool GatewayCore::tryRetry(Milliseconds now, const ServiceId& service)
+{
+    return this->getBudget(service).tryTake(now);
+}
+
+bool GatewayCore::isReady(Milliseconds now) const
+{
+    return this->configuration && !this->isStopping() && this->freshness.isFresh(now);
+}
+
+void GatewayCore::beginStopping(Milliseconds now)
+{
+    if (!this->stoppingSince)
+        this->stoppingSince = now;
+}
+
+bool GatewayCore::takesRequests(Milliseconds now) const
+{
+    return !this->stoppingSince || now - *this->stoppingSince < this->settings.bounds.stopGrace * 3 / 10;
+}
+
+const CallerLimits& GatewayCore::getCallerLimits() const
+{
+    static const CallerLimits defaults;
+    return this->configuration ? this->configuration->getLimits() : defaults;
+}
+
+VmAnnouncement GatewayCore::makeStatus(Milliseconds now) const
+{
+    VmAnnouncement status;
+    status.vm = this->settings.vm;
+    status.region = this->settings.region;
+    status.failureDomain = this->settings.failureDomain;
+    status.callers = this->settings.listeners.callers;
+    status.relays = this->settings.listeners.relays;
+    status.relayKey = this->relayKey;
+    status.isReady = this->configuration && !this->isStopping();
+    for (const auto& [workspace, allowance] : this->allowances) {
+        const double demand = allowance.getDemand(now);
+        if (demand >= 1)
+            status.demand[workspace] = demand;
+    }
+    status.running = this->upstreams.countRunning(this->settings.region);
+    return status;
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/core/GatewayCore.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "dispatch/retries/RetryBudget.h"
+#include "gateway/limits/ConfigurationFreshness.h"
+#include "gateway/limits/WorkspaceAllowance.h"
+#include "gateway/model/ServingConfiguration.h"
+#include "gateway/placement/Placement.h"
+#include "gateway/settings/GatewaySettings.h"
+#include "gateway/upstreams/UpstreamTable.h"
+#include "gateway/vms/VmRegistry.h"
+#include <memory>
+#include <random>
+
+namespace papayashelf {
+
+/** What of a request decides whether it is let in. */
+struct AdmissionQuery {
+    std::string_view host;
+    std::string_view path;
+    std::string_view key; /**< Empty if it carries none. */
+    std::optional<std::int64_t> tokens; /**< That it may use in all, if it says so. */
+};
+
+/** A request that was let in. */
+struct Admitted {
+    std::shared_ptr<const ServingConfiguration> configuration; /**< Keeps the route alive. */
+    const ServingRoute* route = nullptr;
+    WorkspaceId workspace; /**< Empty on a public route. */
+    ServiceId service;
+    std::vector<RegionId> homes; /**< Regions that may serve it; empty for all. */
+    int priority = 5;
+};
+
+/** Why a request is turned away. Each has a stable name for logs and answers. */
+enum class RefusalCause {
+    NoConfiguration, /**< This VM has not read one yet. */
+    StaleConfiguration, /**< Keys cannot be trusted: the store has not been reached for too long. */
+    UnknownRoute,
+    UnknownKey,
+    OverLimit, /**< The workspace has used its limit. */
+    Stopping, /**< This VM ends soon. */
+    NoUpstream,
+    AllFull,
+    AllCold,
+    NoRetryLeft, /**< An upstream turned it away, and the retry budget is spent. */
+    NoTimeLeft,
+};
+
+/** The stable name of a cause. */
+std::string_view toString(RefusalCause cause);
+
+/** A request turned away: it has not run here and will not. */
+struct Refusal {
+    RefusalCause cause = RefusalCause::NoConfiguration;
+    Milliseconds retryAfter; /**< When it may succeed; 0 where coming back does not help. */
+};
+
+using AdmissionDecision = std::variant<Admitted, Refusal>;
+
+/**
+    What one VM believes and decides: the configuration in force, upstreams, VMs, limits and placement, joined.
+
+    The same events at the same times with the same seed give the same decisions. Time must not go back from call to
+    call. Thread safety: none; owned by one thread.
+*/
+class GatewayCore {
+public:
+    GatewayCore(const GatewaySettings& settings, std::string relayKey, std::uint64_t seed);
+
+    //==================================================================================================================
+    /** Puts a configuration in force if it is newer than the one that is. True if it was. */
+    bool applyConfiguration(ServingDocument document);
+
+    /** A read sent at the moment has shown every change of the configuration until then. */
+    void noteConfigurationProof(Milliseconds sentAt) { this->freshness.noteProof(sentAt); }
+
+    /** A VM's newest status. */
+    void putVm(Milliseconds now, VmAnnouncement status);
+
+    /** A VM's status is gone; it counts until the moment. */
+    void removeVm(const VmId& vm, Milliseconds keepUntil) { this->vms.remove(vm, keepUntil); }
+
+    /** Forgets upstreams and VMs whose time has come, and shares limits out anew. Call a few times a second. */
+    void tick(Milliseconds now);
+
+    /** From now on the VM is not ready: it ends soon. */
+    void beginStopping(Milliseconds now);
+
+    //==================================================================================================================
+    /** Decides whether a caller's request is let in, and counts it against its workspace's limit. */
+    AdmissionDecision admit(Milliseconds now, const AdmissionQuery& query);
+
+    /** Chooses where a request goes. */
+    PlacementDecision place(Milliseconds now, const PlacementQuery& query);
+
+    /** A caller's request for a service came in: it earns retries. */
+    void noteRequest(const ServiceId& service);
+
+    /** Takes one retry of the service's budget; false if there is none. */
+    bool tryRetry(Milliseconds now, const ServiceId& service);
+
+    //==================================================================================================================
+    /** Whether callers should be sent here: configured, fresh and not stopping. */
+    bool isReady(Milliseconds now) const;
+
+    bool isStopping() const { return this->stoppingSince.has_value(); }
+
+    /** False once the VM ends too soon for a new request to be finished. */
+    bool takesRequests(Milliseconds now) const;
+    Milliseconds getConfigurationAge(Milliseconds now) const { return this->freshness.getAge(now); }
+    const std::shared_ptr<const ServingConfiguration>& getConfiguration() const { return this->configuration; }
+    const CallerLimits& getCallerLimits() const;
+    const std::string& getRelayKey() const { return this->relayKey; }
+
+    /** What the other VMs are told. */
+    VmAnnouncement makeStatus(Milliseconds now) const;
+
+    UpstreamTable& getUpstreams() { return this->upstreams; }
+    const UpstreamTable& getUpstreams() const { return this->upstreams; }
+    const VmRegistry& getVms() const { return this->vms; }
+    Placement& getPlacement() { return this->placement; }
+
+private:
+    const ServiceId& chooseService(const ServingRoute& route);
+    RetryBudget& getBudget(const ServiceId& service);
+    void shareLimits(Milliseconds now);
+
+    GatewaySettings settings;
+    std::string relayKey;
+    std::mt19937_64 random;
+    std::shared_ptr<const ServingConfiguration> configuration;
+    ConfigurationFreshness freshness;
+    UpstreamTable upstreams;
+    VmRegistry vms;
+    Placement placement;
+    std::map<WorkspaceId, WorkspaceAllowance> allowances;
+    std::map<ServiceId, RetryBudget> budgets;
+    std::size_t budgetVms = 0; /**< Among which the budgets were split. */
+    std::optional<Milliseconds> stoppingSince;
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/limits/WorkspaceAllowance.cpp
@@ -0,0 +1,78 @@
+#include "gateway/limits/WorkspaceAllowance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayashelf {
+
+namespace {
+
+constexpr double demandSeconds = 1.5; /**< Time over which demand is averaged; the others hear of it about as late. */
+constexpr double firstLevel = 0.5; /**< Of the burst: VMs that restart together must not spend it twice. */
+
+} // namespace
+
+bool WorkspaceAllowance::tryTake(Milliseconds now, double units)
+{
+    this->noteDemand(now, units);
+    if (this->limit.unitsPerSecond <= 0)
+        return true;
+    this->refill(now);
+    if (this->level <= 0)
+        return false;
+    this->level -= units;
+    return true;
+}
+
+Milliseconds WorkspaceAllowance::getWait(Milliseconds now)
+{
+    this->refill(now);
+    const double rate = this->getRate(now);
+    if (this->level > 0 || rate <= 0)
+        return Milliseconds(0);
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(1000.0 * -this->level / rate)) + 1);
+}
+
+double WorkspaceAllowance::getDemand(Milliseconds now) const
+{
+    return this->demand * std::exp(-std::max(0.0, (now - this->demandAt).seconds()) / demandSeconds);
+}
+
+double WorkspaceAllowance::getRate(Milliseconds now) const
+{
+    const double own = this->getDemand(now);
+    const double total = own + this->elsewhere.unitsPerSecond;
+    const double vms = static_cast<double>(std::max<std::size_t>(1, this->elsewhere.vms));
+    const double all = this->limit.unitsPerSecond;
+    if (total <= all)
+        return own + (all - total) / vms;
+    return all * own / total;
+}
+
+void WorkspaceAllowance::refill(Milliseconds now)
+{
+    const double rate = this->getRate(now);
+    const double depth = this->getDepth(rate);
+    if (!this->hasStarted) {
+        this->hasStarted = true;
+        this->level = depth * firstLevel;
+    } else {
+        this->level += rate * std::max(0.0, (now - this->refilledAt).seconds());
+    }
+    this->level = std::min(this->level, depth);
+    this->refilledAt = now;
+}
+
+void WorkspaceAllowance::noteDemand(Milliseconds now, double units)
+{
+    this->demand = this->getDemand(now) + units / demandSeconds;
+    this->demandAt = now;
+}
+
+double WorkspaceAllowance::getDepth(double rate) const
+{
+    const double part = this->limit.unitsPerSecond > 0 ? rate / this->limit.unitsPerSecond : 1;
+    return std::max(1.0, this->limit.burstUnits * std::min(1.0, part));
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/model/ServingConfiguration.cpp
@@ -0,0 +1,63 @@
+#include "gateway/model/ServingConfiguration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayashelf {
+
+ServingConfiguration::ServingConfiguration(ServingDocument from)
+    : document(std::move(from))
+{
+    for (const ServingRoute& route : this->document.routes)
+        this->routesByHost[route.host].push_back(&route);
+    for (auto& [host, routes] : this->routesByHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const ServingRoute* left, const ServingRoute* right) {
+            return left->pathPrefix.size() > right->pathPrefix.size();
+        });
+    }
+    for (const ServingWorkspace& workspace : this->document.workspaces) {
+        for (const std::string& key : workspace.keys)
+            this->workspacesByKey[key] = &workspace;
+    }
+    for (const ServingService& service : this->document.services)
+        this->servicesById[service.id] = &service;
+}
+
+const ServingRoute* ServingConfiguration::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = this->routesByHost.find(std::string(host));
+    if (found == this->routesByHost.end())
+        return nullptr;
+    for (const ServingRoute* route : found->second) {
+        if (path.starts_with(route->pathPrefix))
+            return route;
+    }
+    return nullptr;
+}
+
+const ServingWorkspace* ServingConfiguration::findWorkspaceOfKey(std::string_view key) const
+{
+    const auto found = this->workspacesByKey.find(std::string(key));
+    return found == this->workspacesByKey.end() ? nullptr : found->second;
+}
+
+const ServingWorkspace* ServingConfiguration::findWorkspace(const WorkspaceId& id) const
+{
+    const auto& all = this->document.workspaces;
+    const auto found = std::find_if(all.begin(), all.end(), [&](const auto& workspace) { return workspace.id == id; });
+    return found == all.end() ? nullptr : &*found;
+}
+
+const ServingService& ServingConfiguration::getService(const ServiceId& id) const
+{
+    static const ServingService unknown;
+    const auto found = this->servicesById.find(id);
+    return found == this->servicesById.end() ? unknown : *found->second;
+}
+
+bool isHome(const std::vector<RegionId>& homes, const RegionId& region)
+{
+    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/placement/Placement.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "gateway/limits/ColdStartLimit.h"
+#include "gateway/model/ServingConfiguration.h"
+#include "gateway/upstreams/UpstreamTable.h"
+#include "gateway/vms/VmRegistry.h"
+#include <random>
+#include <set>
+#include <variant>
+
+namespace papayashelf {
+
+/** What a request needs of an upstream. */
+struct PlacementQuery {
+    ServiceId service;
+    std::vector<RegionId> homes; /**< Regions that may serve it; empty for all. */
+    std::uint64_t cacheKey = 0; /**< Hash of the shared part of the prompt that is worth finding cached; 0 for none. */
+    std::int64_t promptTokens = 0;
+    std::set<UpstreamId> tried; /**< Had the request already. */
+    std::set<RegionId> triedRegions; /**< Relayed to and refused there. */
+    bool mayRelay = true; /**< False for a request that another VM relayed here. */
+};
+
+/** Send it to an upstream of this region. */
+struct UseUpstream {
+    UpstreamRecord upstream;
+    bool isTrial = false; /**< The upstream failed lately, and no sound one is free. */
+};
+
+/** Hand it to a VM of another region. */
+struct UseRelay {
+    VmId vm;
+    RegionId region;
+    Endpoint endpoint;
+    std::string relayKey;
+};
+
+/** Why no upstream takes it now. */
+enum class NoPlaceCause {
+    NoUpstream, /**< None is listed, in any region that may serve it. */
+    AllFull, /**< All have as much as they bear. */
+    AllCold, /**< Those with room have just started. */
+};
+
+/** Nothing takes it now. */
+struct NoPlace {
+    NoPlaceCause cause = NoPlaceCause::NoUpstream;
+};
+
+using PlacementDecision = std::variant<UseUpstream, UseRelay, NoPlace>;
+
+/** What the decision rested on, for the log. */
+struct PlacementInputs {
+    std::size_t candidates = 0;
+    double load = 0; /**< Of the chosen or the least loaded upstream, as a part of its slots. */
+    Milliseconds loadAge; /**< Of its report. */
+};
+
+/**
+    Chooses the upstream for a request.
+
+    Within the region, the upstream that is likely to have the shared part of the prompt cached goes first, unless it
+    has clearly more to do than the others. Another region is used when this one has no room, or is much fuller.
+
+    Load patterns: prompts with shared parts at a load near the engines' capacity; regional peaks that move; a region
+    without upstreams. Thread safety: none; owned by one thread.
+*/
+class Placement {
+public:
+    /** @param table, vms  must outlive the placement */
+    Placement(VmId vm, RegionId region, const UpstreamTable& table, const VmRegistry& vms, std::uint64_t seed);
+
+    /** Decides for one request; the same state and seed give the same decision. */
+    PlacementDecision choose(Milliseconds now, const PlacementQuery& query, const ServingService& service);
+
+    /** What the last decision rested on. */
+    const PlacementInputs& getInputs() const { return this->inputs; }
+
+    /** Counts the use that a decision led to. */
+    void noteUse(Milliseconds now, const UpstreamId& upstream);
+
+    /** A VM refused a relayed request or was not reached: others go first for a while. */
+    void noteRelayFailed(Milliseconds now, const VmId& vm) { this->avoidedVms[vm] = now + relayPause; }
+
+private:
+    struct Candidate {
+        const KnownUpstream* upstream = nullptr;
+        double load = 0; /**< Requests for each slot. */
+    };
+
+    std::vector<Candidate> findCandidates(
+        Milliseconds now, const PlacementQuery& query, const ServingService& service, NoPlaceCause& cause);
+    const Candidate* pick(const std::vector<Candidate>& candidates, std::uint64_t cacheKey);
+    std::optional<UseRelay> findRelay(Milliseconds now, const PlacementQuery& query, double ownLoad);
+    const VmAnnouncement* pickVm(Milliseconds now, const RegionId& region);
+    std::vector<VmId> vmsOfRegion() const;
+
+    static constexpr Milliseconds relayPause { 1000 }; /**< As long as statuses take to tell a VM's new state. */
+
+    VmId vm;
+    RegionId region;
+    const UpstreamTable& table;
+    const VmRegistry& vms;
+    std::mt19937_64 random;
+    ColdStartLimit coldLimit;
+    std::map<VmId, Milliseconds> avoidedVms;
+    PlacementInputs inputs;
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/settings/GatewaySettings.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "foundation/identity/Identifier.h"
+#include "foundation/time/Clock.h"
+#include "settings/reading/Fault.h"
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace papayashelf {
+
+/** Addresses that one gateway process listens on. Every one is an IP number and a port. */
+struct GatewayListeners {
+    Endpoint callers;
+    Endpoint readiness;
+    Endpoint entries; /**< Tells callers where to connect. */
+    Endpoint relays; /**< Requests that other VMs hand over. */
+    Endpoint metrics;
+
+    bool operator==(const GatewayListeners&) const = default;
+};
+
+/** Bounds that operators promise over all VMs. */
+struct GatewayBounds {
+    Milliseconds keyWithdrawal { 5000 }; /**< From the store's acknowledgement until a withdrawn key runs nothing. */
+    Milliseconds stopGrace { 8000 }; /**< From SIGTERM to SIGKILL. */
+    Milliseconds longestEntryAge { 5000 }; /**< How long callers may keep a list of entries. */
+    double retryRatio = 0.2; /**< Retries for each request of a service. */
+    double extraRetries = 0; /**< Retries beyond the ratio in one window, over all VMs. */
+    double coldOvershoot = 1; /**< Factor on what a cold upstream bears a second. */
+    double coldSlack = 0; /**< Requests a second beyond it. */
+
+    bool operator==(const GatewayBounds&) const = default;
+};
+
+/** What one process takes of its VM. */
+struct GatewayResources {
+    double coreShare = 1; /**< Of one core. */
+    std::size_t memoryMegabytes = 256;
+    std::size_t descriptors = 1024;
+
+    bool operator==(const GatewayResources&) const = default;
+};
+
+/** The settings of one gateway process. */
+struct GatewaySettings {
+    VmId vm;
+    RegionId region;
+    FailureDomainId failureDomain;
+    std::vector<std::pair<std::string, RegionId>> regionOfDomain; /**< By the failure domain's name. */
+    GatewayListeners listeners;
+    Endpoint store;
+    GatewayBounds bounds;
+    GatewayResources resources;
+
+    bool operator==(const GatewaySettings&) const = default;
+};
+
+/**
+    Reads the TOML text of a settings file.
+
+    @param file  the name that faults carry
+    @returns the settings, or every fault with its place
+*/
+Checked<GatewaySettings> checkGatewaySettings(const std::string& file, std::string_view text);
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/streams/EventSplitter.cpp
@@ -0,0 +1,76 @@
+#include "gateway/streams/EventSplitter.h"
+
+#include <charconv>
+
+namespace papayashelf {
+
+namespace {
+
+/** Where the first event ends, or npos. Lines end with LF or CRLF. */
+std::size_t findEnd(std::string_view bytes)
+{
+    for (std::size_t feed = bytes.find('\n'); feed != std::string_view::npos; feed = bytes.find('\n', feed + 1)) {
+        const std::string_view rest = bytes.substr(feed + 1);
+        if (rest.starts_with('\n'))
+            return feed + 2;
+        if (rest.starts_with("\r\n"))
+            return feed + 3;
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> findId(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    while (!event.empty()) {
+        const std::size_t feed = event.find('\n');
+        std::string_view line = event.substr(0, feed);
+        if (line.starts_with(field)) {
+            line.remove_prefix(field.size());
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            std::uint64_t id = 0;
+            const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+            return error == std::errc() ? std::optional(id) : std::nullopt;
+        }
+        if (feed == std::string_view::npos)
+            break;
+        event.remove_prefix(feed + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string EventSplitter::push(std::string_view bytes)
+{
+    this->pending.append(bytes);
+    std::string whole;
+    std::size_t taken = 0;
+    while (true) {
+        const std::string_view rest = std::string_view(this->pending).substr(taken);
+        const std::size_t end = findEnd(rest);
+        if (end == std::string_view::npos)
+            break;
+        if (this->accept(rest.substr(0, end)))
+            whole.append(rest.substr(0, end));
+        taken += end;
+    }
+    this->pending.erase(0, taken);
+    return whole;
+}
+
+bool EventSplitter::accept(std::string_view event)
+{
+    const std::optional<std::uint64_t> id = findId(event);
+    if (id && this->lastId && *id <= *this->lastId)
+        return false;
+    if (id)
+        this->lastId = id;
+    else
+        this->unnumbered = true;
+    ++this->events;
+    return true;
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/upstreams/UpstreamHealth.cpp
@@ -0,0 +1,52 @@
+#include "gateway/upstreams/UpstreamHealth.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayashelf {
+
+namespace {
+
+constexpr double memorySeconds = 3; /**< Weight of an answer falls to 1/e; a few times the spacing of answers. */
+constexpr double suspectShare = 0.5; /**< Share of bad answers; plain services fail some requests when sound. */
+constexpr double fewestBad = 1.5; /**< Weighted; a single failure says little. */
+constexpr Milliseconds unreachablePause { 1000 }; /**< Without requests after a failed connection. */
+constexpr Milliseconds trialSpacing { 500 }; /**< Between trial requests to a suspect upstream. */
+
+} // namespace
+
+double UpstreamHealth::decay(Milliseconds now) const
+{
+    return std::exp(-std::max(0.0, (now - this->weighedAt).seconds()) / memorySeconds);
+}
+
+void UpstreamHealth::note(Milliseconds now, AttemptSign sign)
+{
+    const double factor = this->decay(now);
+    this->good *= factor;
+    this->bad *= factor;
+    this->weighedAt = now;
+    if (sign == AttemptSign::Good) {
+        this->good += 1;
+        this->unreachableUntil = now;
+        return;
+    }
+    this->bad += 1;
+    if (sign == AttemptSign::Unreachable)
+        this->unreachableUntil = now + unreachablePause;
+}
+
+bool UpstreamHealth::isSuspect(Milliseconds now) const
+{
+    if (now < this->unreachableUntil)
+        return true;
+    const double recentBad = this->bad * this->decay(now);
+    return recentBad >= fewestBad && this->bad >= suspectShare * (this->good + this->bad);
+}
+
+void UpstreamHealth::noteTrial(Milliseconds now)
+{
+    this->nextTrial = now + trialSpacing;
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/upstreams/UpstreamHealth.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "foundation/time/Clock.h"
+
+namespace papayashelf {
+
+/** How one attempt went, as far as it tells about the upstream. */
+enum class AttemptSign {
+    Good, /**< A whole answer. */
+    Bad, /**< Broken off, spoilt or unanswered, or a failure of the upstream's own. */
+    Unreachable, /**< No connection came about. */
+};
+
+/**
+    Judges an upstream by its recent answers, so that one that fails in part is used less than sound ones.
+
+    Thread safety: none; owned by one thread.
+*/
+class UpstreamHealth {
+public:
+    /** Counts one attempt's end. */
+    void note(Milliseconds now, AttemptSign sign);
+
+    /** True while the upstream should get trial requests only. */
+    bool isSuspect(Milliseconds now) const;
+
+    /** True if a suspect upstream may be tried with one request now. */
+    bool isTrialDue(Milliseconds now) const { return now >= this->nextTrial; }
+
+    /** Counts the start of a trial. */
+    void noteTrial(Milliseconds now);
+
+private:
+    double decay(Milliseconds now) const;
+
+    double good = 0; /**< Attempts, weighted less the older they are. */
+    double bad = 0;
+    Milliseconds weighedAt;
+    Milliseconds unreachableUntil;
+    Milliseconds nextTrial;
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -0,0 +1,136 @@
+#include "gateway/upstreams/UpstreamTable.h"
+
+#include <algorithm>
+
+namespace papayashelf {
+
+namespace {
+
+constexpr Milliseconds reportLife { 1500 }; /**< Answers of a busy upstream come more often; a quiet one has no load. */
+constexpr Milliseconds coldMargin { 300 }; /**< A cold upstream's own clock and the list's lag. */
+
+} // namespace
+
+void UpstreamTable::put(Milliseconds now, const UpstreamRecord& record)
+{
+    KnownUpstream& upstream = this->upstreams[record.id];
+    const bool isReborn = upstream.record.startedAt != record.startedAt || upstream.record.endpoint != record.endpoint;
+    if (isReborn) {
+        const int running = upstream.running;
+        upstream = KnownUpstream {};
+        upstream.running = running;
+    }
+    upstream.record = record;
+    upstream.goneAt.reset();
+    const Milliseconds none;
+    upstream.coldUntil = record.coldFor > none ? now + record.coldFor + coldMargin : none;
+}
+
+void UpstreamTable::remove(const UpstreamId& id, Milliseconds goneAt)
+{
+    KnownUpstream* upstream = this->get(id);
+    if (upstream && !upstream->goneAt)
+        upstream->goneAt = goneAt;
+}
+
+std::vector<UpstreamId> UpstreamTable::expire(Milliseconds now)
+{
+    std::vector<UpstreamId> gone;
+    std::erase_if(this->upstreams, [&](const auto& entry) {
+        const bool isOver = entry.second.goneAt && *entry.second.goneAt <= now;
+        if (isOver)
+            gone.push_back(entry.first);
+        return isOver;
+    });
+    return gone;
+}
+
+void UpstreamTable::noteStarted(const UpstreamId& id)
+{
+    if (KnownUpstream* upstream = this->get(id))
+        ++upstream->running;
+}
+
+void UpstreamTable::noteEnded(const UpstreamId& id)
+{
+    if (KnownUpstream* upstream = this->get(id))
+        upstream->running = std::max(0, upstream->running - 1);
+}
+
+void UpstreamTable::noteSign(Milliseconds now, const UpstreamId& id, AttemptSign sign)
+{
+    if (KnownUpstream* upstream = this->get(id))
+        upstream->health.note(now, sign);
+}
+
+void UpstreamTable::noteTrial(Milliseconds now, const UpstreamId& id)
+{
+    if (KnownUpstream* upstream = this->get(id))
+        upstream->health.noteTrial(now);
+}
+
+void UpstreamTable::noteLoad(Milliseconds now, const UpstreamId& id, const ReportedLoad& load)
+{
+    KnownUpstream* upstream = this->get(id);
+    if (!upstream)
+        return;
+    upstream->reported = load;
+    upstream->reportedAt = now;
+    upstream->runningAtReport = upstream->running;
+}
+
+const KnownUpstream* UpstreamTable::find(const UpstreamId& id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+KnownUpstream* UpstreamTable::get(const UpstreamId& id)
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+bool UpstreamTable::isUsable(const KnownUpstream& upstream) const
+{
+    return !upstream.record.isLeaving && !this->evacuated.contains(upstream.record.failureDomain);
+}
+
+std::vector<const KnownUpstream*> UpstreamTable::usable(const ServiceId& service, const RegionId& region) const
+{
+    std::vector<const KnownUpstream*> found;
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (upstream.record.service == service && upstream.record.region == region && this->isUsable(upstream))
+            found.push_back(&upstream);
+    }
+    return found;
+}
+
+int UpstreamTable::countSlots(const ServiceId& service, const RegionId& region) const
+{
+    int slots = 0;
+    for (const KnownUpstream* upstream : this->usable(service, region))
+        slots += upstream->record.slots;
+    return slots;
+}
+
+std::map<ServiceId, int> UpstreamTable::countRunning(const RegionId& region) const
+{
+    std::map<ServiceId, int> running;
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (upstream.record.region == region && upstream.running > 0)
+            running[upstream.record.service] += upstream.running;
+    }
+    return running;
+}
+
+double estimateLoad(const KnownUpstream& upstream, std::size_t vmsInRegion, Milliseconds now)
+{
+    const double own = upstream.running;
+    if (now - upstream.reportedAt > reportLife || upstream.reported.slots == 0)
+        return own * static_cast<double>(std::max<std::size_t>(1, vmsInRegion));
+    const double reported = upstream.reported.running + upstream.reported.waiting;
+    return std::max(own, reported + own - upstream.runningAtReport);
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/vms/VmAnnouncement.cpp
@@ -0,0 +1,92 @@
+#include "gateway/vms/VmAnnouncement.h"
+
+#include "settings/reading/FieldRules.h"
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace papayashelf {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t schemaVersion = 1;
+
+template <typename Id, typename Number> json::object encodeMap(const std::map<Id, Number>& numbers)
+{
+    json::object object;
+    for (const auto& [id, number] : numbers)
+        object[id.string()] = number;
+    return object;
+}
+
+template <typename Id, typename Number> std::map<Id, Number> decodeMap(const json::object& object)
+{
+    std::map<Id, Number> numbers;
+    for (const auto& member : object)
+        numbers[Id(std::string(member.key()))] = member.value().to_number<Number>();
+    return numbers;
+}
+
+std::string textOf(const json::object& object, std::string_view name)
+{
+    return json::value_to<std::string>(object.at(name));
+}
+
+Endpoint endpointOf(const json::object& object, std::string_view name)
+{
+    return parseEndpoint(textOf(object, name)).value_or(Endpoint {});
+}
+
+VmAnnouncement statusOf(const json::object& object)
+{
+    VmAnnouncement status;
+    status.vm = VmId(textOf(object, "vm"));
+    status.region = RegionId(textOf(object, "region"));
+    status.failureDomain = FailureDomainId(textOf(object, "failure_domain"));
+    status.callers = endpointOf(object, "callers");
+    status.relays = endpointOf(object, "relays");
+    status.relayKey = textOf(object, "relay_key");
+    status.isReady = object.at("ready").as_bool();
+    status.demand = decodeMap<WorkspaceId, double>(object.at("demand").as_object());
+    status.running = decodeMap<ServiceId, int>(object.at("running").as_object());
+    return status;
+}
+
+} // namespace
+
+std::string encodeVmAnnouncement(const VmAnnouncement& status)
+{
+    json::object object;
+    object["schema"] = schemaVersion;
+    object["vm"] = status.vm.string();
+    object["region"] = status.region.string();
+    object["failure_domain"] = status.failureDomain.string();
+    object["callers"] = status.callers.string();
+    object["relays"] = status.relays.string();
+    object["relay_key"] = status.relayKey;
+    object["ready"] = status.isReady;
+    object["demand"] = encodeMap(status.demand);
+    object["running"] = encodeMap(status.running);
+    return json::serialize(object);
+}
+
+Outcome<VmAnnouncement> decodeVmAnnouncement(std::string_view text)
+{
+    // Boost.JSON reports a missing or mistyped field by an exception; it ends here.
+    try {
+        const json::value value = json::parse(json::string_view(text.data(), text.size()));
+        const json::object& object = value.as_object();
+        if (object.at("schema").to_number<std::int64_t>() != schemaVersion)
+            return Error { ErrorCode::UnknownSchemaVersion, "a VM's status of another schema version" };
+        VmAnnouncement status = statusOf(object);
+        if (status.callers.port == 0 || status.relays.port == 0)
+            return Error { ErrorCode::Damaged, "a VM's status without usable endpoints" };
+        return status;
+    } catch (const std::exception& failure) {
+        return Error { ErrorCode::Damaged, std::string("a VM's status cannot be read: ") + failure.what() };
+    }
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/vms/VmRegistry.cpp
@@ -0,0 +1,75 @@
+#include "gateway/vms/VmRegistry.h"
+
+#include <algorithm>
+
+namespace papayashelf {
+
+void VmRegistry::put(VmAnnouncement status)
+{
+    this->leaving.erase(status.vm);
+    const VmId vm = status.vm;
+    this->vms[vm] = std::move(status);
+}
+
+void VmRegistry::remove(const VmId& vm, Milliseconds keepUntil)
+{
+    if (this->vms.contains(vm))
+        this->leaving.try_emplace(vm, keepUntil);
+}
+
+std::vector<VmId> VmRegistry::expire(Milliseconds now)
+{
+    std::vector<VmId> gone;
+    for (const auto& [vm, until] : this->leaving) {
+        if (until <= now)
+            gone.push_back(vm);
+    }
+    for (const VmId& vm : gone) {
+        this->leaving.erase(vm);
+        this->vms.erase(vm);
+    }
+    return gone;
+}
+
+std::vector<Endpoint> VmRegistry::chooseEntries(const CallerPlace& place, std::size_t most) const
+{
+    std::vector<Endpoint> sameDomain;
+    std::vector<Endpoint> sameRegion;
+    std::vector<Endpoint> others;
+    for (const auto& [vm, status] : this->vms) {
+        if (!status.isReady)
+            continue;
+        if (status.failureDomain == place.failureDomain)
+            sameDomain.push_back(status.callers);
+        else if (status.region == place.region)
+            sameRegion.push_back(status.callers);
+        else
+            others.push_back(status.callers);
+    }
+    std::vector<Endpoint>& chosen = !sameDomain.empty() ? sameDomain : !sameRegion.empty() ? sameRegion : others;
+    chosen.resize(std::min(chosen.size(), most));
+    return chosen;
+}
+
+std::vector<const VmAnnouncement*> VmRegistry::readyIn(const RegionId& region) const
+{
+    std::vector<const VmAnnouncement*> ready;
+    for (const auto& [vm, status] : this->vms) {
+        if (status.isReady && status.region == region)
+            ready.push_back(&status);
+    }
+    return ready;
+}
+
+int VmRegistry::countRunning(const RegionId& region, const ServiceId& service) const
+{
+    int running = 0;
+    for (const auto& [vm, status] : this->vms) {
+        const auto found = status.running.find(service);
+        if (status.region == region && found != status.running.end())
+            running += found->second;
+    }
+    return running;
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/gateway/vms/VmRegistry.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "foundation/time/Clock.h"
+#include "gateway/vms/VmAnnouncement.h"
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace papayashelf {
+
+/** Where a caller is, as far as it says. */
+struct CallerPlace {
+    RegionId region;
+    FailureDomainId failureDomain;
+
+    bool operator==(const CallerPlace&) const = default;
+};
+
+/**
+    The VMs of the system as their statuses in the store show them.
+
+    A status that vanishes while the store had trouble is kept for a while: its VM may be alive and about to write it
+    again. Thread safety: none; owned by one thread.
+*/
+class VmRegistry {
+public:
+    /** Takes a VM's newest status. */
+    void put(VmAnnouncement status);
+
+    /** The VM's status is gone from the store. It counts until the moment, unless it is written again. */
+    void remove(const VmId& vm, Milliseconds keepUntil);
+
+    /** Forgets the VMs whose time has come. Returns them. */
+    std::vector<VmId> expire(Milliseconds now);
+
+    /** Ready VMs that a caller should connect to: those of its failure domain, else of its region, else all. */
+    std::vector<Endpoint> chooseEntries(const CallerPlace& place, std::size_t most) const;
+
+    /** Ready VMs of a region. */
+    std::vector<const VmAnnouncement*> readyIn(const RegionId& region) const;
+
+    /** All VMs known, whether ready or not. */
+    const std::map<VmId, VmAnnouncement>& getAll() const { return this->vms; }
+
+    /** How many VMs share a bound over all VMs; at least 1. */
+    std::size_t countVms() const { return this->vms.empty() ? 1 : this->vms.size(); }
+
+    /** Requests under way to a service's upstreams in a region, from all of its VMs. */
+    int countRunning(const RegionId& region, const ServiceId& service) const;
+
+private:
+    std::map<VmId, VmAnnouncement> vms;
+    std::map<VmId, Milliseconds> leaving; /**< Until when a VM whose status vanished is kept. */
+};
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -0,0 +1,166 @@
+#include "serving/process/GatewayProcess.h"
+
+#include "foundation/hashing/Sha256.h"
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <csignal>
+#include <random>
+#include <unistd.h>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval { 100 }; /**< Of expiries, the log and idle connections. */
+constexpr std::chrono::milliseconds stopLook { 50 }; /**< Between looks whether the last request has ended. */
+constexpr Milliseconds killMargin { 500 }; /**< Before SIGKILL, for the last answers to leave. */
+constexpr Milliseconds idleUpstreamTime { 4'000 }; /**< Below the idle limits that upstreams state. */
+constexpr std::size_t idlePerUpstream = 64; /**< As many as an engine runs requests. */
+
+std::string makeRelayKey()
+{
+    std::random_device random;
+    std::string bytes;
+    for (int word = 0; word < 8; ++word)
+        bytes += std::to_string(random()) + '/';
+    return sha256Hex(bytes);
+}
+
+EntranceSettings makePoolSettings()
+{
+    EntranceSettings settings;
+    settings.maximumIdlePerUpstream = idlePerUpstream;
+    settings.maximumUpstreamIdle = idleUpstreamTime;
+    return settings;
+}
+
+} // namespace
+
+GatewayProcess::GatewayProcess(const GatewaySettings& settings, HeaderNames names)
+    : settings(settings)
+    , names(std::move(names))
+    , log(STDOUT_FILENO)
+    , core(settings, makeRelayKey(), std::random_device {}())
+    , poolSettings(makePoolSettings())
+    , pool(this->context.get_executor(), this->poolSettings)
+    , serving { this->core, this->pool, this->log, this->figures, this->names, Clock() }
+    , signals(this->context, SIGTERM, SIGHUP, SIGINT)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    this->log.setCommon({ { "vm", settings.vm.string() } });
+}
+
+Outcome<void> GatewayProcess::open(ProcessHooks given)
+{
+    this->hooks = std::move(given);
+    const GatewayListeners& at = this->settings.listeners;
+    BOOST_OUTCOME_TRY(this->listenForRequests(at.callers, SenderKind::Caller));
+    BOOST_OUTCOME_TRY(this->listenForRequests(at.relays, SenderKind::Vm));
+    BOOST_OUTCOME_TRY(this->listenPlain(at.readiness, this->hooks.readiness));
+    BOOST_OUTCOME_TRY(this->listenPlain(at.entries, this->hooks.entries));
+    return this->listenPlain(
+        at.metrics, [this](std::string_view) { return PlainAnswer { 200, "text/plain", this->formatMetrics() }; });
+}
+
+Outcome<void> GatewayProcess::listenPlain(const Endpoint& at, PlainHandler handler)
+{
+    BOOST_OUTCOME_TRY(auto acceptor, openAcceptor(this->context.get_executor(), at));
+    auto shared = std::make_shared<asio::ip::tcp::acceptor>(std::move(acceptor));
+    auto take = [handler](asio::ip::tcp::socket socket) {
+        const auto executor = socket.get_executor();
+        asio::co_spawn(executor, servePlain(std::move(socket), handler), asio::detached);
+    };
+    asio::co_spawn(this->context, acceptEach(shared, take), asio::detached);
+    return boost::outcome_v2::success();
+}
+
+Outcome<void> GatewayProcess::listenForRequests(const Endpoint& at, SenderKind sender)
+{
+    BOOST_OUTCOME_TRY(auto acceptor, openAcceptor(this->context.get_executor(), at));
+    auto shared = std::make_shared<asio::ip::tcp::acceptor>(std::move(acceptor));
+    auto take = [this, sender](asio::ip::tcp::socket socket) {
+        std::make_shared<CallerSession>(std::move(socket), sender, this->serving)->start();
+    };
+    asio::co_spawn(this->context, acceptEach(shared, take), asio::detached);
+    return boost::outcome_v2::success();
+}
+
+void GatewayProcess::run()
+{
+    asio::co_spawn(this->context, this->watchSignals(), asio::detached);
+    asio::co_spawn(this->context, this->tickOften(), asio::detached);
+    this->log.write(this->serving.clock.now(), LogWeight::Notable, "started",
+        { { "region", this->settings.region.string() }, { "callers", this->settings.listeners.callers.string() } });
+    this->context.run();
+    this->log.write(this->serving.clock.now(), LogWeight::Notable, "stopped", {});
+    this->log.flush();
+}
+
+asio::awaitable<void> GatewayProcess::watchSignals()
+{
+    while (true) {
+        const auto [failure, signal] = co_await this->signals.async_wait(useResult);
+        if (failure)
+            co_return;
+        this->log.write(this->serving.clock.now(), LogWeight::Notable, signal == SIGHUP ? "reload" : "stopping",
+            { { "signal", boost::json::value(signal) } });
+        if (signal == SIGHUP) {
+            this->hooks.onReload();
+            continue;
+        }
+        if (this->core.isStopping())
+            continue;
+        this->core.beginStopping(this->serving.clock.now());
+        this->hooks.onStopping();
+        asio::co_spawn(this->context, this->stopInOrder(), asio::detached);
+    }
+}
+
+asio::awaitable<void> GatewayProcess::stopInOrder()
+{
+    const Milliseconds began = this->serving.clock.now();
+    asio::steady_timer timer(this->context);
+    while (true) {
+        timer.expires_after(stopLook);
+        co_await timer.async_wait(useResult);
+        const Milliseconds now = this->serving.clock.now();
+        const bool isIdle = !this->core.takesRequests(now) && this->figures.countOpen() == 0;
+        if (isIdle || now - began >= this->settings.bounds.stopGrace - killMargin)
+            break;
+    }
+    this->context.stop();
+}
+
+asio::awaitable<void> GatewayProcess::tickOften()
+{
+    asio::steady_timer timer(this->context);
+    while (true) {
+        timer.expires_after(tickInterval);
+        co_await timer.async_wait(useResult);
+        this->core.tick(this->serving.clock.now());
+        this->pool.dropStale();
+        this->log.flush();
+    }
+}
+
+std::string GatewayProcess::formatMetrics() const
+{
+    const Milliseconds now = this->serving.clock.now();
+    std::string text = this->figures.formatText();
+    const auto gauge = [&text](std::string_view name, std::int64_t value) {
+        text.append("# TYPE ").append(name).append(" gauge\n");
+        text.append(name).append(" ").append(std::to_string(value)).append("\n");
+    };
+    const auto& configuration = this->core.getConfiguration();
+    gauge("papayashelf_configuration_version",
+        configuration ? static_cast<std::int64_t>(configuration->getVersion()) : 0);
+    gauge("papayashelf_configuration_age_milliseconds", this->core.getConfigurationAge(now).count());
+    gauge("papayashelf_upstreams", static_cast<std::int64_t>(this->core.getUpstreams().getAll().size()));
+    gauge("papayashelf_vms", static_cast<std::int64_t>(this->core.getVms().getAll().size()));
+    gauge("papayashelf_log_lines_left_out", static_cast<std::int64_t>(this->log.countDropped()));
+    return text;
+}
+
+} // namespace papayashelf
--- /dev/null
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -0,0 +1,308 @@
+#include "serving/upstream/UpstreamAttempt.h"
+
+#include "entrance/request/ForwardedHead.h"
+#include "serving/http/RelayHeaders.h"
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t pieceBytes = 16 * kibibyte;
+constexpr std::size_t mostHeaderBytes = 32 * kibibyte;
+constexpr std::size_t mostBodyBytes = 8 * mebibyte; /**< Of an answer that is read whole. */
+constexpr int mostStrayAnswers = 2; /**< Answers of earlier requests that a connection may still hold. */
+constexpr unsigned int unacknowledgedLimit = 2'000; /**< Milliseconds until a silent link counts as broken. */
+
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+HeaderFields headersOf(const http::response<http::string_body>& message)
+{
+    HeaderFields all;
+    for (const auto& field : message)
+        all.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    return withoutHopByHop(all);
+}
+
+} // namespace
+
+std::string_view toString(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Whole:
+        return "whole";
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::NotRun:
+        return "not_run";
+    case AttemptEnd::Unanswered:
+        return "unanswered";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::CallerGone:
+        return "caller_gone";
+    }
+    return "unknown";
+}
+
+void ActiveRequest::leave()
+{
+    this->callerGone = true;
+    boost::system::error_code ignored;
+    if (this->active)
+        this->active->socket.close(ignored);
+}
+
+UpstreamAttempt::UpstreamAttempt(UpstreamPool& pool, const HeaderNames& names, ActiveRequest& request)
+    : pool(pool)
+    , names(names)
+    , request(request)
+{
+}
+
+AttemptOutcome UpstreamAttempt::fail(AttemptEnd end, std::string detail) const
+{
+    AttemptOutcome result;
+    result.end = this->request.isCallerGone() ? AttemptEnd::CallerGone : end;
+    result.detail = std::move(detail);
+    result.isReused = this->connection && this->connection->isReused;
+    return result;
+}
+
+asio::awaitable<AttemptOutcome> UpstreamAttempt::run(const Endpoint& endpoint, std::string_view requestBytes,
+    std::string_view requestId, AttemptTimes newTimes, StreamTarget* stream)
+{
+    this->times = newTimes;
+    this->connection = this->pool.takeIdle(endpoint);
+    if (!this->connection) {
+        this->connection = this->pool.makeConnection(endpoint);
+        this->request.setActive(this->connection.get());
+        if (!co_await this->connect(endpoint, newTimes.connect)) {
+            this->request.setActive(nullptr);
+            co_return this->fail(AttemptEnd::NotSent, "no connection");
+        }
+    }
+    this->request.setActive(this->connection.get());
+    this->connection->deadline.set(this->times.firstByte);
+    const auto [failure, written]
+        = co_await asio::async_write(this->connection->socket, asio::buffer(requestBytes), useResult);
+    AttemptOutcome result;
+    if (failure && written == 0 && !this->connection->isReused)
+        result = this->fail(AttemptEnd::NotSent, "connection broke before the request");
+    else
+        result = co_await this->readAnswer(requestId, stream);
+    this->request.setActive(nullptr);
+    if (this->connection)
+        result.isReused = this->connection->isReused;
+    co_return result;
+}
+
+asio::awaitable<bool> UpstreamAttempt::connect(const Endpoint& endpoint, Milliseconds limit)
+{
+    boost::system::error_code ignored;
+    auto& socket = this->connection->socket;
+    const auto address = asio::ip::make_address(endpoint.address, ignored);
+    this->connection->deadline.setAfter(limit);
+    const auto [failure] = co_await socket.async_connect({ address, endpoint.port }, useResult);
+    if (failure || !socket.is_open())
+        co_return false;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(UserTimeout(unacknowledgedLimit), ignored);
+    socket.non_blocking(true, ignored);
+    co_return true;
+}
+
+asio::awaitable<bool> UpstreamAttempt::receive(TimePoint until)
+{
+    this->connection->deadline.set(std::min(until, this->times.end));
+    const auto space = this->connection->buffer.prepare(pieceBytes);
+    const auto [failure, count] = co_await this->connection->socket.async_read_some(space, useResult);
+    this->hasEnded = failure == asio::error::eof;
+    if (failure)
+        co_return false;
+    this->connection->buffer.commit(count);
+    co_return true;
+}
+
+asio::awaitable<bool> UpstreamAttempt::readHead(Parser& parser)
+{
+    parser.header_limit(mostHeaderBytes);
+    parser.body_limit(mostBodyBytes);
+    while (!parser.is_header_done()) {
+        boost::system::error_code failure;
+        const std::size_t taken = parser.put(this->connection->buffer.cdata(), failure);
+        this->connection->buffer.consume(taken);
+        if (failure && failure != http::error::need_more)
+            co_return false;
+        if (parser.is_header_done())
+            break;
+        if (!co_await this->receive(this->times.firstByte))
+            co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> UpstreamAttempt::readBody(Parser& parser)
+{
+    parser.eager(true);
+    while (!parser.is_done()) {
+        boost::system::error_code failure;
+        if (this->connection->buffer.size() > 0) {
+            const std::size_t taken = parser.put(this->connection->buffer.cdata(), failure);
+            this->connection->buffer.consume(taken);
+            if (failure && failure != http::error::need_more)
+                co_return false;
+            if (parser.is_done())
+                break;
+        }
+        const TimePoint until
+            = std::chrono::steady_clock::now() + std::chrono::milliseconds(this->times.silence.count());
+        if (co_await this->receive(until))
+            continue;
+        if (!this->hasEnded)
+            co_return false;
+        parser.put_eof(failure);
+        co_return !failure;
+    }
+    co_return true;
+}
+
+asio::awaitable<AttemptOutcome> UpstreamAttempt::readAnswer(std::string_view requestId, StreamTarget* stream)
+{
+    for (int stray = 0; stray <= mostStrayAnswers; ++stray) {
+        auto parser = std::make_unique<Parser>();
+        if (!co_await this->readHead(*parser))
+            co_return this->fail(AttemptEnd::Unanswered, "no answer");
+        const int status = parser->get().result_int();
+        if (status >= 100 && status < 200) {
+            --stray;
+            continue;
+        }
+        const auto echoed = parser->get()[this->names.requestId];
+        const bool isOwn = std::string_view(echoed.data(), echoed.size()) == requestId;
+        const bool isSealed = parser->get().find(this->names.seal) != parser->get().end();
+        const bool isCoded = parser->get().find(http::field::content_encoding) != parser->get().end();
+        if (isOwn && stream && status == 200 && isSealed && !isCoded)
+            co_return co_await this->passStream(*parser, *stream);
+        if (!co_await this->readBody(*parser))
+            co_return this->fail(AttemptEnd::Unanswered, "answer broke off");
+        if (isOwn)
+            co_return this->judge(*parser);
+        if (echoed.empty() && this->isPromisedNotRun(*parser))
+            co_return this->judge(*parser);
+    }
+    co_return this->fail(AttemptEnd::Unanswered, "answers of other requests");
+}
+
+bool UpstreamAttempt::isPromisedNotRun(const Parser& parser) const
+{
+    const auto& message = parser.get();
+    return message.result_int() == 421 || message.find(this->names.notRun) != message.end()
+        || message.find(boost::beast::string_view(relayheaders::notRun.data(), relayheaders::notRun.size()))
+        != message.end();
+}
+
+AttemptOutcome UpstreamAttempt::judge(Parser& parser)
+{
+    AttemptOutcome result;
+    const int status = parser.get().result_int();
+    const bool isSealed = parser.get().find(this->names.seal) != parser.get().end();
+    const bool isRefused = this->isPromisedNotRun(parser);
+    const bool isCoded = parser.get().find(http::field::content_encoding) != parser.get().end();
+    result.load = this->readLoad(parser);
+    if (!isRefused && (!isSealed || isCoded)) {
+        result = this->fail(AttemptEnd::Unanswered, "not an upstream's answer");
+        return result;
+    }
+    result.end = isRefused ? AttemptEnd::NotRun : AttemptEnd::Whole;
+    result.head = { status, std::string(parser.get().reason()), headersOf(parser.get()) };
+    result.body = std::move(parser.get().body());
+    result.detail = "status " + std::to_string(status);
+    this->release(parser);
+    return result;
+}
+
+asio::awaitable<AttemptOutcome> UpstreamAttempt::passStream(Parser& parser, StreamTarget& stream)
+{
+    AttemptOutcome result;
+    result.load = this->readLoad(parser);
+    const ResponseHead head { 200, std::string(parser.get().reason()), headersOf(parser.get()) };
+    parser.eager(true);
+    parser.body_limit(boost::none);
+    bool hasFirst = false;
+    while (true) {
+        boost::system::error_code failure;
+        if (!parser.is_done() && this->connection->buffer.size() > 0) {
+            const std::size_t taken = parser.put(this->connection->buffer.cdata(), failure);
+            this->connection->buffer.consume(taken);
+        }
+        const std::string whole = stream.splitter->push(parser.get().body());
+        parser.get().body().clear();
+        if (!whole.empty()) {
+            if (!hasFirst)
+                stream.onFirstByte();
+            hasFirst = true;
+            bool isSent = true;
+            if (!stream.answer->hasBegun())
+                isSent = co_await stream.answer->begin(head);
+            if (isSent)
+                isSent = co_await stream.answer->write(whole);
+            if (!isSent || this->request.isCallerGone())
+                co_return this->fail(AttemptEnd::CallerGone, "caller left");
+        }
+        const bool isBroken = failure && failure != http::error::need_more;
+        if (isBroken || (parser.is_done() && stream.splitter->isTorn()))
+            break;
+        if (parser.is_done()) {
+            result.end = AttemptEnd::Whole;
+            result.head = head;
+            this->release(parser);
+            co_return result;
+        }
+        const TimePoint now = std::chrono::steady_clock::now();
+        const TimePoint silent = now + std::chrono::milliseconds(this->times.silence.count());
+        if (co_await this->receive(hasFirst ? silent : this->times.firstByte))
+            continue;
+        if (!this->hasEnded)
+            break;
+        parser.put_eof(failure);
+        if (failure)
+            break;
+    }
+    const bool hasBegun = stream.answer->hasBegun();
+    stream.splitter->restart();
+    AttemptOutcome broken = this->fail(hasBegun ? AttemptEnd::Broken : AttemptEnd::Unanswered, "stream broke off");
+    broken.load = result.load;
+    co_return broken;
+}
+
+std::optional<ReportedLoad> UpstreamAttempt::readLoad(const Parser& parser) const
+{
+    const auto text = parser.get()[this->names.load];
+    std::array<int, 3> numbers {};
+    const char* at = text.data();
+    const char* const end = text.data() + text.size();
+    for (int& number : numbers) {
+        const auto [next, error] = std::from_chars(at, end, number);
+        if (error != std::errc())
+            return std::nullopt;
+        at = next == end ? next : next + 1;
+    }
+    return ReportedLoad { numbers[0], numbers[1], numbers[2] };
+}
+
+void UpstreamAttempt::release(const Parser& parser)
+{
+    if (parser.keep_alive() && parser.is_done() && this->connection->buffer.size() == 0
+        && this->connection->socket.is_open())
+        this->pool.giveBack(std::move(this->connection));
+}
+
+} // namespace papayashelf
