--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -8,6 +8,7 @@
 
 constexpr double retryCaution = 0.9; /**< Of the ratio: requests counted here may be counted in another window. */
 constexpr double extraCaution = 0.5; /**< Of the extra retries: half is there at once, half comes over the window. */
+constexpr double slackCaution = 0.5; /**< The rest is for demand that moves while the others hear of it. */
 constexpr double retryWindowSeconds = 10;
 constexpr Milliseconds storeRetry { 500 }; /**< Until a VM that lost the store may have it back, or callers moved. */
 constexpr Milliseconds shortestWait { 50 };
@@ -73,8 +74,10 @@
     if (this->configuration && document.version <= this->configuration->getVersion())
         return false;
     this->configuration = std::make_shared<const ServingConfiguration>(std::move(document));
-    for (const ServingWorkspace& workspace : this->configuration->getDocument().workspaces)
-        this->allowances[workspace.id].setLimit({ workspace.unitsPerSecond, workspace.burstUnits });
+    for (const ServingWorkspace& workspace : this->configuration->getDocument().workspaces) {
+        const double slack = workspace.countsTokens ? this->settings.bounds.tokenSlack * slackCaution : 0;
+        this->allowances[workspace.id].setLimit({ workspace.unitsPerSecond, workspace.burstUnits, slack });
+    }
     return true;
 }
 
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -67,6 +67,10 @@
 public:
     GatewayCore(const GatewaySettings& settings, std::string relayKey, std::uint64_t seed);
 
+    // The placement refers to the other members.
+    GatewayCore(const GatewayCore&) = delete;
+    GatewayCore& operator=(const GatewayCore&) = delete;
+
     //==================================================================================================================
     /** Puts a configuration in force if it is newer than the one that is. True if it was. */
     bool applyConfiguration(ServingDocument document);
--- a/modules/gateway/limits/WorkspaceAllowance.cpp
+++ b/modules/gateway/limits/WorkspaceAllowance.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double demandSeconds = 1.5; /**< Time over which demand is averaged; the others hear of it about as late. */
+constexpr double demandSeconds = 1; /**< Time over which demand is averaged; the others hear of it about as late. */
 constexpr double firstLevel = 0.5; /**< Of the burst: VMs that restart together must not spend it twice. */
 
 } // namespace
@@ -72,7 +72,8 @@
 double WorkspaceAllowance::getDepth(double rate) const
 {
     const double part = this->limit.unitsPerSecond > 0 ? rate / this->limit.unitsPerSecond : 1;
-    return std::max(1.0, this->limit.burstUnits * std::min(1.0, part));
+    const double vms = static_cast<double>(std::max<std::size_t>(1, this->elsewhere.vms));
+    return std::max(1.0, this->limit.burstUnits * std::min(1.0, part) + this->limit.slackUnits / vms);
 }
 
 } // namespace papayashelf
--- a/modules/gateway/limits/WorkspaceAllowance.h
+++ b/modules/gateway/limits/WorkspaceAllowance.h
@@ -9,6 +9,7 @@
 struct WorkspaceLimit {
     double unitsPerSecond = 0; /**< 0 for no limit. */
     double burstUnits = 0;
+    double slackUnits = 0; /**< By which all VMs together may pass the burst, so that uneven parts refuse less. */
 
     bool operator==(const WorkspaceLimit&) const = default;
 };
--- a/modules/gateway/model/ServingConfiguration.cpp
+++ b/modules/gateway/model/ServingConfiguration.cpp
@@ -35,6 +35,23 @@
     return nullptr;
 }
 
+std::vector<RegionId> ServingConfiguration::findHomes(std::string_view host) const
+{
+    const auto found = this->routesByHost.find(std::string(host));
+    if (found == this->routesByHost.end())
+        return {};
+    std::optional<std::vector<RegionId>> common;
+    for (const ServingRoute* route : found->second) {
+        if (route->homes.empty())
+            continue;
+        if (!common)
+            common = route->homes;
+        else
+            std::erase_if(*common, [route](const RegionId& region) { return !isHome(route->homes, region); });
+    }
+    return common.value_or(std::vector<RegionId>());
+}
+
 const ServingWorkspace* ServingConfiguration::findWorkspaceOfKey(std::string_view key) const
 {
     const auto found = this->workspacesByKey.find(std::string(key));
--- a/modules/gateway/model/ServingConfiguration.h
+++ b/modules/gateway/model/ServingConfiguration.h
@@ -97,6 +97,9 @@
     /** The route of that host with the longest prefix of the path, or null. */
     const ServingRoute* findRoute(std::string_view host, std::string_view path) const;
 
+    /** Regions that may serve every route of the host; empty if all may, or none serves every one. */
+    std::vector<RegionId> findHomes(std::string_view host) const;
+
     /** The workspace that holds the key, or null. */
     const ServingWorkspace* findWorkspaceOfKey(std::string_view key) const;
 
--- a/modules/gateway/settings/GatewaySettings.cpp
+++ b/modules/gateway/settings/GatewaySettings.cpp
@@ -29,6 +29,7 @@
     reader.optional("longest_entry_age_ms", bounds.longestEntryAge, duration);
     reader.optional("retry_ratio", bounds.retryRatio, number);
     reader.optional("extra_retries", bounds.extraRetries, number);
+    reader.optional("token_slack", bounds.tokenSlack, number);
     reader.optional("cold_overshoot", bounds.coldOvershoot, number);
     reader.optional("cold_slack", bounds.coldSlack, number);
     reader.finish();
--- a/modules/gateway/settings/GatewaySettings.h
+++ b/modules/gateway/settings/GatewaySettings.h
@@ -28,6 +28,7 @@
     Milliseconds longestEntryAge { 5000 }; /**< How long callers may keep a list of entries. */
     double retryRatio = 0.2; /**< Retries for each request of a service. */
     double extraRetries = 0; /**< Retries beyond the ratio in one window, over all VMs. */
+    double tokenSlack = 0; /**< Tokens by which a workspace may pass its limit in one window, over all VMs. */
     double coldOvershoot = 1; /**< Factor on what a cold upstream bears a second. */
     double coldSlack = 0; /**< Requests a second beyond it. */
 
--- a/modules/gateway/vms/VmRegistry.cpp
+++ b/modules/gateway/vms/VmRegistry.cpp
@@ -1,6 +1,8 @@
 #include "gateway/vms/VmRegistry.h"
 
+#include "gateway/model/ServingConfiguration.h"
 #include <algorithm>
+#include <array>
 
 namespace papayashelf {
 
@@ -33,22 +35,23 @@
 
 std::vector<Endpoint> VmRegistry::chooseEntries(const CallerPlace& place, std::size_t most) const
 {
-    std::vector<Endpoint> sameDomain;
-    std::vector<Endpoint> sameRegion;
-    std::vector<Endpoint> others;
+    std::array<std::vector<Endpoint>, 4> byNearness;
     for (const auto& [vm, status] : this->vms) {
         if (!status.isReady)
             continue;
-        if (status.failureDomain == place.failureDomain)
-            sameDomain.push_back(status.callers);
-        else if (status.region == place.region)
-            sameRegion.push_back(status.callers);
-        else
-            others.push_back(status.callers);
+        const std::size_t nearness = status.failureDomain == place.failureDomain ? 0
+            : status.region == place.region                                       ? 1
+            : isHome(place.homes, status.region)                                  ? 2
+                                                                                  : 3;
+        byNearness[nearness].push_back(status.callers);
     }
-    std::vector<Endpoint>& chosen = !sameDomain.empty() ? sameDomain : !sameRegion.empty() ? sameRegion : others;
-    chosen.resize(std::min(chosen.size(), most));
-    return chosen;
+    for (std::vector<Endpoint>& entries : byNearness) {
+        if (entries.empty())
+            continue;
+        entries.resize(std::min(entries.size(), most));
+        return entries;
+    }
+    return {};
 }
 
 std::vector<const VmAnnouncement*> VmRegistry::readyIn(const RegionId& region) const
--- a/modules/gateway/vms/VmRegistry.h
+++ b/modules/gateway/vms/VmRegistry.h
@@ -12,6 +12,7 @@
 struct CallerPlace {
     RegionId region;
     FailureDomainId failureDomain;
+    std::vector<RegionId> homes; /**< Regions that all of its requests may be served in; empty for any. */
 
     bool operator==(const CallerPlace&) const = default;
 };
@@ -33,7 +34,10 @@
     /** Forgets the VMs whose time has come. Returns them. */
     std::vector<VmId> expire(Milliseconds now);
 
-    /** Ready VMs that a caller should connect to: those of its failure domain, else of its region, else all. */
+    /**
+        Ready VMs that a caller should connect to: those of its failure domain, else of its region, else of the homes of
+        its requests, else all.
+    */
     std::vector<Endpoint> chooseEntries(const CallerPlace& place, std::size_t most) const;
 
     /** Ready VMs of a region. */
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -56,8 +56,8 @@
 {
     this->hooks = std::move(given);
     const GatewayListeners& at = this->settings.listeners;
-    BOOST_OUTCOME_TRY(this->listenForRequests(at.callers, SenderKind::Caller));
-    BOOST_OUTCOME_TRY(this->listenForRequests(at.relays, SenderKind::Vm));
+    BOOST_OUTCOME_TRY(this->callersEndpoint, this->listenForRequests(at.callers, SenderKind::Caller));
+    BOOST_OUTCOME_TRY(this->relaysEndpoint, this->listenForRequests(at.relays, SenderKind::Vm));
     BOOST_OUTCOME_TRY(this->listenPlain(at.readiness, this->hooks.readiness));
     BOOST_OUTCOME_TRY(this->listenPlain(at.entries, this->hooks.entries));
     return this->listenPlain(
@@ -76,15 +76,16 @@
     return boost::outcome_v2::success();
 }
 
-Outcome<void> GatewayProcess::listenForRequests(const Endpoint& at, SenderKind sender)
+Outcome<Endpoint> GatewayProcess::listenForRequests(const Endpoint& at, SenderKind sender)
 {
     BOOST_OUTCOME_TRY(auto acceptor, openAcceptor(this->context.get_executor(), at));
+    const std::uint16_t port = acceptor.local_endpoint().port();
     auto shared = std::make_shared<asio::ip::tcp::acceptor>(std::move(acceptor));
     auto take = [this, sender](asio::ip::tcp::socket socket) {
         std::make_shared<CallerSession>(std::move(socket), sender, this->serving)->start();
     };
     asio::co_spawn(this->context, acceptEach(shared, take), asio::detached);
-    return boost::outcome_v2::success();
+    return Endpoint { at.address, port };
 }
 
 void GatewayProcess::run()
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -33,6 +33,13 @@
     /** Serves until a signal ends the process and every request is answered, or the grace is nearly over. */
     void run();
 
+    /** Ends run() soon, without waiting for requests. Any thread. */
+    void stop() { this->context.stop(); }
+
+    /** Where requests are taken, with the port that was had. Precondition: open() succeeded. */
+    const Endpoint& getCallersEndpoint() const { return this->callersEndpoint; }
+    const Endpoint& getRelaysEndpoint() const { return this->relaysEndpoint; }
+
     boost::asio::io_context& getContext() { return this->context; }
     GatewayCore& getCore() { return this->core; }
     DecisionLog& getLog() { return this->log; }
@@ -40,7 +47,7 @@
 
 private:
     Outcome<void> listenPlain(const Endpoint& at, PlainHandler handler);
-    Outcome<void> listenForRequests(const Endpoint& at, SenderKind sender);
+    Outcome<Endpoint> listenForRequests(const Endpoint& at, SenderKind sender);
     boost::asio::awaitable<void> watchSignals();
     boost::asio::awaitable<void> tickOften();
     boost::asio::awaitable<void> stopInOrder();
@@ -57,6 +64,8 @@
     ServingContext serving;
     ProcessHooks hooks;
     boost::asio::signal_set signals;
+    Endpoint callersEndpoint;
+    Endpoint relaysEndpoint;
 };
 
 } // namespace papayashelf
--- /dev/null
+++ b/tests/gateway/EventSplitterTest.cpp
@@ -0,0 +1,82 @@
+#include "gateway/streams/EventSplitter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace papayashelf {
+
+namespace {
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: text " + std::to_string(id) + "\n\n";
+}
+
+} // namespace
+
+class EventSplitterTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(EventSplitterTest);
+    CPPUNIT_TEST(testWholeEventsGoOnUnchangedHoweverTheyAreCut);
+    CPPUNIT_TEST(testTornEventIsHeldBack);
+    CPPUNIT_TEST(testResumedStreamRepeatsNothing);
+    CPPUNIT_TEST(testEventsThatTheCallerHasAreLeftOut);
+    CPPUNIT_TEST(testCarriageReturns);
+    CPPUNIT_TEST(testEventWithoutIdForbidsResuming);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testWholeEventsGoOnUnchangedHoweverTheyAreCut()
+    {
+        const std::string all = event(1) + event(2) + ": comment\n\n" + event(3);
+        for (std::size_t piece = 1; piece <= all.size(); ++piece) {
+            EventSplitter splitter(std::nullopt);
+            std::string out;
+            for (std::size_t at = 0; at < all.size(); at += piece)
+                out += splitter.push(std::string_view(all).substr(at, piece));
+            CPPUNIT_ASSERT_EQUAL(all, out);
+            CPPUNIT_ASSERT(!splitter.isTorn());
+        }
+    }
+
+    void testTornEventIsHeldBack()
+    {
+        EventSplitter splitter(std::nullopt);
+        CPPUNIT_ASSERT_EQUAL(event(1), splitter.push(event(1) + "id: 2\ndata: te"));
+        CPPUNIT_ASSERT(splitter.isTorn());
+    }
+
+    void testResumedStreamRepeatsNothing()
+    {
+        EventSplitter splitter(std::nullopt);
+        splitter.push(event(1) + event(2) + "id: 3\ndata: te");
+        splitter.restart();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 2 }, *splitter.getLastId());
+        CPPUNIT_ASSERT_EQUAL(event(3), splitter.push(event(2) + event(3)));
+    }
+
+    void testEventsThatTheCallerHasAreLeftOut()
+    {
+        EventSplitter splitter(std::uint64_t { 12 });
+        CPPUNIT_ASSERT_EQUAL(event(13), splitter.push(event(11) + event(12) + event(13)));
+    }
+
+    void testCarriageReturns()
+    {
+        const std::string text = "id: 4\r\ndata: x\r\n\r\n";
+        EventSplitter splitter(std::nullopt);
+        CPPUNIT_ASSERT_EQUAL(text, splitter.push(text));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 4 }, *splitter.getLastId());
+    }
+
+    void testEventWithoutIdForbidsResuming()
+    {
+        EventSplitter splitter(std::nullopt);
+        splitter.push(event(1));
+        CPPUNIT_ASSERT(!splitter.hasUnnumbered());
+        splitter.push("data: x\n\n");
+        CPPUNIT_ASSERT(splitter.hasUnnumbered());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
+
+} // namespace papayashelf
--- /dev/null
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -0,0 +1,178 @@
+#include "gateway/GatewayFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace papayashelf {
+
+using namespace gatewayfixture;
+
+namespace {
+
+constexpr Milliseconds now { 10'000 };
+
+const Refusal* refusalOf(const AdmissionDecision& decision)
+{
+    return std::get_if<Refusal>(&decision);
+}
+
+} // namespace
+
+class GatewayCoreTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(GatewayCoreTest);
+    CPPUNIT_TEST(testNothingIsDecidedWithoutAConfiguration);
+    CPPUNIT_TEST(testLongestPrefixDecides);
+    CPPUNIT_TEST(testStaleVmTrustsNoKeyAndDeniesNone);
+    CPPUNIT_TEST(testPublicRouteIsServedWithoutTheStore);
+    CPPUNIT_TEST(testConfigurationNeverGoesBack);
+    CPPUNIT_TEST(testWithdrawnKeyIsUnknown);
+    CPPUNIT_TEST(testBothHomesBind);
+    CPPUNIT_TEST(testDisjointHomesAllowNoRegion);
+    CPPUNIT_TEST(testRetriesAreAPartOfRequests);
+    CPPUNIT_TEST(testRetriesOverAllVmsStayWithinTheBound);
+    CPPUNIT_TEST(testStoppingVmIsNotReadyAndSoonTakesNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testNothingIsDecidedWithoutAConfiguration()
+    {
+        GatewayCore core(makeSettings(), "relay-key", 1);
+        core.noteConfigurationProof(now);
+        const AdmissionDecision decision = core.admit(now, { "h.example", "/a/x", "first-key", {} });
+        CPPUNIT_ASSERT(refusalOf(decision) && refusalOf(decision)->cause == RefusalCause::NoConfiguration);
+        CPPUNIT_ASSERT(!core.isReady(now));
+    }
+
+    void testLongestPrefixDecides()
+    {
+        const auto owned = this->makeCore(makeDocument(1));
+        GatewayCore& core = *owned;
+        const AdmissionDecision decision = core.admit(now, { "h.example", "/a/long/x", "first-key", {} });
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/long/"), std::get<Admitted>(decision).route->pathPrefix);
+    }
+
+    void testStaleVmTrustsNoKeyAndDeniesNone()
+    {
+        const auto owned = this->makeCore(makeDocument(1));
+        GatewayCore& core = *owned;
+        const Milliseconds later = now + Milliseconds(5000);
+        for (const char* key : { "first-key", "added-meanwhile" }) {
+            const AdmissionDecision decision = core.admit(later, { "h.example", "/a/x", key, {} });
+            CPPUNIT_ASSERT(refusalOf(decision) && refusalOf(decision)->cause == RefusalCause::StaleConfiguration);
+            CPPUNIT_ASSERT(refusalOf(decision)->retryAfter > Milliseconds(0));
+        }
+        const AdmissionDecision unknown = core.admit(later, { "h.example", "/added-meanwhile/", "first-key", {} });
+        CPPUNIT_ASSERT(refusalOf(unknown) && refusalOf(unknown)->cause == RefusalCause::StaleConfiguration);
+    }
+
+    void testPublicRouteIsServedWithoutTheStore()
+    {
+        ServingDocument document = makeDocument(1);
+        document.routes.front().isPublic = true;
+        const auto owned = this->makeCore(std::move(document));
+        GatewayCore& core = *owned;
+        const AdmissionDecision decision = core.admit(now + Milliseconds(60000), { "h.example", "/a/x", "", {} });
+        CPPUNIT_ASSERT(std::holds_alternative<Admitted>(decision));
+    }
+
+    void testConfigurationNeverGoesBack()
+    {
+        const auto owned = this->makeCore(makeDocument(7));
+        GatewayCore& core = *owned;
+        CPPUNIT_ASSERT(!core.applyConfiguration(makeDocument(3)));
+        CPPUNIT_ASSERT(!core.applyConfiguration(makeDocument(7)));
+        CPPUNIT_ASSERT(core.applyConfiguration(makeDocument(12)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 12 }, core.getConfiguration()->getVersion());
+    }
+
+    void testWithdrawnKeyIsUnknown()
+    {
+        const auto owned = this->makeCore(makeDocument(1));
+        GatewayCore& core = *owned;
+        ServingDocument next = makeDocument(2);
+        next.workspaces.front().keys = { "second-key" };
+        core.applyConfiguration(next);
+        const AdmissionDecision decision = core.admit(now, { "h.example", "/a/x", "first-key", {} });
+        CPPUNIT_ASSERT(refusalOf(decision) && refusalOf(decision)->cause == RefusalCause::UnknownKey);
+    }
+
+    void testBothHomesBind()
+    {
+        ServingDocument document = makeDocument(1);
+        document.routes.front().homes = { RegionId("north"), RegionId("south") };
+        document.workspaces.front().homes = { RegionId("south"), RegionId("west") };
+        const auto owned = this->makeCore(std::move(document));
+        GatewayCore& core = *owned;
+        const AdmissionDecision decision = core.admit(now, { "h.example", "/a/x", "first-key", {} });
+        CPPUNIT_ASSERT(std::get<Admitted>(decision).homes == std::vector<RegionId> { RegionId("south") });
+    }
+
+    void testDisjointHomesAllowNoRegion()
+    {
+        ServingDocument document = makeDocument(1);
+        document.routes.front().homes = { RegionId("north") };
+        document.workspaces.front().homes = { RegionId("west") };
+        const auto owned = this->makeCore(std::move(document));
+        GatewayCore& core = *owned;
+        const AdmissionDecision decision = core.admit(now, { "h.example", "/a/x", "first-key", {} });
+        const std::vector<RegionId>& homes = std::get<Admitted>(decision).homes;
+        CPPUNIT_ASSERT(!isHome(homes, RegionId("north")) && !isHome(homes, RegionId("west")));
+    }
+
+    void testRetriesAreAPartOfRequests()
+    {
+        const auto owned = this->makeCore(makeDocument(1));
+        GatewayCore& core = *owned;
+        const ServiceId service("engine");
+        int retries = 0;
+        for (int request = 0; request < 1000; ++request) {
+            core.noteRequest(service);
+            retries += core.tryRetry(now, service) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(retries >= 100 && retries <= 200 + 16);
+    }
+
+    void testRetriesOverAllVmsStayWithinTheBound()
+    {
+        // Load pattern: every request of a service fails at every VM, so that all of them want to try again.
+        std::vector<std::unique_ptr<GatewayCore>> cores;
+        for (int vm = 0; vm < 8; ++vm) {
+            cores.push_back(std::make_unique<GatewayCore>(makeSettings("vm-" + std::to_string(vm)), "key", 1));
+            for (int other = 0; other < 8; ++other)
+                cores.back()->putVm(now, makeVm("vm-" + std::to_string(other), "north"));
+        }
+        int retries = 0;
+        int requests = 0;
+        for (std::int64_t at = 0; at < 10000; at += 20) {
+            for (const auto& core : cores) {
+                core->noteRequest(ServiceId("engine"));
+                ++requests;
+                retries += core->tryRetry(now + Milliseconds(at), ServiceId("engine")) ? 1 : 0;
+            }
+        }
+        CPPUNIT_ASSERT(retries <= requests * 0.2 + 16);
+    }
+
+    void testStoppingVmIsNotReadyAndSoonTakesNothing()
+    {
+        const auto owned = this->makeCore(makeDocument(1));
+        GatewayCore& core = *owned;
+        CPPUNIT_ASSERT(core.isReady(now) && core.makeStatus(now).isReady);
+        core.beginStopping(now);
+        CPPUNIT_ASSERT(!core.isReady(now) && !core.makeStatus(now).isReady);
+        CPPUNIT_ASSERT(core.takesRequests(now + Milliseconds(500)));
+        CPPUNIT_ASSERT(!core.takesRequests(now + Milliseconds(3000)));
+    }
+
+private:
+    std::unique_ptr<GatewayCore> makeCore(ServingDocument document)
+    {
+        auto core = std::make_unique<GatewayCore>(makeSettings(), "relay-key", 1);
+        core->applyConfiguration(std::move(document));
+        core->noteConfigurationProof(now);
+        return core;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayCoreTest);
+
+} // namespace papayashelf
--- /dev/null
+++ b/tests/gateway/PlacementTest.cpp
@@ -0,0 +1,205 @@
+#include "gateway/GatewayFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace papayashelf {
+
+using namespace gatewayfixture;
+
+namespace {
+
+constexpr Milliseconds now { 10'000 };
+const ServiceId engine("engine");
+
+} // namespace
+
+class PlacementTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PlacementTest);
+    CPPUNIT_TEST(testSharedPromptsStayTogether);
+    CPPUNIT_TEST(testLoadedUpstreamLosesItsPrompts);
+    CPPUNIT_TEST(testFullRegionHandsOver);
+    CPPUNIT_TEST(testHandOverStaysWithinHomes);
+    CPPUNIT_TEST(testRelayedRequestIsNotRelayedAgain);
+    CPPUNIT_TEST(testNoPlaceSaysWhy);
+    CPPUNIT_TEST(testLeavingAndEvacuatedUpstreamsGetNothing);
+    CPPUNIT_TEST(testSuspectUpstreamGetsTrialsOnly);
+    CPPUNIT_TEST(testReturnedUnderItsIdKnowsNothingOfBefore);
+    CPPUNIT_TEST(testVanishedUpstreamIsKeptUntilItMayBeBack);
+    CPPUNIT_TEST(testEntriesAreNearAndReady);
+    CPPUNIT_TEST(testEntriesOfARegionWithoutVmsAreInItsHomes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->table = std::make_unique<UpstreamTable>();
+        this->vms = std::make_unique<VmRegistry>();
+        for (const char* region : { "north", "south" }) {
+            for (int number = 0; number < 4; ++number)
+                this->table->put(now, makeUpstream(std::string(region) + std::to_string(number), region));
+            this->vms->put(makeVm(std::string("vm-") + region, region));
+        }
+        this->placement = std::make_unique<Placement>(
+            VmId("vm-north"), RegionId("north"), *this->table, *this->vms, 1);
+    }
+
+    void testSharedPromptsStayTogether()
+    {
+        for (std::uint64_t document = 1; document <= 20; ++document) {
+            PlacementQuery query = this->makeQuery();
+            query.cacheKey = stableHash("document", document);
+            const UpstreamId first = this->chooseUpstream(query);
+            for (int repeat = 0; repeat < 5; ++repeat)
+                CPPUNIT_ASSERT(first == this->chooseUpstream(query));
+        }
+    }
+
+    void testLoadedUpstreamLosesItsPrompts()
+    {
+        PlacementQuery query = this->makeQuery();
+        query.cacheKey = 77;
+        const UpstreamId first = this->chooseUpstream(query);
+        this->table->noteLoad(now, first, { 30, 0, 64 });
+        CPPUNIT_ASSERT(first != this->chooseUpstream(query));
+    }
+
+    void testFullRegionHandsOver()
+    {
+        // Load pattern: the peak hour of a small region, while the other one is nearly idle.
+        for (int number = 0; number < 4; ++number)
+            this->table->noteLoad(now, UpstreamId("north" + std::to_string(number)), { 64, 10, 64 });
+        const PlacementDecision decision = this->placement->choose(now, this->makeQuery(), {});
+        const UseRelay* relay = std::get_if<UseRelay>(&decision);
+        CPPUNIT_ASSERT(relay && relay->region == RegionId("south") && relay->relayKey == "key-of-vm-south");
+    }
+
+    void testHandOverStaysWithinHomes()
+    {
+        for (int number = 0; number < 4; ++number)
+            this->table->noteLoad(now, UpstreamId("north" + std::to_string(number)), { 64, 10, 64 });
+        PlacementQuery query = this->makeQuery();
+        query.homes = { RegionId("north") };
+        CPPUNIT_ASSERT(std::holds_alternative<NoPlace>(this->placement->choose(now, query, {})));
+        query.homes = { RegionId("south") };
+        CPPUNIT_ASSERT(std::holds_alternative<UseRelay>(this->placement->choose(now, query, {})));
+    }
+
+    void testRelayedRequestIsNotRelayedAgain()
+    {
+        for (int number = 0; number < 4; ++number)
+            this->table->noteLoad(now, UpstreamId("north" + std::to_string(number)), { 64, 10, 64 });
+        PlacementQuery query = this->makeQuery();
+        query.mayRelay = false;
+        CPPUNIT_ASSERT(std::holds_alternative<NoPlace>(this->placement->choose(now, query, {})));
+    }
+
+    void testNoPlaceSaysWhy()
+    {
+        PlacementQuery query = this->makeQuery();
+        query.mayRelay = false;
+        query.service = ServiceId("nobody");
+        const PlacementDecision none = this->placement->choose(now, query, {});
+        CPPUNIT_ASSERT(std::get<NoPlace>(none).cause == NoPlaceCause::NoUpstream);
+        query.service = engine;
+        for (int number = 0; number < 4; ++number)
+            this->table->noteLoad(now, UpstreamId("north" + std::to_string(number)), { 64, 1, 64 });
+        const PlacementDecision full = this->placement->choose(now, query, {});
+        CPPUNIT_ASSERT(std::get<NoPlace>(full).cause == NoPlaceCause::AllFull);
+    }
+
+    void testLeavingAndEvacuatedUpstreamsGetNothing()
+    {
+        UpstreamRecord leaving = makeUpstream("north0", "north");
+        leaving.isLeaving = true;
+        this->table->put(now, leaving);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, this->table->usable(engine, RegionId("north")).size());
+        this->table->setEvacuated({ FailureDomainId("north-a") });
+        CPPUNIT_ASSERT(this->table->usable(engine, RegionId("north")).empty());
+        CPPUNIT_ASSERT(std::holds_alternative<UseRelay>(this->placement->choose(now, this->makeQuery(), {})));
+    }
+
+    void testSuspectUpstreamGetsTrialsOnly()
+    {
+        const UpstreamId bad("north0");
+        for (int failure = 0; failure < 5; ++failure)
+            this->table->noteSign(now, bad, AttemptSign::Bad);
+        int uses = 0;
+        for (int request = 0; request < 100; ++request) {
+            const PlacementDecision decision = this->placement->choose(now, this->makeQuery(), {});
+            const auto& choice = std::get<UseUpstream>(decision);
+            if (choice.upstream.id != bad)
+                continue;
+            CPPUNIT_ASSERT(choice.isTrial);
+            this->table->noteTrial(now, bad);
+            ++uses;
+        }
+        CPPUNIT_ASSERT_EQUAL(1, uses);
+    }
+
+    void testReturnedUnderItsIdKnowsNothingOfBefore()
+    {
+        const UpstreamId id("north0");
+        for (int failure = 0; failure < 5; ++failure)
+            this->table->noteSign(now, id, AttemptSign::Bad);
+        this->table->noteLoad(now, id, { 60, 0, 64 });
+        UpstreamRecord reborn = makeUpstream("north0", "north");
+        reborn.startedAt = 1'700'000'000'000;
+        this->table->put(now, reborn);
+        const KnownUpstream* known = this->table->find(id);
+        CPPUNIT_ASSERT(!known->health.isSuspect(now) && known->reported == ReportedLoad {});
+    }
+
+    void testVanishedUpstreamIsKeptUntilItMayBeBack()
+    {
+        const UpstreamId id("north0");
+        this->table->remove(id, now + Milliseconds(2000));
+        this->table->expire(now + Milliseconds(1000));
+        CPPUNIT_ASSERT(this->table->find(id));
+        this->table->put(now, makeUpstream("north0", "north"));
+        this->table->expire(now + Milliseconds(3000));
+        CPPUNIT_ASSERT(this->table->find(id));
+        this->table->remove(id, now + Milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->table->expire(now + Milliseconds(3000)).size());
+    }
+
+    void testEntriesAreNearAndReady()
+    {
+        this->vms->put(makeVm("vm-north-2", "north", false));
+        const std::vector<Endpoint> near
+            = this->vms->chooseEntries({ RegionId("north"), FailureDomainId("north-a"), {} }, 64);
+        CPPUNIT_ASSERT(near == std::vector<Endpoint> { makeVm("vm-north", "north").callers });
+        const std::vector<Endpoint> region
+            = this->vms->chooseEntries({ RegionId("south"), FailureDomainId("south-b"), {} }, 64);
+        CPPUNIT_ASSERT(region == std::vector<Endpoint> { makeVm("vm-south", "south").callers });
+    }
+
+    void testEntriesOfARegionWithoutVmsAreInItsHomes()
+    {
+        // Both VMs of the east are being restarted in turn; its callers' requests have homes in east and south.
+        const std::vector<RegionId> homes { RegionId("east"), RegionId("south") };
+        const CallerPlace place { RegionId("east"), FailureDomainId("east-a"), homes };
+        const std::vector<Endpoint> entries = this->vms->chooseEntries(place, 64);
+        CPPUNIT_ASSERT(entries == std::vector<Endpoint> { makeVm("vm-south", "south").callers });
+    }
+
+private:
+    PlacementQuery makeQuery() const
+    {
+        PlacementQuery query;
+        query.service = engine;
+        return query;
+    }
+
+    UpstreamId chooseUpstream(const PlacementQuery& query)
+    {
+        return std::get<UseUpstream>(this->placement->choose(now, query, {})).upstream.id;
+    }
+
+    std::unique_ptr<UpstreamTable> table;
+    std::unique_ptr<VmRegistry> vms;
+    std::unique_ptr<Placement> placement;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+} // namespace papayashelf
--- /dev/null
+++ b/tests/gateway/SettingsAndStatusTest.cpp
@@ -0,0 +1,79 @@
+#include "gateway/GatewayFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace papayashelf {
+
+using namespace gatewayfixture;
+
+namespace {
+
+const std::string smallest = R"(vm = "north-1"
+region = "north"
+failure_domain = "north-a"
+store = "127.0.0.1:8505"
+[listen]
+callers = "127.0.0.1:8501"
+readiness = "127.0.0.1:8503"
+entries = "127.0.0.1:8506"
+relays = "127.0.0.1:7020"
+metrics = "127.0.0.1:9464"
+)";
+
+} // namespace
+
+class SettingsAndStatusTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(SettingsAndStatusTest);
+    CPPUNIT_TEST(testSmallestSettings);
+    CPPUNIT_TEST(testEveryFaultIsReported);
+    CPPUNIT_TEST(testStatusSurvivesItsEncoding);
+    CPPUNIT_TEST(testStatusOfAnotherVersionIsLeftAlone);
+    CPPUNIT_TEST(testDamagedStatusIsAnError);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testSmallestSettings()
+    {
+        const Checked<GatewaySettings> settings = checkGatewaySettings("boot.toml", smallest);
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), settings.value().region.string());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 7020 }, settings.value().listeners.relays.port);
+    }
+
+    void testEveryFaultIsReported()
+    {
+        const std::string text = smallest + "odd = 1\n[bounds]\nretry_ratio = \"much\"\n";
+        const Checked<GatewaySettings> settings = checkGatewaySettings("boot.toml", text);
+        CPPUNIT_ASSERT(!settings);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, settings.error().size());
+    }
+
+    void testStatusSurvivesItsEncoding()
+    {
+        VmAnnouncement status = makeVm("north-1", "north");
+        status.demand[WorkspaceId("members")] = 1234.5;
+        status.running[ServiceId("engine")] = 17;
+        const Outcome<VmAnnouncement> decoded = decodeVmAnnouncement(encodeVmAnnouncement(status));
+        CPPUNIT_ASSERT(decoded && decoded.value() == status);
+    }
+
+    void testStatusOfAnotherVersionIsLeftAlone()
+    {
+        std::string text = encodeVmAnnouncement(makeVm("north-1", "north"));
+        text.replace(text.find("\"schema\":1"), 10, "\"schema\":9");
+        const Outcome<VmAnnouncement> decoded = decodeVmAnnouncement(text);
+        CPPUNIT_ASSERT(!decoded && decoded.error().code == ErrorCode::UnknownSchemaVersion);
+    }
+
+    void testDamagedStatusIsAnError()
+    {
+        for (const char* text : { "", "{}", "[]", "{\"schema\":1}", "{\"schema\":1,\"vm\":7}" }) {
+            const Outcome<VmAnnouncement> decoded = decodeVmAnnouncement(text);
+            CPPUNIT_ASSERT(!decoded && decoded.error().code == ErrorCode::Damaged);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsAndStatusTest);
+
+} // namespace papayashelf
--- /dev/null
+++ b/tests/serving/RequestServerTest.cpp
@@ -0,0 +1,273 @@
+#include "serving/ServingHarness.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+
+class RequestServerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RequestServerTest);
+    CPPUNIT_TEST(testAnswerGoesOnUnchanged);
+    CPPUNIT_TEST(testKeyAndReservedHeadersStayHere);
+    CPPUNIT_TEST(testDeadlineIsNoLongerThanTheCallers);
+    CPPUNIT_TEST(testBodyGoesOnUnchanged);
+    CPPUNIT_TEST(testOnceIsNeverSentTwiceAfterALostAnswer);
+    CPPUNIT_TEST(testOnceGoesOnAfterAPromiseThatItHasNotRun);
+    CPPUNIT_TEST(testBothRefuseAndTheCallerIsToldWhenToReturn);
+    CPPUNIT_TEST(testAgainIsSentToTheOtherAfterALostAnswer);
+    CPPUNIT_TEST(testAgainKeepsTheFailureIfNothingBetterComes);
+    CPPUNIT_TEST(testAgainIsSentToTheOtherAfterSilence);
+    CPPUNIT_TEST(testUnsealedSuccessIsNoAnswer);
+    CPPUNIT_TEST(testShortAnswerIsNoAnswer);
+    CPPUNIT_TEST(testAnswerOfAnotherRequestIsDropped);
+    CPPUNIT_TEST(testAnswerThatEndsWithItsConnection);
+    CPPUNIT_TEST(testBytesAfterAnAnswerEndTheConnection);
+    CPPUNIT_TEST(testStreamGoesOnWhole);
+    CPPUNIT_TEST(testTornStreamIsResumedWithoutGapOrRepeat);
+    CPPUNIT_TEST(testTornStreamThatMayNotResumeStaysIncomplete);
+    CPPUNIT_TEST(testUnknownKeyAndRoute);
+    CPPUNIT_TEST(testMalformedAndSmuggledRequestsAreRefused);
+    CPPUNIT_TEST(testConnectionIsKept);
+    CPPUNIT_TEST(testRelayNeedsTheKeyOfThisProcess);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { this->harness = std::make_unique<ServingHarness>(); }
+    void tearDown() override { this->harness.reset(); }
+
+    void testAnswerGoesOnUnchanged()
+    {
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+        CPPUNIT_ASSERT(answer.has("Response-Seal: seal-of-id-1\r\n"));
+        CPPUNIT_ASSERT(answer.text.ends_with("\r\n\r\nbody of id-1") && answer.isComplete());
+    }
+
+    void testKeyAndReservedHeadersStayHere()
+    {
+        this->harness->call(ServingHarness::makeHead("GET", "/once/x", "id-1",
+            "Tenant: forged\r\nHold: h\r\nPin-Ms: 5\r\nKv-From: f\r\nKv-Backup: b\r\nRequest-Priority: 0\r\n"
+            "papayashelf-service: other\r\nX-Own: kept\r\nX-Once: dropped\r\nConnection: X-Once\r\n"));
+        const std::vector<StandinRequest> arrivals = this->harness->getArrivals();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, arrivals.size());
+        const StandinRequest& arrived = arrivals.front();
+        CPPUNIT_ASSERT(!arrived.contains("secret-key") && !arrived.contains("forged") && !arrived.contains("other"));
+        for (const char* name : { "Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Request-Priority", "X-Once" })
+            CPPUNIT_ASSERT_EQUAL(std::string(), arrived.header(name));
+        CPPUNIT_ASSERT_EQUAL(std::string("kept"), arrived.header("X-Own"));
+        CPPUNIT_ASSERT_EQUAL(std::string("members"), arrived.header("Tenant"));
+        CPPUNIT_ASSERT(arrived.header("Expect-Instance").starts_with("u-"));
+    }
+
+    void testDeadlineIsNoLongerThanTheCallers()
+    {
+        this->get("/once/x", "id-1");
+        const int left = std::stoi(this->harness->getArrivals().front().header("Deadline-Ms"));
+        CPPUNIT_ASSERT(left > 1000 && left <= 2000); // The route's time-out is shorter than the caller's deadline.
+    }
+
+    void testBodyGoesOnUnchanged()
+    {
+        const std::string body(100'000, 'b');
+        this->harness->call(ServingHarness::makeHead("POST", "/once/x?q=a%20b", "id-1"), body);
+        const StandinRequest arrived = this->harness->getArrivals().front();
+        CPPUNIT_ASSERT_EQUAL(std::string("/once/x?q=a%20b"), arrived.target);
+        CPPUNIT_ASSERT(arrived.body == body);
+    }
+
+    void testOnceIsNeverSentTwiceAfterALostAnswer()
+    {
+        this->orderBoth({ AnswerKind::Reset });
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(502, answer.getStatus());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
+    }
+
+    void testOnceGoesOnAfterAPromiseThatItHasNotRun()
+    {
+        this->orderBoth({ AnswerKind::NotRun });
+        // Whichever is asked first refuses; the other one's own order is a refusal too, so only one may refuse.
+        this->harness->second().order({});
+        this->harness->first().order({ AnswerKind::NotRun });
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+    }
+
+    void testBothRefuseAndTheCallerIsToldWhenToReturn()
+    {
+        this->orderBoth({ AnswerKind::NotRun });
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(503, answer.getStatus());
+        CPPUNIT_ASSERT(answer.has("Retry-After: 0.") && !answer.has("Response-Seal"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->harness->getArrivals().size());
+    }
+
+    void testAgainIsSentToTheOtherAfterALostAnswer()
+    {
+        this->harness->first().order({ AnswerKind::Reset });
+        for (const char* id : { "id-1", "id-2", "id-3" })
+            CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", id).getStatus());
+    }
+
+    void testAgainKeepsTheFailureIfNothingBetterComes()
+    {
+        this->orderBoth({ AnswerKind::Failure });
+        const RawAnswer answer = this->get("/again/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(500, answer.getStatus());
+        CPPUNIT_ASSERT(answer.has("Response-Seal: seal-of-id-1") && answer.text.ends_with("failed"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->harness->getArrivals().size());
+    }
+
+    void testAgainIsSentToTheOtherAfterSilence()
+    {
+        this->harness->first().order({ AnswerKind::Silence });
+        for (const char* id : { "id-1", "id-2", "id-3" })
+            CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", id).getStatus());
+    }
+
+    void testUnsealedSuccessIsNoAnswer()
+    {
+        this->orderBoth({ AnswerKind::Unsealed });
+        CPPUNIT_ASSERT_EQUAL(502, this->get("/once/x", "id-1").getStatus());
+        this->orderBoth({ AnswerKind::Unsealed });
+        CPPUNIT_ASSERT_EQUAL(502, this->get("/stream/once/x", "id-2").getStatus());
+    }
+
+    void testShortAnswerIsNoAnswer()
+    {
+        this->orderBoth({ AnswerKind::CutShort });
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(502, answer.getStatus());
+        CPPUNIT_ASSERT(!answer.has("Response-Seal"));
+    }
+
+    void testAnswerOfAnotherRequestIsDropped()
+    {
+        this->orderBoth({ AnswerKind::OtherId });
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+        CPPUNIT_ASSERT(answer.text.ends_with("body of id-1"));
+    }
+
+    void testAnswerThatEndsWithItsConnection()
+    {
+        this->orderBoth({ AnswerKind::WithoutLength });
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete() && answer.text.ends_with("body of id-1"));
+    }
+
+    void testBytesAfterAnAnswerEndTheConnection()
+    {
+        this->orderBoth({ AnswerKind::TrailingBytes, AnswerKind::TrailingBytes, AnswerKind::TrailingBytes });
+        for (int request = 0; request < 6; ++request) {
+            const RawAnswer answer = this->get("/once/x", "id-" + std::to_string(request));
+            CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+            CPPUNIT_ASSERT(answer.text.ends_with("body of id-" + std::to_string(request)));
+        }
+    }
+
+    void testStreamGoesOnWhole()
+    {
+        const RawAnswer answer = this->get("/stream/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete() && answer.has("piece 1") && answer.has("piece 5"));
+    }
+
+    void testTornStreamIsResumedWithoutGapOrRepeat()
+    {
+        this->orderBoth({ AnswerKind::TornEvent });
+        this->harness->second().order({});
+        this->harness->first().order({ AnswerKind::TornEvent });
+        for (const char* id : { "id-1", "id-2", "id-3" }) {
+            const RawAnswer answer = this->get("/stream/again/x", id);
+            CPPUNIT_ASSERT(answer.isComplete());
+            for (int number = 1; number <= 5; ++number) {
+                const std::string piece = "data: piece " + std::to_string(number) + "\n\n";
+                const std::size_t at = answer.text.find(piece);
+                CPPUNIT_ASSERT(at != std::string::npos && answer.text.find(piece, at + 1) == std::string::npos);
+            }
+        }
+    }
+
+    void testTornStreamThatMayNotResumeStaysIncomplete()
+    {
+        this->orderBoth({ AnswerKind::TornEvent });
+        const RawAnswer answer = this->get("/stream/once/x", "id-1");
+        CPPUNIT_ASSERT(answer.has("piece 2") && !answer.has("piece 3") && !answer.isComplete());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
+    }
+
+    void testUnknownKeyAndRoute()
+    {
+        std::string head = ServingHarness::makeHead("GET", "/once/x", "id-1");
+        head.replace(head.find("secret-key"), 10, "unknown-it");
+        CPPUNIT_ASSERT_EQUAL(401, this->harness->call(head).getStatus());
+        CPPUNIT_ASSERT_EQUAL(404, this->get("/nowhere/x", "id-2").getStatus());
+        CPPUNIT_ASSERT(this->harness->getArrivals().empty());
+    }
+
+    void testMalformedAndSmuggledRequestsAreRefused()
+    {
+        const std::string both = "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n";
+        const std::string head = ServingHarness::makeHead("POST", "/once/x", "id-1", both);
+        CPPUNIT_ASSERT_EQUAL(400, this->harness->call(head).getStatus());
+        CPPUNIT_ASSERT_EQUAL(400, this->harness->call("no request at all\r\n").getStatus());
+        CPPUNIT_ASSERT(this->harness->getArrivals().empty());
+    }
+
+    void testConnectionIsKept()
+    {
+        asio::ip::tcp::socket socket = this->harness->connect(this->harness->getProcess().getCallersEndpoint());
+        std::string head = ServingHarness::makeHead("GET", "/once/x", "id-1");
+        head.replace(head.find("Connection: close"), 17, "X-Pad: none-here1");
+        for (int request = 0; request < 3; ++request) {
+            asio::write(socket, asio::buffer(head + "\r\n"));
+            std::string answer;
+            asio::read_until(socket, asio::dynamic_buffer(answer), "body of id-1");
+            CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+        }
+        const std::size_t used = this->harness->first().countConnectionsUsed()
+            + this->harness->second().countConnectionsUsed();
+        CPPUNIT_ASSERT(used <= 2); // One to each upstream serves all three requests.
+    }
+
+    void testRelayNeedsTheKeyOfThisProcess()
+    {
+        const GatewayProcess& process = this->harness->getProcess();
+        for (const bool isRight : { false, true }) {
+            const std::string key = isRight ? this->harness->getProcess().getCore().getRelayKey() : "guessed";
+            asio::ip::tcp::socket socket = this->harness->connect(process.getRelaysEndpoint());
+            asio::write(socket,
+                asio::buffer(ServingHarness::makeHead("GET", "/once/x", "id-1",
+                    "papayashelf-relay-key: " + key + "\r\npapayashelf-service: service\r\n\r\n")));
+            RawAnswer answer;
+            boost::system::error_code ended;
+            asio::read(socket, asio::dynamic_buffer(answer.text), ended);
+            CPPUNIT_ASSERT_EQUAL(isRight ? 200 : 401, answer.getStatus());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
+    }
+
+private:
+    RawAnswer get(const std::string& path, const std::string& id)
+    {
+        return this->harness->call(ServingHarness::makeHead("GET", path, id));
+    }
+
+    void orderBoth(const std::deque<AnswerKind>& kinds)
+    {
+        this->harness->first().order(kinds);
+        this->harness->second().order(kinds);
+    }
+
+    std::unique_ptr<ServingHarness> harness;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestServerTest);
+
+} // namespace papayashelf
--- /dev/null
+++ b/tests/serving/ServingHarness.cpp
@@ -0,0 +1,144 @@
+#include "serving/ServingHarness.h"
+
+#include <boost/asio/read.hpp>
+#include <cppunit/TestAssert.h>
+#include <boost/asio/write.hpp>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const ServiceId service("service");
+
+GatewaySettings makeSettings()
+{
+    GatewaySettings settings;
+    settings.vm = VmId("vm-1");
+    settings.region = RegionId("north");
+    settings.failureDomain = FailureDomainId("north-a");
+    const Endpoint any { "127.0.0.1", 0 };
+    settings.listeners = { any, any, any, any, any };
+    settings.bounds.extraRetries = 1000;
+    // The tests do not follow a store; what they put in force counts as fresh for as long as they run.
+    settings.bounds.keyWithdrawal = Milliseconds::fromSeconds(600);
+    return settings;
+}
+
+ServingRoute makeRoute(const std::string& prefix, bool mayRunAgain, bool isStream)
+{
+    ServingRoute route;
+    route.id = RouteId(prefix);
+    route.host = "h.example";
+    route.pathPrefix = prefix;
+    route.services = { { service, 1 } };
+    route.isStream = isStream;
+    route.mayRunAgain = mayRunAgain;
+    route.isResumable = isStream && mayRunAgain;
+    route.timeout = Milliseconds(2000);
+    route.goal = Milliseconds(300);
+    route.maximumAttempts = 2;
+    return route;
+}
+
+} // namespace
+
+int RawAnswer::getStatus() const
+{
+    return this->text.size() < 12 ? 0 : std::stoi(this->text.substr(9, 3));
+}
+
+bool RawAnswer::isComplete() const
+{
+    const std::size_t end = this->text.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    const std::string body = this->text.substr(end + 4);
+    if (this->has("Transfer-Encoding: chunked"))
+        return body.ends_with("0\r\n\r\n");
+    const std::size_t length = this->text.find("Content-Length: ");
+    return length != std::string::npos && std::stoul(this->text.substr(length + 16)) == body.size();
+}
+
+ServingDocument ServingHarness::makeDocument()
+{
+    ServingDocument document;
+    document.version = 1;
+    document.routes = { makeRoute("/once/", false, false), makeRoute("/again/", true, false),
+        makeRoute("/stream/once/", false, true), makeRoute("/stream/again/", true, true) };
+    ServingWorkspace workspace;
+    workspace.id = WorkspaceId("members");
+    workspace.keys = { "secret-key" };
+    document.workspaces = { workspace };
+    return document;
+}
+
+ServingHarness::ServingHarness()
+    : process(std::make_unique<GatewayProcess>(makeSettings(), wire::makeHeaderNames()))
+{
+    const auto nothing = [](std::string_view) { return PlainAnswer {}; };
+    CPPUNIT_ASSERT(this->process->open({ nothing, nothing, [] {}, [] {} }));
+    this->process->getCore().applyConfiguration(makeDocument());
+    this->process->getCore().noteConfigurationProof(this->process->getClock().now());
+    this->list("u-1", this->upstreams[0].start());
+    this->list("u-2", this->upstreams[1].start());
+    this->thread = std::thread([this] { this->process->run(); });
+}
+
+ServingHarness::~ServingHarness()
+{
+    this->process->stop();
+    this->thread.join();
+}
+
+void ServingHarness::list(const std::string& id, const Endpoint& endpoint)
+{
+    UpstreamRecord record;
+    record.id = UpstreamId(id);
+    record.service = service;
+    record.region = RegionId("north");
+    record.failureDomain = FailureDomainId("north-a");
+    record.endpoint = endpoint;
+    record.slots = 8;
+    this->process->getCore().getUpstreams().put(this->process->getClock().now(), record);
+}
+
+std::string ServingHarness::makeHead(
+    const std::string& method, const std::string& path, const std::string& id, const std::string& more)
+{
+    return method + ' ' + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
+        + "\r\nAuthorization: Bearer secret-key\r\nDeadline-Ms: 3000\r\nConnection: close\r\n" + more;
+}
+
+asio::ip::tcp::socket ServingHarness::connect(const Endpoint& to) const
+{
+    asio::ip::tcp::socket socket(this->clients);
+    socket.connect({ asio::ip::make_address(to.address), to.port });
+    return socket;
+}
+
+RawAnswer ServingHarness::call(const std::string& head, const std::string& body) const
+{
+    asio::ip::tcp::socket socket = this->connect(this->process->getCallersEndpoint());
+    std::string text = head;
+    if (!body.empty())
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    asio::write(socket, asio::buffer(text + "\r\n" + body));
+    RawAnswer answer;
+    boost::system::error_code ended;
+    asio::read(socket, asio::dynamic_buffer(answer.text), ended);
+    return answer;
+}
+
+std::vector<StandinRequest> ServingHarness::getArrivals() const
+{
+    std::vector<StandinRequest> all;
+    for (const SealedUpstream& upstream : this->upstreams) {
+        const auto some = upstream.getRequests();
+        all.insert(all.end(), some.begin(), some.end());
+    }
+    return all;
+}
+
+} // namespace papayashelf
