Place requests by costs in milliseconds, and tell engines each request's rank

Cause: engines run out of time for reading prompts long before their 64 slots are full, so a region at its peak looked half empty and handed nothing over, and an upstream with a second of prompts to read kept its cached documents.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -104,7 +104,7 @@
         if (demand >= 1)
             load.demand[workspace] = demand;
     }
-    load.running = this->upstreams.countRunning(this->settings.region);
+    load.services = this->upstreams.measureLoad(this->settings.region);
     return load;
 }
 
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -1,7 +1,7 @@
 #include "gateway/digest/Digest.h"
 
-#include "gateway/vms/IdMapJson.h"
 #include <algorithm>
+#include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
@@ -26,14 +26,22 @@
     json::object demand;
     for (const auto& [negative, workspace] : byDemand)
         demand[workspace.string()] = static_cast<std::int64_t>(-negative);
-    return json::object { { "d", demand }, { "r", encodeIdMap(figures.running) } };
+    json::object services;
+    for (const auto& [service, load] : figures.services)
+        services[service.string()] = json::array { load.running, load.unreadTokens };
+    return json::object { { "d", demand }, { "s", services } };
 }
 
 LoadFigures decodeFigures(const json::object& object)
 {
     LoadFigures figures;
-    figures.demand = decodeIdMap<WorkspaceId, double>(object.at("d").as_object());
-    figures.running = decodeIdMap<ServiceId, int>(object.at("r").as_object());
+    for (const auto& member : object.at("d").as_object())
+        figures.demand[WorkspaceId(std::string(member.key()))] = member.value().to_number<double>();
+    for (const auto& member : object.at("s").as_object()) {
+        const json::array& pair = member.value().as_array();
+        figures.services[ServiceId(std::string(member.key()))]
+            = { pair.at(0).to_number<int>(), pair.at(1).to_number<std::int64_t>() };
+    }
     return figures;
 }
 
@@ -71,8 +79,10 @@
 {
     for (const auto& [workspace, units] : other.demand)
         this->demand[workspace] += units;
-    for (const auto& [service, count] : other.running)
-        this->running[service] += count;
+    for (const auto& [service, load] : other.services) {
+        this->services[service].running += load.running;
+        this->services[service].unreadTokens += load.unreadTokens;
+    }
 }
 
 std::string encodeDigest(const DigestReport& report, std::string_view key)
--- a/modules/gateway/digest/Digest.h
+++ b/modules/gateway/digest/Digest.h
@@ -2,6 +2,7 @@
 
 #include "foundation/identity/Identifier.h"
 #include "foundation/outcomes/Outcome.h"
+#include "gateway/upstreams/UpstreamTable.h"
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,7 +14,7 @@
 /** Load of one VM, or of all VMs of a region together. */
 struct LoadFigures {
     std::map<WorkspaceId, double> demand; /**< Units a second that callers ask for, granted or not. */
-    std::map<ServiceId, int> running; /**< Requests under way to upstreams of the VMs' own region. */
+    std::map<ServiceId, ServiceLoad> services; /**< Under way to upstreams of the VMs' own region. */
 
     bool operator==(const LoadFigures&) const = default;
 
--- a/modules/gateway/digest/DigestBook.cpp
+++ b/modules/gateway/digest/DigestBook.cpp
@@ -138,13 +138,22 @@
     return here == this->byRegion.end() ? demand : demand + std::max(0.0, of(here->second.figures) - of(this->own));
 }
 
-int DigestBook::countRunning(const RegionId& of, const ServiceId& service) const
+ServiceLoad DigestBook::getLoad(const RegionId& of, const ServiceId& service) const
 {
-    const auto found = this->byRegion.find(of);
-    if (found == this->byRegion.end())
-        return 0;
-    const auto running = found->second.figures.running.find(service);
-    return running == found->second.figures.running.end() ? 0 : running->second;
+    LoadFigures collected;
+    const LoadFigures* figures = &collected;
+    if (of == this->region && this->collecting) {
+        for (const auto& [id, heard] : this->byVm)
+            collected.add(heard.figures);
+        collected.add(this->own);
+    } else {
+        const auto found = this->byRegion.find(of);
+        if (found == this->byRegion.end())
+            return {};
+        figures = &found->second.figures;
+    }
+    const auto load = figures->services.find(service);
+    return load == figures->services.end() ? ServiceLoad {} : load->second;
 }
 
 } // namespace papayashelf
--- a/modules/gateway/digest/DigestBook.h
+++ b/modules/gateway/digest/DigestBook.h
@@ -58,8 +58,8 @@
     /** Units a second that callers of a workspace ask for at all other VMs. */
     double getDemandElsewhere(const WorkspaceId& workspace) const;
 
-    /** Requests under way to a service's upstreams in a region, from all of its VMs. */
-    int countRunning(const RegionId& region, const ServiceId& service) const;
+    /** What all VMs of a region have under way to a service's upstreams there, as last heard. */
+    ServiceLoad getLoad(const RegionId& region, const ServiceId& service) const;
 
 private:
     struct Heard {
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -8,11 +8,10 @@
 namespace {
 
 constexpr double fullLoad = 1.0; /**< Requests for each slot; what goes beyond waits inside the engine. */
-constexpr double cacheBound = 1.35; /**< A cached prompt is worth a third more requests than the mean. */
-constexpr double cacheSlack = 0.06; /**< Of the slots, so that an idle region still keeps prompts together. */
-constexpr double relayFrom = 0.55; /**< Load of this region above which others are looked at. */
-constexpr double relayGain = 0.25; /**< By which another region must be emptier: it costs two long ways. */
-constexpr double tieWidth = 0.02; /**< Loads closer than this are equal; VMs then choose at random, not alike. */
+constexpr double slotCost = 200; /**< Milliseconds that a full upstream is slower than an idle one. */
+constexpr double missWeight = 3; /**< Reading a shared part again also takes memory from others' cached parts. */
+constexpr double relayCost = 220; /**< Milliseconds: two long ways, there and back, and another VM's work. */
+constexpr double tieWidth = 2; /**< Milliseconds; costs closer than this are equal, and VMs choose at random. */
 
 } // namespace
 
@@ -34,12 +33,18 @@
     std::vector<Candidate> candidates;
     if (isHome(query.homes, this->region))
         candidates = this->findCandidates(now, query, service, cause);
-    const Candidate* best = this->pick(candidates, query.cacheKey);
-    this->inputs = { candidates.size(), best ? best->load : 0,
-        best ? now - best->upstream->reportedAt : Milliseconds(0) };
-    const bool isRoomHere = best && best->load < relayFrom;
-    if (!isRoomHere && query.mayRelay) {
-        if (const auto relay = this->findRelay(now, query, best ? best->load : std::numeric_limits<double>::infinity()))
+    this->weigh(now, query, candidates);
+    const Candidate* best = this->pick(candidates);
+    this->inputs = {};
+    this->inputs.candidates = candidates.size();
+    if (best) {
+        this->inputs.load = best->load;
+        this->inputs.cost = best->cost;
+        this->inputs.loadAge = now - best->upstream->reportedAt;
+    }
+    if (query.mayRelay) {
+        const double ownCost = best ? best->cost : std::numeric_limits<double>::infinity();
+        if (const auto relay = this->findRelay(now, query, ownCost))
             return *relay;
     }
     if (!best)
@@ -57,7 +62,7 @@
         if (query.tried.contains(upstream->record.id))
             continue;
         const double slots = std::max(1, upstream->record.slots);
-        const Candidate candidate { upstream, estimateLoad(*upstream, sharers.size(), now) / slots };
+        const Candidate candidate { upstream, estimateLoad(*upstream, sharers.size(), now) / slots, 0 };
         const bool isColdBound = upstream->isCold(now) && service.coldRequestsPerSecond > 0;
         if (candidate.load >= fullLoad) {
             cause = NoPlaceCause::AllFull;
@@ -77,53 +82,59 @@
     return sound;
 }
 
-const Placement::Candidate* Placement::pick(const std::vector<Candidate>& candidates, std::uint64_t cacheKey)
+void Placement::weigh(Milliseconds, const PlacementQuery& query, std::vector<Candidate>& candidates)
 {
     if (candidates.empty())
-        return nullptr;
-    double total = 0;
-    double least = candidates.front().load;
+        return;
+    std::int64_t own = 0;
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(candidates.size());
     for (const Candidate& candidate : candidates) {
-        total += candidate.load;
-        least = std::min(least, candidate.load);
+        own += candidate.upstream->unreadTokens;
+        hashes.push_back(stableHash(candidate.upstream->record.id.string()));
     }
-    if (cacheKey != 0) {
-        const double bound = total / static_cast<double>(candidates.size()) * cacheBound + cacheSlack;
-        std::vector<std::uint64_t> hashes;
-        hashes.reserve(candidates.size());
-        for (const Candidate& candidate : candidates)
-            hashes.push_back(stableHash(candidate.upstream->record.id.string()));
-        for (const std::size_t index : rendezvousOrder(cacheKey, hashes, candidates.size())) {
-            if (candidates[index].load <= bound)
-                return &candidates[index];
-        }
+    const std::int64_t all = this->digests.getLoad(this->region, query.service).unreadTokens;
+    const double others = static_cast<double>(std::max<std::int64_t>(0, all - own)) / static_cast<double>(hashes.size());
+    const double speed = this->speed.get(query.service);
+    const double miss = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) * missWeight / speed;
+    for (Candidate& candidate : candidates) {
+        const double unread = static_cast<double>(candidate.upstream->unreadTokens) + others;
+        candidate.cost = unread / speed + candidate.load * slotCost + miss;
     }
+    if (query.cacheKey != 0)
+        candidates[rendezvousOrder(query.cacheKey, hashes, 1).front()].cost -= miss;
+}
+
+const Placement::Candidate* Placement::pick(const std::vector<Candidate>& candidates)
+{
+    if (candidates.empty())
+        return nullptr;
+    double least = candidates.front().cost;
+    for (const Candidate& candidate : candidates)
+        least = std::min(least, candidate.cost);
     std::vector<const Candidate*> equal;
     for (const Candidate& candidate : candidates) {
-        if (candidate.load <= least + tieWidth)
+        if (candidate.cost <= least + tieWidth)
             equal.push_back(&candidate);
     }
     return equal[std::uniform_int_distribution<std::size_t>(0, equal.size() - 1)(this->random)];
 }
 
-std::optional<UseRelay> Placement::findRelay(Milliseconds now, const PlacementQuery& query, double ownLoad)
+std::optional<UseRelay> Placement::findRelay(Milliseconds now, const PlacementQuery& query, double ownCost)
 {
     const VmAnnouncement* chosen = nullptr;
-    double lowest = std::min(fullLoad, ownLoad - relayGain);
+    double lowest = ownCost;
     std::set<RegionId> regions;
     for (const auto& [id, status] : this->vms.getAll())
         regions.insert(status.region);
     for (const RegionId& other : regions) {
         if (other == this->region || query.triedRegions.contains(other) || !isHome(query.homes, other))
             continue;
-        const int slots = this->table.countSlots(query.service, other);
-        if (slots == 0)
-            continue;
-        const double load = static_cast<double>(this->digests.countRunning(other, query.service)) / slots;
-        const VmAnnouncement* vm = load < lowest ? this->pickVm(now, other) : nullptr;
+        const double cost = this->weighRegion(query, other);
+        const VmAnnouncement* vm = cost < lowest ? this->pickVm(now, other) : nullptr;
         if (vm) {
             chosen = vm;
-            lowest = load;
+            lowest = cost;
         }
     }
     if (!chosen)
@@ -131,6 +142,25 @@
     return UseRelay { chosen->vm, chosen->region, chosen->relays, chosen->relayKey };
 }
 
+double Placement::weighRegion(const PlacementQuery& query, const RegionId& other) const
+{
+    const std::vector<const KnownUpstream*> upstreams = this->table.usable(query.service, other);
+    const int slots = this->table.countSlots(query.service, other);
+    if (slots == 0)
+        return std::numeric_limits<double>::infinity();
+    const ServiceLoad load = this->digests.getLoad(other, query.service);
+    const double fullness = static_cast<double>(load.running) / slots;
+    if (fullness >= fullLoad)
+        return std::numeric_limits<double>::infinity();
+    // The other VMs of this region see the same figures and hand over as much as this one.
+    const auto relayed = this->relayedTokens.find(other);
+    const std::int64_t underWay = relayed == this->relayedTokens.end() ? 0 : relayed->second;
+    const double unread = static_cast<double>(load.unreadTokens)
+        + static_cast<double>(underWay) * static_cast<double>(this->vmsOfRegion().size());
+    return relayCost + fullness * slotCost
+        + unread / static_cast<double>(upstreams.size()) / this->speed.get(query.service);
+}
+
 const VmAnnouncement* Placement::pickVm(Milliseconds now, const RegionId& other)
 {
     std::vector<const VmAnnouncement*> usable = this->vms.readyIn(other);
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -3,6 +3,7 @@
 #include "gateway/digest/DigestBook.h"
 #include "gateway/limits/ColdStartLimit.h"
 #include "gateway/model/ServingConfiguration.h"
+#include "gateway/placement/ReadingSpeed.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmRegistry.h"
 #include <random>
@@ -17,6 +18,7 @@
     std::vector<RegionId> homes; /**< Regions that may serve it; empty for all. */
     std::uint64_t cacheKey = 0; /**< Hash of the shared part of the prompt that is worth finding cached; 0 for none. */
     std::int64_t promptTokens = 0;
+    std::int64_t sharedTokens = 0; /**< Of them, those that other requests share. */
     std::set<UpstreamId> tried; /**< Had the request already. */
     std::set<RegionId> triedRegions; /**< Relayed to and refused there. */
     bool mayRelay = true; /**< False for a request that another VM relayed here. */
@@ -53,15 +55,17 @@
 /** What the decision rested on, for the log. */
 struct PlacementInputs {
     std::size_t candidates = 0;
-    double load = 0; /**< Of the chosen or the least loaded upstream, as a part of its slots. */
+    double load = 0; /**< Of the chosen upstream, as a part of its slots. */
+    double cost = 0; /**< Of the chosen upstream, in milliseconds; see Placement. */
     Milliseconds loadAge; /**< Of its report. */
 };
 
 /**
     Chooses the upstream for a request.
 
-    Within the region, the upstream that is likely to have the shared part of the prompt cached goes first, unless it
-    has clearly more to do than the others. Another region is used when this one has no room, or is much fuller.
+    Every choice has a cost in milliseconds: the prompts that are to be read before, the shared part of this prompt where
+    it is not likely to be cached, what other running requests slow down, and the way to another region. The least one
+    is taken. Engines run out of time for reading long before they run out of slots.
 
     Load patterns: prompts with shared parts at a load near the engines' capacity; regional peaks that move; a region
     without upstreams. Thread safety: none; owned by one thread.
@@ -81,6 +85,16 @@
     /** Counts the use that a decision led to. */
     void noteUse(Milliseconds now, const UpstreamId& upstream);
 
+    /** A prompt brought its first event. @param ownTokens  those that no other request shares */
+    void noteFirstEvent(const ServiceId& service, std::int64_t ownTokens, Milliseconds time)
+    {
+        this->speed.note(service, ownTokens, time);
+    }
+
+    /** A relayed request began, and its prompt is read or given up. */
+    void noteRelayBegan(const RegionId& to, std::int64_t tokens) { this->relayedTokens[to] += tokens; }
+    void noteRelayRead(const RegionId& to, std::int64_t tokens) { this->relayedTokens[to] -= tokens; }
+
     /** A VM refused a relayed request or was not reached: others go first for a while. */
     void noteRelayFailed(Milliseconds now, const VmId& vm) { this->avoidedVms[vm] = now + relayPause; }
 
@@ -88,12 +102,15 @@
     struct Candidate {
         const KnownUpstream* upstream = nullptr;
         double load = 0; /**< Requests for each slot. */
+        double cost = 0; /**< In milliseconds. */
     };
 
     std::vector<Candidate> findCandidates(
         Milliseconds now, const PlacementQuery& query, const ServingService& service, NoPlaceCause& cause);
-    const Candidate* pick(const std::vector<Candidate>& candidates, std::uint64_t cacheKey);
-    std::optional<UseRelay> findRelay(Milliseconds now, const PlacementQuery& query, double ownLoad);
+    void weigh(Milliseconds now, const PlacementQuery& query, std::vector<Candidate>& candidates);
+    const Candidate* pick(const std::vector<Candidate>& candidates);
+    std::optional<UseRelay> findRelay(Milliseconds now, const PlacementQuery& query, double ownCost);
+    double weighRegion(const PlacementQuery& query, const RegionId& other) const;
     const VmAnnouncement* pickVm(Milliseconds now, const RegionId& region);
     std::vector<VmId> vmsOfRegion() const;
 
@@ -106,7 +123,9 @@
     const DigestBook& digests;
     std::mt19937_64 random;
     ColdStartLimit coldLimit;
+    ReadingSpeed speed;
     std::map<VmId, Milliseconds> avoidedVms;
+    std::map<RegionId, std::int64_t> relayedTokens; /**< Prompts handed over that have not brought a first event. */
     PlacementInputs inputs;
 };
 
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -17,8 +17,10 @@
     const bool isReborn = upstream.record.startedAt != record.startedAt || upstream.record.endpoint != record.endpoint;
     if (isReborn) {
         const int running = upstream.running;
+        const std::int64_t unread = upstream.unreadTokens;
         upstream = KnownUpstream {};
         upstream.running = running;
+        upstream.unreadTokens = unread;
     }
     upstream.record = record;
     upstream.goneAt.reset();
@@ -45,10 +47,18 @@
     return gone;
 }
 
-void UpstreamTable::noteStarted(const UpstreamId& id)
+void UpstreamTable::noteStarted(const UpstreamId& id, std::int64_t promptTokens)
 {
-    if (KnownUpstream* upstream = this->get(id))
+    if (KnownUpstream* upstream = this->get(id)) {
         ++upstream->running;
+        upstream->unreadTokens += promptTokens;
+    }
+}
+
+void UpstreamTable::notePromptDone(const UpstreamId& id, std::int64_t promptTokens)
+{
+    if (KnownUpstream* upstream = this->get(id))
+        upstream->unreadTokens = std::max<std::int64_t>(0, upstream->unreadTokens - promptTokens);
 }
 
 void UpstreamTable::noteEnded(const UpstreamId& id)
@@ -114,14 +124,17 @@
     return slots;
 }
 
-std::map<ServiceId, int> UpstreamTable::countRunning(const RegionId& region) const
+std::map<ServiceId, ServiceLoad> UpstreamTable::measureLoad(const RegionId& region) const
 {
-    std::map<ServiceId, int> running;
+    std::map<ServiceId, ServiceLoad> loads;
     for (const auto& [id, upstream] : this->upstreams) {
-        if (upstream.record.region == region && upstream.running > 0)
-            running[upstream.record.service] += upstream.running;
+        if (upstream.record.region != region || upstream.running == 0)
+            continue;
+        ServiceLoad& load = loads[upstream.record.service];
+        load.running += upstream.running;
+        load.unreadTokens += upstream.unreadTokens;
     }
-    return running;
+    return loads;
 }
 
 double estimateLoad(const KnownUpstream& upstream, std::size_t vmsInRegion, Milliseconds now)
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -11,12 +11,21 @@
 
 namespace papayashelf {
 
+/** What is under way to a service's upstreams. */
+struct ServiceLoad {
+    int running = 0;
+    std::int64_t unreadTokens = 0; /**< Of prompts that have not brought a first event. */
+
+    bool operator==(const ServiceLoad&) const = default;
+};
+
 /** One upstream: what it says, and what this VM sees of it. */
 struct KnownUpstream {
     UpstreamRecord record;
     Milliseconds coldUntil;
     UpstreamHealth health;
     int running = 0; /**< Requests from this VM that have not ended. */
+    std::int64_t unreadTokens = 0; /**< Prompts from this VM that have not brought a first event. */
     ReportedLoad reported;
     int runningAtReport = 0; /**< From this VM, when the load was reported. */
     Milliseconds reportedAt;
@@ -47,7 +56,10 @@
 
     //==================================================================================================================
     /** A request goes to the upstream. */
-    void noteStarted(const UpstreamId& id);
+    void noteStarted(const UpstreamId& id, std::int64_t promptTokens);
+
+    /** Its prompt is read, or given up. Precondition: noteStarted() was called with as many tokens. */
+    void notePromptDone(const UpstreamId& id, std::int64_t promptTokens);
 
     /** It ended. Precondition: noteStarted() was called for it. */
     void noteEnded(const UpstreamId& id);
@@ -71,8 +83,8 @@
     /** Slots of the usable upstreams of a service in a region. */
     int countSlots(const ServiceId& service, const RegionId& region) const;
 
-    /** Requests of this VM that run at upstreams of its own region, by service. */
-    std::map<ServiceId, int> countRunning(const RegionId& region) const;
+    /** What this VM has under way at upstreams of its own region, by service. */
+    std::map<ServiceId, ServiceLoad> measureLoad(const RegionId& region) const;
 
     const std::map<UpstreamId, KnownUpstream>& getAll() const { return this->upstreams; }
 
--- a/modules/serving/http/HeaderNames.h
+++ b/modules/serving/http/HeaderNames.h
@@ -15,6 +15,7 @@
     std::string seal; /**< The upstream's signature of its answer. */
     std::string workspace; /**< Tells upstreams whose request it is. */
     std::string expectedUpstream; /**< Another upstream at the address turns the request away. */
+    std::string priority; /**< 0 is the most urgent; engines run urgent requests first. */
     std::string load; /**< Running, waiting, slots. */
     std::string notRun; /**< An upstream's promise that the request has not run. */
     std::string retryAfter; /**< Seconds, with a fraction. */
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -3,6 +3,7 @@
 #include "serving/http/RelayHeaders.h"
 #include <charconv>
 #include <random>
+#include <utility>
 
 namespace papayashelf {
 
@@ -22,6 +23,7 @@
 constexpr int extraPlacements = 2; /**< Beyond the route's attempts, after upstreams that did not run the request. */
 constexpr std::string_view relayLabel = "relay:"; /**< Marks a VM where the log names an upstream. */
 constexpr Milliseconds stoppingReturn { 50 }; /**< Other VMs take requests at once. */
+constexpr std::uint64_t lowestPriority = 9;
 constexpr std::string_view bearer = "Bearer ";
 
 std::string_view reasonOf(int status)
@@ -66,11 +68,27 @@
     }
 }
 
-/** Hash of the last part that other requests share: all but the last part, which is the request's own. */
-std::uint64_t hashSharedParts(std::string_view parts)
+/** The parts that other requests share: all but the last one, which is the request's own. */
+std::string_view takeSharedParts(std::string_view parts)
 {
     const std::size_t comma = parts.rfind(',');
-    return comma == std::string_view::npos ? 0 : stableHash(parts.substr(0, comma));
+    return comma == std::string_view::npos ? std::string_view() : parts.substr(0, comma);
+}
+
+/** Sums the tokens of parts written as ID:TOKENS,ID:TOKENS. */
+std::int64_t sumTokens(std::string_view parts)
+{
+    std::int64_t sum = 0;
+    while (!parts.empty()) {
+        const std::string_view part = parts.substr(0, parts.find(','));
+        std::int64_t tokens = 0;
+        const std::size_t colon = part.find(':');
+        if (colon != std::string_view::npos)
+            std::from_chars(part.data() + colon + 1, part.data() + part.size(), tokens);
+        sum += tokens;
+        parts.remove_prefix(std::min(parts.size(), part.size() + 1));
+    }
+    return sum;
 }
 
 Milliseconds spreadReturn()
@@ -118,7 +136,9 @@
     this->endsAt = this->arrivedAt + patience - finalMargin;
     if (const auto counts = readTokenCounts(findHeader(request.headers, context.names.tokenCounts)))
         this->promptTokens = counts->first;
-    this->cacheKey = hashSharedParts(findHeader(request.headers, context.names.promptParts));
+    const std::string_view shared = takeSharedParts(findHeader(request.headers, context.names.promptParts));
+    this->sharedTokens = sumTokens(shared);
+    this->cacheKey = shared.empty() ? 0 : stableHash(shared);
 }
 
 asio::awaitable<void> RequestServer::serveCaller()
@@ -174,6 +194,8 @@
         given.route = isStream ? &streamRoute : &plainRoute;
         given.service = ServiceId(std::string(findHeader(this->request.headers, relayheaders::service)));
         given.workspace = WorkspaceId(std::string(findHeader(this->request.headers, this->context.names.workspace)));
+        if (const auto priority = this->readNumber(this->context.names.priority))
+            given.priority = static_cast<int>(std::min<std::uint64_t>(*priority, lowestPriority));
         this->admitted = given;
         co_await this->runAttempts();
     }
@@ -226,6 +248,7 @@
     query.homes = this->admitted->homes;
     query.cacheKey = this->cacheKey;
     query.promptTokens = this->promptTokens;
+    query.sharedTokens = this->sharedTokens;
     query.tried = this->tried;
     query.triedRegions = this->triedRegions;
     query.mayRelay = !this->isRelayed;
@@ -239,13 +262,21 @@
     UpstreamTable& table = this->context.core.getUpstreams();
     this->tried.insert(id);
     this->lastUpstream = id.string();
-    table.noteStarted(id);
+    table.noteStarted(id, this->promptTokens);
     if (choice.isTrial)
         table.noteTrial(this->now(), id);
     this->context.core.getPlacement().noteUse(this->now(), id);
     ++this->attempts;
+    const Milliseconds sentAt = this->now();
+    this->onFirstEvent = [this, id, sentAt] {
+        this->context.core.getUpstreams().notePromptDone(id, this->promptTokens);
+        this->context.core.getPlacement().noteFirstEvent(
+            this->admitted->service, this->promptTokens - this->sharedTokens, this->now() - sentAt);
+    };
     const AttemptOutcome outcome
         = co_await this->attempt(choice.upstream.endpoint, this->formatForUpstream(choice.upstream));
+    if (std::exchange(this->onFirstEvent, {}))
+        table.notePromptDone(id, this->promptTokens);
     table.noteEnded(id);
     this->noteEnd(id, outcome);
     if (outcome.end != AttemptEnd::Whole) {
@@ -254,7 +285,7 @@
                 { "detail", outcome.detail }, { "attempt", boost::json::value(this->attempts) },
                 { "reused_connection", boost::json::value(outcome.isReused) },
                 { "candidates", boost::json::value(inputs.candidates) },
-                { "load", boost::json::value(inputs.load) },
+                { "load", boost::json::value(inputs.load) }, { "cost_ms", boost::json::value(inputs.cost) },
                 { "load_age_ms", boost::json::value(inputs.loadAge.count()) } });
     }
     co_return co_await this->conclude(outcome);
@@ -265,7 +296,12 @@
     this->triedRegions.insert(choice.region);
     this->lastUpstream = std::string(relayLabel) + choice.vm.string();
     ++this->attempts;
+    Placement& placement = this->context.core.getPlacement();
+    placement.noteRelayBegan(choice.region, this->promptTokens);
+    this->onFirstEvent = [this, &placement, to = choice.region] { placement.noteRelayRead(to, this->promptTokens); };
     const AttemptOutcome outcome = co_await this->attempt(choice.endpoint, this->formatForRelay(choice));
+    if (const auto unread = std::exchange(this->onFirstEvent, {}))
+        unread();
     this->context.figures.noteAttempt(toString(outcome.end));
     if (outcome.end != AttemptEnd::Whole) {
         if (outcome.end == AttemptEnd::NotSent || outcome.end == AttemptEnd::Unanswered)
@@ -283,8 +319,11 @@
     UpstreamAttempt attempt(this->context.pool, this->context.names, this->active);
     if (!this->splitter)
         co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimes(), nullptr);
-    StreamTarget target { &this->answer, &*this->splitter,
-        [this] { this->context.figures.noteFirstByte(this->now() - this->arrivedAt); } };
+    StreamTarget target { &this->answer, &*this->splitter, [this] {
+                             this->context.figures.noteFirstByte(this->now() - this->arrivedAt);
+                             if (this->onFirstEvent)
+                                 std::exchange(this->onFirstEvent, {})();
+                         } };
     co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimes(), &target);
 }
 
@@ -462,6 +501,7 @@
     }
     const std::int64_t left = std::max<std::int64_t>(1, this->getRemaining().count());
     text.append(names.deadline).append(": ").append(std::to_string(left)).append("\r\n");
+    text.append(names.priority).append(": ").append(std::to_string(this->admitted->priority)).append("\r\n");
     if (!this->admitted->workspace.isEmpty())
         text.append(names.workspace).append(": ").append(this->admitted->workspace.string()).append("\r\n");
     const auto lastEvent = this->splitter ? this->splitter->getLastId() : this->readNumber(names.lastEventId);
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -77,7 +77,9 @@
     Milliseconds arrivedAt;
     Milliseconds endsAt; /**< When the final answer is due. */
     std::int64_t promptTokens = 0;
+    std::int64_t sharedTokens = 0;
     std::uint64_t cacheKey = 0;
+    std::function<void()> onFirstEvent; /**< What is to be told when the prompt under way is read. */
     std::set<UpstreamId> tried;
     std::set<RegionId> triedRegions;
     int attempts = 0; /**< Sent to an upstream or another VM. */
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(testSharedPromptsStayTogether);
     CPPUNIT_TEST(testLoadedUpstreamLosesItsPrompts);
     CPPUNIT_TEST(testFullRegionHandsOver);
+    CPPUNIT_TEST(testRegionWithPromptsToReadHandsOver);
+    CPPUNIT_TEST(testHandOverIsSpreadOverTheVmsThatDoIt);
     CPPUNIT_TEST(testHandOverStaysWithinHomes);
     CPPUNIT_TEST(testRelayedRequestIsNotRelayedAgain);
     CPPUNIT_TEST(testNoPlaceSaysWhy);
@@ -48,6 +50,7 @@
         for (std::uint64_t document = 1; document <= 20; ++document) {
             PlacementQuery query = this->makeQuery();
             query.cacheKey = stableHash("document", document);
+            query.sharedTokens = 5000;
             const UpstreamId first = this->chooseUpstream(query);
             for (int repeat = 0; repeat < 5; ++repeat)
                 CPPUNIT_ASSERT(first == this->chooseUpstream(query));
@@ -58,9 +61,15 @@
     {
         PlacementQuery query = this->makeQuery();
         query.cacheKey = 77;
+        query.sharedTokens = 5000;
+        query.mayRelay = false;
         const UpstreamId first = this->chooseUpstream(query);
-        this->table->noteLoad(now, first, { 30, 0, 64 });
+        this->table->noteStarted(first, 10'000);
+        CPPUNIT_ASSERT(first == this->chooseUpstream(query)); // Reading the shared part elsewhere would take longer.
+        this->table->noteStarted(first, 50'000);
         CPPUNIT_ASSERT(first != this->chooseUpstream(query));
+        this->table->notePromptDone(first, 60'000);
+        CPPUNIT_ASSERT(first == this->chooseUpstream(query));
     }
 
     void testFullRegionHandsOver()
@@ -73,6 +82,29 @@
         CPPUNIT_ASSERT(relay && relay->region == RegionId("south") && relay->relayKey == "key-of-vm-south");
     }
 
+    void testRegionWithPromptsToReadHandsOver()
+    {
+        // Load pattern: long prompts at a regional peak. Every slot but a few is free, yet reading takes seconds.
+        for (int number = 0; number < 4; ++number)
+            this->table->noteStarted(UpstreamId("north" + std::to_string(number)), 60'000);
+        CPPUNIT_ASSERT(std::holds_alternative<UseRelay>(this->placement->choose(now, this->makeQuery(), {})));
+    }
+
+    void testHandOverIsSpreadOverTheVmsThatDoIt()
+    {
+        for (int number = 0; number < 4; ++number)
+            this->table->noteStarted(UpstreamId("north" + std::to_string(number)), 20'000);
+        for (int vm = 2; vm < 12; ++vm)
+            this->vms->put(makeVm("vm-north-" + std::to_string(vm), "north"));
+        int handedOver = 0;
+        while (handedOver < 100 && std::holds_alternative<UseRelay>(this->placement->choose(now, this->makeQuery(), {}))) {
+            this->placement->noteRelayBegan(RegionId("south"), 1000);
+            ++handedOver;
+        }
+        // The excess is about 800 ms of reading at 4 upstreams, 64,000 tokens; eleven VMs take a part each.
+        CPPUNIT_ASSERT(handedOver >= 2 && handedOver <= 12);
+    }
+
     void testHandOverStaysWithinHomes()
     {
         for (int number = 0; number < 4; ++number)
