--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -157,7 +157,8 @@
     const std::int64_t underWay = relayed == this->relayedTokens.end() ? 0 : relayed->second;
     const double unread = static_cast<double>(load.unreadTokens)
         + static_cast<double>(underWay) * static_cast<double>(this->vmsOfRegion().size());
-    return relayCost + fullness * slotCost
+    const double miss = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) / this->speed.get(query.service);
+    return relayCost + miss + fullness * slotCost
         + unread / static_cast<double>(upstreams.size()) / this->speed.get(query.service);
 }
 
