--- a/modules/gateway/model/ServingConfiguration.cpp
+++ b/modules/gateway/model/ServingConfiguration.cpp
@@ -1,6 +1,7 @@
 #include "gateway/model/ServingConfiguration.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace papayashelf {
@@ -40,16 +41,18 @@
     const auto found = this->routesByHost.find(std::string(host));
     if (found == this->routesByHost.end())
         return {};
-    std::optional<std::vector<RegionId>> common;
+    std::map<RegionId, int> counts;
+    int most = 0;
     for (const ServingRoute* route : found->second) {
-        if (route->homes.empty())
-            continue;
-        if (!common)
-            common = route->homes;
-        else
-            std::erase_if(*common, [route](const RegionId& region) { return !isHome(route->homes, region); });
+        for (const RegionId& region : route->homes)
+            most = std::max(most, ++counts[region]);
     }
-    return common.value_or(std::vector<RegionId>());
+    std::vector<RegionId> homes;
+    for (const auto& [region, count] : counts) {
+        if (count == most)
+            homes.push_back(region);
+    }
+    return homes;
 }
 
 const ServingWorkspace* ServingConfiguration::findWorkspaceOfKey(std::string_view key) const
--- a/modules/gateway/model/ServingConfiguration.h
+++ b/modules/gateway/model/ServingConfiguration.h
@@ -97,7 +97,7 @@
     /** The route of that host with the longest prefix of the path, or null. */
     const ServingRoute* findRoute(std::string_view host, std::string_view path) const;
 
-    /** Regions that may serve every route of the host; empty if all may, or none serves every one. */
+    /** Of the routes of the host that have homes, the regions that are a home of most; empty if no route has any. */
     std::vector<RegionId> findHomes(std::string_view host) const;
 
     /** The workspace that holds the key, or null. */
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(testWithdrawnKeyIsUnknown);
     CPPUNIT_TEST(testBothHomesBind);
     CPPUNIT_TEST(testDisjointHomesAllowNoRegion);
+    CPPUNIT_TEST(testHomesOfAHostAreThoseOfMostOfItsRoutes);
     CPPUNIT_TEST(testRetriesAreAPartOfRequests);
     CPPUNIT_TEST(testRetriesOverAllVmsStayWithinTheBound);
     CPPUNIT_TEST(testStoppingVmIsNotReadyAndSoonTakesNothing);
@@ -118,6 +119,21 @@
         CPPUNIT_ASSERT(!isHome(homes, RegionId("north")) && !isHome(homes, RegionId("west")));
     }
 
+    void testHomesOfAHostAreThoseOfMostOfItsRoutes()
+    {
+        // One little used route has a home of its own; callers of the others must still be led to theirs.
+        ServingDocument document = makeDocument(1);
+        document.routes[0].homes = { RegionId("north"), RegionId("south") };
+        document.routes[1].homes = { RegionId("south"), RegionId("north") };
+        document.routes.push_back(makeRoute("/b/"));
+        document.routes.push_back(makeRoute("/c/"));
+        document.routes.back().homes = { RegionId("west") };
+        const ServingConfiguration configuration(document);
+        const std::vector<RegionId> expected { RegionId("north"), RegionId("south") };
+        CPPUNIT_ASSERT(expected == configuration.findHomes("h.example"));
+        CPPUNIT_ASSERT(configuration.findHomes("other.example").empty());
+    }
+
     void testRetriesAreAPartOfRequests()
     {
         const auto owned = this->makeCore(makeDocument(1));
