Keep a part of the engines' time for writing answers, and let requests wait for it

Change: each VM takes its part of 85 % of what its region's engines read, by demand; urgent ranks first, a fifth of requests regardless of rank; others wait a third of their goal, or are told when to come back.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -11,6 +11,12 @@
 constexpr double slackCaution = 0.5; /**< The rest is for demand that moves while the others hear of it. */
 constexpr double retryWindowSeconds = 10;
 constexpr Milliseconds vouchLimit { 2'600 }; /**< A vouched view is younger unless replies fail to come. */
+constexpr double likelyReadAgain = 0.3; /**< Part of shared prompt tokens that is not found cached. */
+constexpr double readingBurst = 0.7; /**< Seconds of reading that may come at once; it is read within the goals. */
+constexpr double urgentDebt = 0.5; /**< Of the depth, by which the most urgent requests may go below 0. */
+constexpr double rankStep = 0.25; /**< Of the depth, that each less urgent rank leaves to those before it. */
+constexpr int lowestRank = 4; /**< Ranks from here on are alike. */
+constexpr double luckyPart = 0.2; /**< Of all requests count as most urgent, so that no rank starves. */
 constexpr Milliseconds storeRetry { 500 }; /**< Until a VM that lost the store may have it back, or callers moved. */
 constexpr Milliseconds shortestWait { 50 };
 
@@ -94,6 +100,13 @@
 {
     for (auto& [workspace, allowance] : this->allowances)
         allowance.setElsewhere({ this->digests.getDemandElsewhere(workspace), this->vms.countVms() });
+    const std::size_t sharers = std::max<std::size_t>(1, this->vms.readyIn(this->settings.region).size());
+    for (auto& [service, allowance] : this->reading) {
+        const double readable = this->placement.getReadableTokens(service, this->settings.region);
+        allowance.setLimit({ readable, readable * readingBurst, 0 });
+        const ServiceLoad others = this->digests.getLoadOfOthersHere(service);
+        allowance.setElsewhere({ static_cast<double>(others.askedTokens), sharers });
+    }
 }
 
 LoadFigures GatewayCore::measureLoad(Milliseconds now) const
@@ -105,6 +118,8 @@
             load.demand[workspace] = demand;
     }
     load.services = this->upstreams.measureLoad(this->settings.region);
+    for (const auto& [service, allowance] : this->reading)
+        load.services[service].askedTokens = static_cast<std::int64_t>(allowance.getDemand(now));
     return load;
 }
 
@@ -160,7 +175,7 @@
     const ServingWorkspace* workspace = this->configuration->findWorkspaceOfKey(query.key);
     if (!workspace)
         return Refusal { RefusalCause::UnknownKey, Milliseconds(0) };
-    WorkspaceAllowance& allowance = this->allowances[workspace->id];
+    SharedAllowance& allowance = this->allowances[workspace->id];
     const double units = !workspace->countsTokens ? 1
         : query.tokens                            ? static_cast<double>(*query.tokens)
                                                   : workspace->plainRequestUnits;
@@ -186,11 +201,30 @@
     return route.services.front().service;
 }
 
-PlacementDecision GatewayCore::place(Milliseconds now, const PlacementQuery& query)
+PlacementDecision GatewayCore::place(Milliseconds now, PlacementQuery query, int priority)
 {
     static const ServingService unknown;
-    return this->placement.choose(
-        now, query, this->configuration ? this->configuration->getService(query.service) : unknown);
+    const ServingService& service = this->configuration ? this->configuration->getService(query.service) : unknown;
+    if (query.promptTokens == 0)
+        return this->placement.choose(now, query, service);
+    const auto unshared = static_cast<double>(query.promptTokens - query.sharedTokens);
+    const double tokens = unshared + static_cast<double>(query.sharedTokens) * likelyReadAgain;
+    SharedAllowance& allowance = this->reading[query.service];
+    if (query.isFirstLook)
+        allowance.noteAsked(now, tokens);
+    const bool isLucky = std::bernoulli_distribution(luckyPart)(this->random);
+    const int rank = isLucky ? 0 : std::min(priority, lowestRank);
+    query.isReadable = allowance.hasMoreThan(now, rank * rankStep - urgentDebt);
+    const PlacementDecision decision = this->placement.choose(now, query, service);
+    if (std::holds_alternative<UseUpstream>(decision))
+        allowance.take(tokens);
+    return decision;
+}
+
+Milliseconds GatewayCore::getReadingWait(Milliseconds now, const ServiceId& service)
+{
+    const auto found = this->reading.find(service);
+    return found == this->reading.end() ? Milliseconds(0) : found->second.getWait(now);
 }
 
 RetryBudget& GatewayCore::getBudget(const ServiceId& service)
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -3,7 +3,7 @@
 #include "dispatch/retries/RetryBudget.h"
 #include "gateway/digest/DigestBook.h"
 #include "gateway/limits/ConfigurationFreshness.h"
-#include "gateway/limits/WorkspaceAllowance.h"
+#include "gateway/limits/SharedAllowance.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/placement/Placement.h"
 #include "gateway/settings/GatewaySettings.h"
@@ -113,8 +113,15 @@
     /** Decides whether a caller's request is let in, and counts it against its workspace's limit. */
     AdmissionDecision admit(Milliseconds now, const AdmissionQuery& query);
 
-    /** Chooses where a request goes. */
-    PlacementDecision place(Milliseconds now, const PlacementQuery& query);
+    /**
+        Chooses where a request goes.
+
+        @param priority  of the request; while engines are short of time, the more urgent get it first
+    */
+    PlacementDecision place(Milliseconds now, PlacementQuery query, int priority);
+
+    /** When the service's engines here may have time for another prompt. */
+    Milliseconds getReadingWait(Milliseconds now, const ServiceId& service);
 
     /** A caller's request for a service came in: it earns retries. */
     void noteRequest(const ServiceId& service);
@@ -162,7 +169,8 @@
     Placement placement;
     std::int64_t lastChange = 0;
     std::optional<Milliseconds> behindSince; /**< Since when another VM has known of a later change. */
-    std::map<WorkspaceId, WorkspaceAllowance> allowances;
+    std::map<WorkspaceId, SharedAllowance> allowances;
+    std::map<ServiceId, SharedAllowance> reading; /**< This VM's part of what its region's engines can read. */
     std::map<ServiceId, RetryBudget> budgets;
     std::size_t budgetVms = 0; /**< Among which the budgets were split. */
     std::optional<Milliseconds> stoppingSince;
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -28,7 +28,7 @@
         demand[workspace.string()] = static_cast<std::int64_t>(-negative);
     json::object services;
     for (const auto& [service, load] : figures.services)
-        services[service.string()] = json::array { load.running, load.unreadTokens };
+        services[service.string()] = json::array { load.running, load.unreadTokens, load.askedTokens };
     return json::object { { "d", demand }, { "s", services } };
 }
 
@@ -38,9 +38,10 @@
     for (const auto& member : object.at("d").as_object())
         figures.demand[WorkspaceId(std::string(member.key()))] = member.value().to_number<double>();
     for (const auto& member : object.at("s").as_object()) {
-        const json::array& pair = member.value().as_array();
+        const json::array& numbers = member.value().as_array();
         figures.services[ServiceId(std::string(member.key()))]
-            = { pair.at(0).to_number<int>(), pair.at(1).to_number<std::int64_t>() };
+            = { numbers.at(0).to_number<int>(), numbers.at(1).to_number<std::int64_t>(),
+                  numbers.at(2).to_number<std::int64_t>() };
     }
     return figures;
 }
@@ -82,6 +83,7 @@
     for (const auto& [service, load] : other.services) {
         this->services[service].running += load.running;
         this->services[service].unreadTokens += load.unreadTokens;
+        this->services[service].askedTokens += load.askedTokens;
     }
 }
 
--- a/modules/gateway/digest/DigestBook.cpp
+++ b/modules/gateway/digest/DigestBook.cpp
@@ -138,6 +138,18 @@
     return here == this->byRegion.end() ? demand : demand + std::max(0.0, of(here->second.figures) - of(this->own));
 }
 
+ServiceLoad DigestBook::getLoadOfOthersHere(const ServiceId& service) const
+{
+    ServiceLoad others = this->getLoad(this->region, service);
+    const auto here = this->own.services.find(service);
+    if (here == this->own.services.end())
+        return others;
+    others.running = std::max(0, others.running - here->second.running);
+    others.unreadTokens = std::max<std::int64_t>(0, others.unreadTokens - here->second.unreadTokens);
+    others.askedTokens = std::max<std::int64_t>(0, others.askedTokens - here->second.askedTokens);
+    return others;
+}
+
 ServiceLoad DigestBook::getLoad(const RegionId& of, const ServiceId& service) const
 {
     LoadFigures collected;
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -14,7 +14,7 @@
 #include "gateway/digest/DigestBook.h"
 #include "gateway/limits/ColdStartLimit.h"
 #include "gateway/limits/ConfigurationFreshness.h"
-#include "gateway/limits/WorkspaceAllowance.h"
+#include "gateway/limits/SharedAllowance.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/placement/Placement.h"
 #include "gateway/settings/GatewaySettings.h"
--- a/modules/gateway/limits/WorkspaceAllowance.cpp
+++ b/modules/gateway/limits/SharedAllowance.cpp
@@ -1,4 +1,4 @@
-#include "gateway/limits/WorkspaceAllowance.h"
+#include "gateway/limits/SharedAllowance.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,19 +12,24 @@
 
 } // namespace
 
-bool WorkspaceAllowance::tryTake(Milliseconds now, double units)
+bool SharedAllowance::tryTake(Milliseconds now, double units)
+{
+    this->noteAsked(now, units);
+    if (!this->hasMoreThan(now, 0))
+        return false;
+    this->take(units);
+    return true;
+}
+
+bool SharedAllowance::hasMoreThan(Milliseconds now, double partOfDepth)
 {
-    this->noteDemand(now, units);
     if (this->limit.unitsPerSecond <= 0)
         return true;
     this->refill(now);
-    if (this->level <= 0)
-        return false;
-    this->level -= units;
-    return true;
+    return this->level > partOfDepth * this->getDepth(this->getRate(now));
 }
 
-Milliseconds WorkspaceAllowance::getWait(Milliseconds now)
+Milliseconds SharedAllowance::getWait(Milliseconds now)
 {
     this->refill(now);
     const double rate = this->getRate(now);
@@ -33,12 +38,12 @@
     return Milliseconds(static_cast<std::int64_t>(std::ceil(1000.0 * -this->level / rate)) + 1);
 }
 
-double WorkspaceAllowance::getDemand(Milliseconds now) const
+double SharedAllowance::getDemand(Milliseconds now) const
 {
     return this->demand * std::exp(-std::max(0.0, (now - this->demandAt).seconds()) / demandSeconds);
 }
 
-double WorkspaceAllowance::getRate(Milliseconds now) const
+double SharedAllowance::getRate(Milliseconds now) const
 {
     const double own = this->getDemand(now);
     const double total = own + this->elsewhere.unitsPerSecond;
@@ -49,7 +54,7 @@
     return all * own / total;
 }
 
-void WorkspaceAllowance::refill(Milliseconds now)
+void SharedAllowance::refill(Milliseconds now)
 {
     const double rate = this->getRate(now);
     const double depth = this->getDepth(rate);
@@ -63,13 +68,13 @@
     this->refilledAt = now;
 }
 
-void WorkspaceAllowance::noteDemand(Milliseconds now, double units)
+void SharedAllowance::noteAsked(Milliseconds now, double units)
 {
     this->demand = this->getDemand(now) + units / demandSeconds;
     this->demandAt = now;
 }
 
-double WorkspaceAllowance::getDepth(double rate) const
+double SharedAllowance::getDepth(double rate) const
 {
     const double part = this->limit.unitsPerSecond > 0 ? rate / this->limit.unitsPerSecond : 1;
     const double vms = static_cast<double>(std::max<std::size_t>(1, this->elsewhere.vms));
--- a/modules/gateway/limits/WorkspaceAllowance.h
+++ b/modules/gateway/limits/SharedAllowance.h
@@ -5,16 +5,16 @@
 
 namespace papayashelf {
 
-/** A workspace's limit over all VMs. */
-struct WorkspaceLimit {
+/** A limit over several VMs together. */
+struct SharedLimit {
     double unitsPerSecond = 0; /**< 0 for no limit. */
     double burstUnits = 0;
     double slackUnits = 0; /**< By which all VMs together may pass the burst, so that uneven parts refuse less. */
 
-    bool operator==(const WorkspaceLimit&) const = default;
+    bool operator==(const SharedLimit&) const = default;
 };
 
-/** What this VM knows of the workspace's callers at the other VMs. */
+/** What this VM knows of what is asked at the other VMs. */
 struct DemandElsewhere {
     double unitsPerSecond = 0; /**< Asked for at the other VMs, as they last told. */
     std::size_t vms = 1; /**< All VMs, this one included. */
@@ -23,29 +23,39 @@
 };
 
 /**
-    This VM's part of one workspace's limit.
+    This VM's part of a limit that several VMs share: a workspace's rate, or what a region's engines can read.
 
     Each VM spends the limit in proportion to what callers ask of it, so that all parts together are the limit whatever
     the callers' places. A VM that hears nothing goes on with the last it heard.
 
-    Load pattern: one workspace asks for many times its limit while its callers move between regions.
+    Load patterns: one workspace asks for many times its limit while its callers move between regions; prompts
+    come faster than a region's engines read them.
     Thread safety: none; owned by one thread.
 */
-class WorkspaceAllowance {
+class SharedAllowance {
 public:
     /** Sets the limit; a change keeps the level, up to the new burst. */
-    void setLimit(const WorkspaceLimit& newLimit) { this->limit = newLimit; }
+    void setLimit(const SharedLimit& newLimit) { this->limit = newLimit; }
 
     void setElsewhere(const DemandElsewhere& demand) { this->elsewhere = demand; }
 
     /**
         Counts a request's units as asked for and takes them if this VM's part allows.
 
-        One request may take the level below 0, so that a workspace with a small part can still send large requests; the
-        debt is paid before the next one.
+        One request may take the level below 0, so that a small part still lets large requests in; the debt is paid
+        before the next one.
     */
     bool tryTake(Milliseconds now, double units);
 
+    /** Counts units as asked for, without taking them. */
+    void noteAsked(Milliseconds now, double units);
+
+    /** True if this VM's part has more left than a part of its depth, from -1 to 1. Nothing is counted. */
+    bool hasMoreThan(Milliseconds now, double partOfDepth);
+
+    /** Takes units that were let in. */
+    void take(double units) { this->level -= units; }
+
     /** When a request may be taken again: 0 if now. */
     Milliseconds getWait(Milliseconds now);
 
@@ -57,10 +67,9 @@
 
 private:
     void refill(Milliseconds now);
-    void noteDemand(Milliseconds now, double units);
     double getDepth(double rate) const;
 
-    WorkspaceLimit limit;
+    SharedLimit limit;
     DemandElsewhere elsewhere;
     double level = 0;
     bool hasStarted = false;
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -1,6 +1,7 @@
 #include "gateway/placement/Placement.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace papayashelf {
@@ -10,7 +11,10 @@
 constexpr double fullLoad = 1.0; /**< Requests for each slot; what goes beyond waits inside the engine. */
 constexpr double slotCost = 200; /**< Milliseconds that a full upstream is slower than an idle one. */
 constexpr double missWeight = 3; /**< Reading a shared part again also takes memory from others' cached parts. */
+constexpr std::array<double, 3> likelyCached { 1, 0.6, 0.3 }; /**< By place in the order of a part's upstreams. */
 constexpr double relayCost = 220; /**< Milliseconds: two long ways, there and back, and another VM's work. */
+constexpr double readingPart = 0.85; /**< Of an engine's time; while it reads without pause, answers take ten times as long. */
+constexpr double openPart = 0.9; /**< Of what a region can read; above it others hand nothing over. */
 constexpr double tieWidth = 2; /**< Milliseconds; costs closer than this are equal, and VMs choose at random. */
 
 } // namespace
@@ -31,7 +35,9 @@
 {
     NoPlaceCause cause = NoPlaceCause::NoUpstream;
     std::vector<Candidate> candidates;
-    if (isHome(query.homes, this->region))
+    if (!query.isReadable)
+        cause = NoPlaceCause::AllFull;
+    else if (isHome(query.homes, this->region))
         candidates = this->findCandidates(now, query, service, cause);
     this->weigh(now, query, candidates);
     const Candidate* best = this->pick(candidates);
@@ -101,8 +107,12 @@
         const double unread = static_cast<double>(candidate.upstream->unreadTokens) + others;
         candidate.cost = unread / speed + candidate.load * slotCost + miss;
     }
-    if (query.cacheKey != 0)
-        candidates[rendezvousOrder(query.cacheKey, hashes, 1).front()].cost -= miss;
+    if (query.cacheKey == 0)
+        return;
+    // What does not fit at the first place goes to the same second and third one, so that it is likely cached there.
+    const std::vector<std::size_t> order = rendezvousOrder(query.cacheKey, hashes, likelyCached.size());
+    for (std::size_t place = 0; place < order.size(); ++place)
+        candidates[order[place]].cost -= miss * likelyCached[place];
 }
 
 const Placement::Candidate* Placement::pick(const std::vector<Candidate>& candidates)
@@ -142,6 +152,13 @@
     return UseRelay { chosen->vm, chosen->region, chosen->relays, chosen->relayKey };
 }
 
+double Placement::getReadableTokens(const ServiceId& service, const RegionId& of) const
+{
+    constexpr double perSecond = 1000;
+    const auto upstreams = static_cast<double>(this->table.usable(service, of).size());
+    return this->speed.get(service) * perSecond * upstreams * readingPart;
+}
+
 double Placement::weighRegion(const PlacementQuery& query, const RegionId& other) const
 {
     const std::vector<const KnownUpstream*> upstreams = this->table.usable(query.service, other);
@@ -152,6 +169,9 @@
     const double fullness = static_cast<double>(load.running) / slots;
     if (fullness >= fullLoad)
         return std::numeric_limits<double>::infinity();
+    const double readable = this->getReadableTokens(query.service, other);
+    if (query.promptTokens > 0 && static_cast<double>(load.askedTokens) > readable * openPart)
+        return std::numeric_limits<double>::infinity();
     // The other VMs of this region see the same figures and hand over as much as this one.
     const auto relayed = this->relayedTokens.find(other);
     const std::int64_t underWay = relayed == this->relayedTokens.end() ? 0 : relayed->second;
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -19,8 +19,10 @@
     std::uint64_t cacheKey = 0; /**< Hash of the shared part of the prompt that is worth finding cached; 0 for none. */
     std::int64_t promptTokens = 0;
     std::int64_t sharedTokens = 0; /**< Of them, those that other requests share. */
+    bool isFirstLook = true; /**< False while it waits for room: what it asks for is counted already. */
     std::set<UpstreamId> tried; /**< Had the request already. */
     std::set<RegionId> triedRegions; /**< Relayed to and refused there. */
+    bool isReadable = true; /**< Whether this region's engines have time to read the prompt. */
     bool mayRelay = true; /**< False for a request that another VM relayed here. */
 };
 
@@ -79,6 +81,9 @@
     /** Decides for one request; the same state and seed give the same decision. */
     PlacementDecision choose(Milliseconds now, const PlacementQuery& query, const ServingService& service);
 
+    /** Prompt tokens that a region's upstreams can read in a second and still write answers well; 0 if not known. */
+    double getReadableTokens(const ServiceId& service, const RegionId& of) const;
+
     /** What the last decision rested on. */
     const PlacementInputs& getInputs() const { return this->inputs; }
 
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -15,6 +15,7 @@
 struct ServiceLoad {
     int running = 0;
     std::int64_t unreadTokens = 0; /**< Of prompts that have not brought a first event. */
+    std::int64_t askedTokens = 0; /**< A second, of prompts that were to be read here, let in or not. */
 
     bool operator==(const ServiceLoad&) const = default;
 };
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::chrono::milliseconds tickInterval { 100 }; /**< Of expiries, the log and idle connections. */
 constexpr std::chrono::milliseconds stopLook { 50 }; /**< Between looks whether the last request has ended. */
-constexpr Milliseconds killMargin { 500 }; /**< Before SIGKILL, for the last answers to leave. */
+constexpr Milliseconds killMargin { 1'000 }; /**< Before SIGKILL, for the last answers to leave a slow VM. */
 constexpr Milliseconds idleUpstreamTime { 4'000 }; /**< Below the idle limits that upstreams state. */
 constexpr std::size_t idlePerUpstream = 64; /**< As many as an engine runs requests. */
 
@@ -162,6 +162,8 @@
     gauge("papayashelf_configuration_version",
         configuration ? static_cast<std::int64_t>(configuration->getVersion()) : 0);
     gauge("papayashelf_configuration_age_milliseconds", this->core.getConfigurationAge(now).count());
+    for (const auto& [service, load] : this->core.getUpstreams().measureLoad(this->settings.region))
+        gauge("papayashelf_unread_tokens{service=\"" + service.string() + "\"}", load.unreadTokens);
     gauge("papayashelf_upstreams", static_cast<std::int64_t>(this->core.getUpstreams().getAll().size()));
     gauge("papayashelf_vms", static_cast<std::int64_t>(this->core.getVms().getAll().size()));
     gauge("papayashelf_log_lines_left_out", static_cast<std::int64_t>(this->log.countDropped()));
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -1,6 +1,7 @@
 #include "serving/request/RequestServer.h"
 
 #include "serving/http/RelayHeaders.h"
+#include <boost/asio/this_coro.hpp>
 #include <charconv>
 #include <random>
 #include <utility>
@@ -23,7 +24,9 @@
 constexpr int extraPlacements = 2; /**< Beyond the route's attempts, after upstreams that did not run the request. */
 constexpr std::string_view relayLabel = "relay:"; /**< Marks a VM where the log names an upstream. */
 constexpr Milliseconds stoppingReturn { 50 }; /**< Other VMs take requests at once. */
+constexpr std::chrono::milliseconds waitStep { 40 }; /**< Between looks whether an upstream has room now. */
 constexpr std::uint64_t lowestPriority = 9;
+constexpr int misdirected = 421; /**< Another upstream than the expected one answers. */
 constexpr std::string_view bearer = "Bearer ";
 
 std::string_view reasonOf(int status)
@@ -222,12 +225,17 @@
         co_await this->giveUp(late);
         co_return Next::Done;
     }
-    const PlacementDecision decision = this->context.core.place(this->now(), this->makeQuery());
+    const PlacementDecision decision = this->context.core.place(this->now(), this->makeQuery(), this->admitted->priority);
     if (const auto* upstream = std::get_if<UseUpstream>(&decision))
         co_return co_await this->tryUpstream(*upstream);
     if (const auto* relay = std::get_if<UseRelay>(&decision))
         co_return co_await this->tryRelay(*relay);
     const NoPlaceCause cause = std::get<NoPlace>(decision).cause;
+    if (cause == NoPlaceCause::AllFull && this->now() < this->waitsUntil()) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, waitStep);
+        co_await timer.async_wait(useResult);
+        co_return Next::TryAgain;
+    }
     if (this->runs > 0 || this->answer.hasBegun()) {
         AttemptOutcome unplaced;
         unplaced.detail = "no other upstream";
@@ -237,11 +245,18 @@
     const RefusalCause refusal = cause == NoPlaceCause::AllFull ? RefusalCause::AllFull
         : cause == NoPlaceCause::AllCold                        ? RefusalCause::AllCold
                                                                 : RefusalCause::NoUpstream;
-    co_await this->refuse(Refusal { refusal, spreadReturn() });
+    const Milliseconds wait = this->context.core.getReadingWait(this->now(), this->admitted->service);
+    co_await this->refuse(Refusal { refusal, wait + spreadReturn() });
     co_return Next::Done;
 }
 
-PlacementQuery RequestServer::makeQuery() const
+Milliseconds RequestServer::waitsUntil() const
+{
+    // The rest of the goal is left for reading the prompt; a request of another VM has waited there.
+    return this->isRelayed ? this->arrivedAt : this->arrivedAt + this->admitted->route->goal / 3;
+}
+
+PlacementQuery RequestServer::makeQuery()
 {
     PlacementQuery query;
     query.service = this->admitted->service;
@@ -249,6 +264,7 @@
     query.cacheKey = this->cacheKey;
     query.promptTokens = this->promptTokens;
     query.sharedTokens = this->sharedTokens;
+    query.isFirstLook = !std::exchange(this->hasLooked, true);
     query.tried = this->tried;
     query.triedRegions = this->triedRegions;
     query.mayRelay = !this->isRelayed;
@@ -345,6 +361,10 @@
         table.noteSign(this->now(), upstream, AttemptSign::Bad);
         break;
     case AttemptEnd::NotRun:
+        // Another upstream has the address: this one is gone, whatever the list still says.
+        if (outcome.head.status == misdirected)
+            table.noteSign(this->now(), upstream, AttemptSign::Unreachable);
+        break;
     case AttemptEnd::CallerGone:
         break;
     }
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -55,7 +55,8 @@
     boost::asio::awaitable<void> refuse(const Refusal& refusal);
     boost::asio::awaitable<void> answerOwn(int status, std::string_view code, Milliseconds retryAfter, bool isNotRun);
 
-    PlacementQuery makeQuery() const;
+    Milliseconds waitsUntil() const;
+    PlacementQuery makeQuery();
     AttemptTimes makeTimes() const;
     std::string formatForUpstream(const UpstreamRecord& upstream) const;
     std::string formatForRelay(const UseRelay& relay) const;
@@ -85,6 +86,7 @@
     int attempts = 0; /**< Sent to an upstream or another VM. */
     int runs = 0; /**< Attempts that may have run. */
     bool isRelayed = false;
+    bool hasLooked = false; /**< For a place, at least once. */
     std::optional<AttemptOutcome> kept; /**< An upstream's failure, for the caller if a retry brings nothing better. */
     std::string lastUpstream;
 };
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(testBothHomesBind);
     CPPUNIT_TEST(testDisjointHomesAllowNoRegion);
     CPPUNIT_TEST(testHomesOfAHostAreThoseOfMostOfItsRoutes);
+    CPPUNIT_TEST(testEnginesKeepTimeForWritingAnswers);
+    CPPUNIT_TEST(testUrgentRequestsGetTheTimeOfEnginesFirst);
     CPPUNIT_TEST(testRetriesAreAPartOfRequests);
     CPPUNIT_TEST(testRetriesOverAllVmsStayWithinTheBound);
     CPPUNIT_TEST(testStoppingVmIsNotReadyAndSoonTakesNothing);
@@ -134,6 +136,23 @@
         CPPUNIT_ASSERT(configuration.findHomes("other.example").empty());
     }
 
+    void testEnginesKeepTimeForWritingAnswers()
+    {
+        // Load pattern: prompts come at three times the speed at which the region's engines read them. Without a bound
+        // they read without pause, every token of every answer waits for a chunk of a prompt, and answers come too late.
+        const ReadingRun run = this->runPrompts(3, 1);
+        CPPUNIT_ASSERT(run.granted <= run.readable * 0.95);
+        CPPUNIT_ASSERT(run.granted >= run.readable * 0.6);
+    }
+
+    void testUrgentRequestsGetTheTimeOfEnginesFirst()
+    {
+        const ReadingRun run = this->runPrompts(2, 0);
+        CPPUNIT_ASSERT(run.grantedByPriority.at(0) >= 1.5 * run.grantedByPriority.at(2));
+        CPPUNIT_ASSERT(run.grantedByPriority.at(2) >= 0.1 * run.granted); // Nobody starves.
+        CPPUNIT_ASSERT(run.granted <= run.readable * 0.95);
+    }
+
     void testRetriesAreAPartOfRequests()
     {
         const auto owned = this->makeCore(makeDocument(1));
@@ -180,6 +199,41 @@
     }
 
 private:
+    struct ReadingRun {
+        double readable = 0; /**< Tokens that the engines can read in the time, reading without pause. */
+        double granted = 0;
+        std::map<int, double> grantedByPriority;
+    };
+
+    /** Offers prompts of 2,000 tokens at a multiple of what four engines read in ten seconds; ranks 0 or 1, and 2. */
+    ReadingRun runPrompts(double times, int urgentPriority)
+    {
+        constexpr double speed = 50;
+        constexpr std::int64_t prompt = 2000;
+        const auto core = this->makeCore(makeDocument(1));
+        for (int number = 0; number < 4; ++number)
+            core->getUpstreams().put(now, makeUpstream("u" + std::to_string(number), "north"));
+        core->getPlacement().noteFirstEvent(ServiceId("engine"), prompt, Milliseconds(prompt / 50));
+        ReadingRun run;
+        run.readable = speed * 1000 * 4 * 10;
+        const double spacing = prompt / (speed * 4 * times);
+        int count = 0;
+        for (double at = 0; at < 12000; at += spacing) {
+            const Milliseconds moment = now + Milliseconds(static_cast<std::int64_t>(at));
+            core->tick(moment);
+            const int priority = ++count % 2 == 0 ? urgentPriority : 2;
+            PlacementQuery query;
+            query.service = ServiceId("engine");
+            query.promptTokens = prompt;
+            const bool isGranted = std::holds_alternative<UseUpstream>(core->place(moment, query, priority));
+            if (isGranted && at >= 2000) {
+                run.granted += prompt;
+                run.grantedByPriority[priority] += prompt;
+            }
+        }
+        return run;
+    }
+
     std::unique_ptr<GatewayCore> makeCore(ServingDocument document)
     {
         auto core = std::make_unique<GatewayCore>(makeSettings(), "relay-key", 1);
