--- a/modules/entrance/upstream/UpstreamPool.cpp
+++ b/modules/entrance/upstream/UpstreamPool.cpp
@@ -30,6 +30,7 @@
 {
     auto connection = std::make_unique<UpstreamConnection>(this->executor);
     connection->endpoint = endpoint;
+    connection->idleLimit = this->settings.maximumUpstreamIdle;
     connection->openedAt = std::chrono::steady_clock::now();
     connection->generation = this->endpoints[endpoint].generation;
     return connection;
@@ -80,7 +81,7 @@
 
 bool UpstreamPool::isStale(const UpstreamConnection& connection, TimePoint now) const
 {
-    return now - connection.idleSince > std::chrono::milliseconds(this->settings.maximumUpstreamIdle.count())
+    return now - connection.idleSince > std::chrono::milliseconds(connection.idleLimit.count())
         || now - connection.openedAt > std::chrono::milliseconds(this->settings.maximumUpstreamAge.count());
 }
 
--- a/modules/entrance/upstream/UpstreamPool.h
+++ b/modules/entrance/upstream/UpstreamPool.h
@@ -36,6 +36,7 @@
     Endpoint endpoint;
     TimePoint openedAt;
     TimePoint idleSince;
+    Milliseconds idleLimit; /**< After which it is not used again. */
     std::uint64_t generation = 0; /**< Of its endpoint when it was opened. */
     bool isReused = false;
 };
--- a/modules/foundation/logging/DecisionLog.cpp
+++ b/modules/foundation/logging/DecisionLog.cpp
@@ -51,7 +51,8 @@
         ++this->dropped;
         return;
     }
-    std::string line = "{\"time_ms\":" + std::to_string(unixMilliseconds()) + ",\"event\":\"" + std::string(event) + '"';
+    std::string line
+        = "{\"time_ms\":" + std::to_string(unixMilliseconds()) + ",\"event\":\"" + std::string(event) + '"';
     line += this->common;
     for (const auto& [name, value] : fields)
         line += ",\"" + std::string(name) + "\":" + boost::json::serialize(value);
@@ -72,8 +73,7 @@
     }
     std::size_t written = 0;
     while (written < this->waiting.size()) {
-        const ssize_t count
-            = ::write(this->descriptor, this->waiting.data() + written, this->waiting.size() - written);
+        const ssize_t count = ::write(this->descriptor, this->waiting.data() + written, this->waiting.size() - written);
         if (count < 0 && errno == EINTR)
             continue;
         if (count <= 0)
--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -215,7 +215,7 @@
     const bool isLucky = std::bernoulli_distribution(luckyPart)(this->random);
     const int rank = isLucky ? 0 : std::min(priority, lowestRank);
     query.isReadable = allowance.hasMoreThan(now, rank * rankStep - urgentDebt);
-    const PlacementDecision decision = this->placement.choose(now, query, service);
+    PlacementDecision decision = this->placement.choose(now, query, service);
     if (std::holds_alternative<UseUpstream>(decision))
         allowance.take(tokens);
     return decision;
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -39,9 +39,8 @@
         figures.demand[WorkspaceId(std::string(member.key()))] = member.value().to_number<double>();
     for (const auto& member : object.at("s").as_object()) {
         const json::array& numbers = member.value().as_array();
-        figures.services[ServiceId(std::string(member.key()))]
-            = { numbers.at(0).to_number<int>(), numbers.at(1).to_number<std::int64_t>(),
-                  numbers.at(2).to_number<std::int64_t>() };
+        figures.services[ServiceId(std::string(member.key()))] = { numbers.at(0).to_number<int>(),
+            numbers.at(1).to_number<std::int64_t>(), numbers.at(2).to_number<std::int64_t>() };
     }
     return figures;
 }
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -20,5 +20,5 @@
 #include "gateway/settings/GatewaySettings.h"
 #include "gateway/streams/EventSplitter.h"
 #include "gateway/upstreams/UpstreamTable.h"
-#include "gateway/vms/VmRegistry.h"
 #include "gateway/vms/VmAnnouncement.h"
+#include "gateway/vms/VmRegistry.h"
--- a/modules/gateway/limits/ColdStartLimit.cpp
+++ b/modules/gateway/limits/ColdStartLimit.cpp
@@ -22,8 +22,7 @@
         candidates.push_back(stableHash(candidate.string()));
     const auto users = static_cast<std::size_t>(std::max(1.0, perSecond));
     const std::vector<std::size_t> chosen = rendezvousOrder(stableHash(upstream.string()), candidates, users);
-    return std::any_of(
-        chosen.begin(), chosen.end(), [&](std::size_t index) { return vmsInRegion[index] == this->vm; });
+    return std::any_of(chosen.begin(), chosen.end(), [&](std::size_t index) { return vmsInRegion[index] == this->vm; });
 }
 
 } // namespace papayashelf
--- a/modules/gateway/limits/ColdStartLimit.h
+++ b/modules/gateway/limits/ColdStartLimit.h
@@ -29,8 +29,8 @@
         @param perSecond    what the upstream bears a second, from all VMs
         @param vmsInRegion  the VMs that may send to it, this one included
     */
-    bool mayUse(Milliseconds now, const UpstreamId& upstream, double perSecond,
-        const std::vector<VmId>& vmsInRegion) const;
+    bool mayUse(
+        Milliseconds now, const UpstreamId& upstream, double perSecond, const std::vector<VmId>& vmsInRegion) const;
 
     /** Counts a request to it. */
     void noteUse(Milliseconds now, const UpstreamId& upstream) { this->lastUse[upstream] = now; }
--- a/modules/gateway/model/ServingConfiguration.h
+++ b/modules/gateway/model/ServingConfiguration.h
@@ -66,8 +66,8 @@
 
 /** What callers may send. */
 struct CallerLimits {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 4 * 1024 * 1024;
+    std::size_t headerBytes = std::size_t { 16 } * 1024;
+    std::size_t bodyBytes = std::size_t { 4 } * 1024 * 1024;
     Milliseconds headerTime { 3000 };
     Milliseconds idleTime { 15000 };
 
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -13,7 +13,8 @@
 constexpr double missWeight = 3; /**< Reading a shared part again also takes memory from others' cached parts. */
 constexpr std::array<double, 3> likelyCached { 1, 0.6, 0.3 }; /**< By place in the order of a part's upstreams. */
 constexpr double relayCost = 220; /**< Milliseconds: two long ways, there and back, and another VM's work. */
-constexpr double readingPart = 0.85; /**< Of an engine's time; while it reads without pause, answers take ten times as long. */
+constexpr double readingPart
+    = 0.85; /**< Of an engine's time; while it reads without pause, answers take ten times as long. */
 constexpr double openPart = 0.9; /**< Of what a region can read; above it others hand nothing over. */
 constexpr double tieWidth = 2; /**< Milliseconds; costs closer than this are equal, and VMs choose at random. */
 
@@ -100,7 +101,8 @@
         hashes.push_back(stableHash(candidate.upstream->record.id.string()));
     }
     const std::int64_t all = this->digests.getLoad(this->region, query.service).unreadTokens;
-    const double others = static_cast<double>(std::max<std::int64_t>(0, all - own)) / static_cast<double>(hashes.size());
+    const double others
+        = static_cast<double>(std::max<std::int64_t>(0, all - own)) / static_cast<double>(hashes.size());
     const double speed = this->speed.get(query.service);
     const double miss = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) * missWeight / speed;
     for (Candidate& candidate : candidates) {
@@ -177,7 +179,8 @@
     const std::int64_t underWay = relayed == this->relayedTokens.end() ? 0 : relayed->second;
     const double unread = static_cast<double>(load.unreadTokens)
         + static_cast<double>(underWay) * static_cast<double>(this->vmsOfRegion().size());
-    const double miss = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) / this->speed.get(query.service);
+    const double miss
+        = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) / this->speed.get(query.service);
     return relayCost + miss + fullness * slotCost
         + unread / static_cast<double>(upstreams.size()) / this->speed.get(query.service);
 }
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -65,9 +65,9 @@
 /**
     Chooses the upstream for a request.
 
-    Every choice has a cost in milliseconds: the prompts that are to be read before, the shared part of this prompt where
-    it is not likely to be cached, what other running requests slow down, and the way to another region. The least one
-    is taken. Engines run out of time for reading long before they run out of slots.
+    Every choice has a cost in milliseconds: the prompts that are to be read before, the shared part of this prompt
+   where it is not likely to be cached, what other running requests slow down, and the way to another region. The least
+   one is taken. Engines run out of time for reading long before they run out of slots.
 
     Load patterns: prompts with shared parts at a load near the engines' capacity; regional peaks that move; a region
     without upstreams. Thread safety: none; owned by one thread.
--- a/modules/gateway/settings/GatewaySettings.cpp
+++ b/modules/gateway/settings/GatewaySettings.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr Milliseconds longestBound = Milliseconds::fromSeconds(600); /**< Far above any bound that operators state. */
-constexpr std::int64_t mostMegabytes = 1024 * 1024;
-constexpr std::int64_t mostDescriptors = 1024 * 1024;
+constexpr std::int64_t mostMegabytes = 1'048'576;
+constexpr std::int64_t mostDescriptors = 1'048'576;
 
 void readListeners(TableReader reader, GatewayListeners& listeners)
 {
--- a/modules/gateway/vms/VmRegistry.cpp
+++ b/modules/gateway/vms/VmRegistry.cpp
@@ -40,9 +40,9 @@
         if (!status.isReady)
             continue;
         const std::size_t nearness = status.failureDomain == place.failureDomain ? 0
-            : status.region == place.region                                       ? 1
-            : isHome(place.homes, status.region)                                  ? 2
-                                                                                  : 3;
+            : status.region == place.region                                      ? 1
+            : isHome(place.homes, status.region)                                 ? 2
+                                                                                 : 3;
         byNearness[nearness].push_back(status.callers);
     }
     for (std::vector<Endpoint>& entries : byNearness) {
--- a/modules/serving/caller/CallerAnswer.cpp
+++ b/modules/serving/caller/CallerAnswer.cpp
@@ -68,7 +68,8 @@
         co_return true;
     std::array<char, 20> size {};
     const auto [end, error] = std::to_chars(size.data(), size.data() + size.size(), piece.size(), 16);
-    const std::vector<asio::const_buffer> pieces { asio::buffer(size.data(), static_cast<std::size_t>(end - size.data())),
+    const std::vector<asio::const_buffer> pieces { asio::buffer(
+                                                       size.data(), static_cast<std::size_t>(end - size.data())),
         asio::buffer(lineEnd), asio::buffer(piece), asio::buffer(lineEnd) };
     co_return co_await this->stream.write(pieces, writeLimit);
 }
--- a/modules/serving/caller/CallerSession.cpp
+++ b/modules/serving/caller/CallerSession.cpp
@@ -78,8 +78,8 @@
         co_return false;
     }
     const IncomingRequest request = reading.take();
-    CallerAnswer answer(this->stream, request.keepAlive, request.method == "HEAD",
-        [this] { return this->context.core.isStopping(); });
+    CallerAnswer answer(
+        this->stream, request.keepAlive, request.method == "HEAD", [this] { return this->context.core.isStopping(); });
     ActiveRequest current;
     this->active = &current;
     if (this->input.isGone())
--- a/modules/serving/process/DigestExchange.cpp
+++ b/modules/serving/process/DigestExchange.cpp
@@ -52,8 +52,7 @@
     std::string buffer(longestDatagram, '\0');
     asio::ip::udp::endpoint sender;
     while (this->socket.is_open()) {
-        const auto [failure, count]
-            = co_await this->socket.async_receive_from(asio::buffer(buffer), sender, useResult);
+        const auto [failure, count] = co_await this->socket.async_receive_from(asio::buffer(buffer), sender, useResult);
         // An earlier datagram to a port that nobody holds shows up here as an error; the next receive goes on.
         if (!failure)
             this->take(std::string_view(buffer).substr(0, count));
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -62,8 +62,9 @@
     BOOST_OUTCOME_TRY(this->digests.open(this->relaysEndpoint));
     BOOST_OUTCOME_TRY(this->listenPlain(at.readiness, this->hooks.readiness));
     BOOST_OUTCOME_TRY(this->listenPlain(at.entries, this->hooks.entries));
-    return this->listenPlain(
-        at.metrics, [this](std::string_view) { return PlainAnswer { 200, "text/plain", this->formatMetrics() }; });
+    return this->listenPlain(at.metrics, [this](std::string_view) {
+        return PlainAnswer { 200, "text/plain", this->formatMetrics() };
+    });
 }
 
 Outcome<void> GatewayProcess::listenPlain(const Endpoint& at, PlainHandler handler)
--- a/modules/serving/process/PlainListener.h
+++ b/modules/serving/process/PlainListener.h
@@ -30,8 +30,8 @@
 Outcome<boost::asio::ip::tcp::acceptor> openAcceptor(const boost::asio::any_io_executor& executor, const Endpoint& at);
 
 /** Takes connections for as long as the acceptor is open, each by the function. */
-boost::asio::awaitable<void> acceptEach(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
-    std::function<void(boost::asio::ip::tcp::socket)> take);
+boost::asio::awaitable<void> acceptEach(
+    std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor, std::function<void(boost::asio::ip::tcp::socket)> take);
 
 /** Serves small GETs over one connection until it ends. */
 boost::asio::awaitable<void> servePlain(boost::asio::ip::tcp::socket socket, PlainHandler handler);
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -132,8 +132,7 @@
     , requestId(findHeader(request.headers, context.names.requestId))
 {
     const auto waited = std::chrono::steady_clock::now() - request.arrivedAt;
-    this->arrivedAt
-        = this->now() - Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
+    this->arrivedAt = this->now() - Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count());
     const auto stated = this->readNumber(context.names.deadline);
     const Milliseconds patience = stated ? Milliseconds(static_cast<std::int64_t>(*stated)) : noDeadline;
     this->endsAt = this->arrivedAt + patience - finalMargin;
@@ -225,7 +224,8 @@
         co_await this->giveUp(late);
         co_return Next::Done;
     }
-    const PlacementDecision decision = this->context.core.place(this->now(), this->makeQuery(), this->admitted->priority);
+    const PlacementDecision decision
+        = this->context.core.place(this->now(), this->makeQuery(), this->admitted->priority);
     if (const auto* upstream = std::get_if<UseUpstream>(&decision))
         co_return co_await this->tryUpstream(*upstream);
     if (const auto* relay = std::get_if<UseRelay>(&decision))
@@ -300,8 +300,8 @@
             { { "request", this->requestId }, { "upstream", id.string() }, { "end", toString(outcome.end) },
                 { "detail", outcome.detail }, { "attempt", boost::json::value(this->attempts) },
                 { "reused_connection", boost::json::value(outcome.isReused) },
-                { "candidates", boost::json::value(inputs.candidates) },
-                { "load", boost::json::value(inputs.load) }, { "cost_ms", boost::json::value(inputs.cost) },
+                { "candidates", boost::json::value(inputs.candidates) }, { "load", boost::json::value(inputs.load) },
+                { "cost_ms", boost::json::value(inputs.cost) },
                 { "load_age_ms", boost::json::value(inputs.loadAge.count()) } });
     }
     co_return co_await this->conclude(outcome);
@@ -381,8 +381,7 @@
     times.silence = this->getRemaining();
     const bool mayTryAgain = route.mayRunAgain && this->runs + 1 < route.maximumAttempts;
     if (mayTryAgain) {
-        const Milliseconds patience
-            = std::max(shortestPatience, route.isStream ? route.goal * 2 : route.goal * 9 / 10);
+        const Milliseconds patience = std::max(shortestPatience, route.isStream ? route.goal * 2 : route.goal * 9 / 10);
         times.firstByte = std::min(times.end, toTimePoint(patience));
     }
     if (route.isResumable && mayTryAgain)
@@ -393,8 +392,7 @@
 bool RequestServer::isPassable(const AttemptOutcome& outcome) const
 {
     const bool isWorthRetry = outcome.head.status >= 500 && !this->isRelayed;
-    return !isWorthRetry || !this->admitted->route->mayRunAgain
-        || this->runs >= this->admitted->route->maximumAttempts;
+    return !isWorthRetry || !this->admitted->route->mayRunAgain || this->runs >= this->admitted->route->maximumAttempts;
 }
 
 asio::awaitable<RequestServer::Next> RequestServer::conclude(AttemptOutcome outcome)
@@ -446,10 +444,10 @@
 {
     const ServingRoute& route = *this->admitted->route;
     const bool isSafe = this->runs == 0 || route.mayRunAgain;
-    const bool canContinue = !this->answer.hasBegun()
-        || (route.isResumable && this->splitter && !this->splitter->hasUnnumbered());
-    const bool hasAttempt = this->runs < std::max(1, route.maximumAttempts)
-        && this->attempts < route.maximumAttempts + extraPlacements;
+    const bool canContinue
+        = !this->answer.hasBegun() || (route.isResumable && this->splitter && !this->splitter->hasUnnumbered());
+    const bool hasAttempt
+        = this->runs < std::max(1, route.maximumAttempts) && this->attempts < route.maximumAttempts + extraPlacements;
     // A request that reached no upstream is not a retry to them.
     const bool isFree = outcome.end == AttemptEnd::NotSent
         || (outcome.end == AttemptEnd::NotRun && this->lastUpstream.starts_with(relayLabel));
@@ -474,8 +472,8 @@
     }
     if (this->runs == 0) {
         const bool isLate = this->getRemaining() < leastUseful;
-        co_await this->refuse(Refusal { isLate ? RefusalCause::NoTimeLeft : RefusalCause::NoRetryLeft,
-            isLate ? Milliseconds(0) : spreadReturn() });
+        co_await this->refuse(Refusal {
+            isLate ? RefusalCause::NoTimeLeft : RefusalCause::NoRetryLeft, isLate ? Milliseconds(0) : spreadReturn() });
         co_return;
     }
     const bool isLate = this->getRemaining() < leastUseful;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "entrance/request/ForwardedHead.h"
 #include "serving/http/RelayHeaders.h"
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -19,10 +20,25 @@
 constexpr std::size_t mostHeaderBytes = 32 * kibibyte;
 constexpr std::size_t mostBodyBytes = 8 * mebibyte; /**< Of an answer that is read whole. */
 constexpr int mostStrayAnswers = 2; /**< Answers of earlier requests that a connection may still hold. */
+constexpr Milliseconds idleMargin { 1'000 }; /**< Before the upstream closes an idle connection: for what is under way. */
+constexpr Milliseconds longestIdle { 30'000 }; /**< However long the upstream would keep it. */
 constexpr unsigned int unacknowledgedLimit = 2'000; /**< Milliseconds until a silent link counts as broken. */
 
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+/** Reads "timeout=N" with N in seconds. */
+std::optional<Milliseconds> readIdleLimit(std::string_view text)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = text.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    text.remove_prefix(at + name.size());
+    std::int64_t seconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return error == std::errc() ? std::optional(Milliseconds::fromSeconds(seconds)) : std::nullopt;
+}
+
 HeaderFields headersOf(const http::response<http::string_body>& message)
 {
     HeaderFields all;
@@ -300,9 +316,14 @@
 
 void UpstreamAttempt::release(const Parser& parser)
 {
-    if (parser.keep_alive() && parser.is_done() && this->connection->buffer.size() == 0
-        && this->connection->socket.is_open())
-        this->pool.giveBack(std::move(this->connection));
+    const bool isReusable = parser.keep_alive() && parser.is_done() && this->connection->buffer.size() == 0
+        && this->connection->socket.is_open();
+    if (!isReusable)
+        return;
+    const auto stated = parser.get()[http::field::keep_alive];
+    if (const auto limit = readIdleLimit(std::string_view(stated.data(), stated.size())))
+        this->connection->idleLimit = std::clamp(*limit - idleMargin, Milliseconds(0), longestIdle);
+    this->pool.giveBack(std::move(this->connection));
 }
 
 } // namespace papayashelf
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -139,7 +139,8 @@
     void testEnginesKeepTimeForWritingAnswers()
     {
         // Load pattern: prompts come at three times the speed at which the region's engines read them. Without a bound
-        // they read without pause, every token of every answer waits for a chunk of a prompt, and answers come too late.
+        // they read without pause, every token of every answer waits for a chunk of a prompt, and answers come too
+        // late.
         const ReadingRun run = this->runPrompts(3, 1);
         CPPUNIT_ASSERT(run.granted <= run.readable * 0.95);
         CPPUNIT_ASSERT(run.granted >= run.readable * 0.6);
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -97,7 +97,8 @@
         for (int vm = 2; vm < 12; ++vm)
             this->vms->put(makeVm("vm-north-" + std::to_string(vm), "north"));
         int handedOver = 0;
-        while (handedOver < 100 && std::holds_alternative<UseRelay>(this->placement->choose(now, this->makeQuery(), {}))) {
+        while (
+            handedOver < 100 && std::holds_alternative<UseRelay>(this->placement->choose(now, this->makeQuery(), {}))) {
             this->placement->noteRelayBegan(RegionId("south"), 1000);
             ++handedOver;
         }
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -231,8 +231,8 @@
             asio::read_until(socket, asio::dynamic_buffer(answer), "body of id-1");
             CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
         }
-        const std::size_t used = this->harness->first().countConnectionsUsed()
-            + this->harness->second().countConnectionsUsed();
+        const std::size_t used
+            = this->harness->first().countConnectionsUsed() + this->harness->second().countConnectionsUsed();
         CPPUNIT_ASSERT(used <= 2); // One to each upstream serves all three requests.
     }
 
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -1,8 +1,8 @@
 #include "serving/ServingHarness.h"
 
 #include <boost/asio/read.hpp>
-#include <cppunit/TestAssert.h>
 #include <boost/asio/write.hpp>
+#include <cppunit/TestAssert.h>
 
 namespace papayashelf {
 
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -29,8 +29,8 @@
     RawAnswer call(const std::string& head, const std::string& body = {}) const;
 
     /** A head for the path with the usual headers. */
-    static std::string makeHead(const std::string& method, const std::string& path, const std::string& id,
-        const std::string& more = {});
+    static std::string makeHead(
+        const std::string& method, const std::string& path, const std::string& id, const std::string& more = {});
 
     /** Opens a connection to the process. */
     boost::asio::ip::tcp::socket connect(const Endpoint& to) const;
