--- a/modules/gateway/upstreams/UpstreamHealth.cpp
+++ b/modules/gateway/upstreams/UpstreamHealth.cpp
@@ -10,7 +10,9 @@
 constexpr double memorySeconds = 3; /**< Weight of an answer falls to 1/e; a few times the spacing of answers. */
 constexpr double suspectShare = 0.5; /**< Share of bad answers; plain services fail some requests when sound. */
 constexpr double fewestBad = 1.5; /**< Weighted; a single failure says little. */
-constexpr Milliseconds unreachablePause { 1000 }; /**< Without requests after a failed connection. */
+constexpr Milliseconds firstPause { 1000 }; /**< Without requests after a failed connection. */
+constexpr Milliseconds longestPause { 4000 }; /**< By then the list says whether the upstream is gone. */
+constexpr int mostDoublings = 2;
 constexpr Milliseconds trialSpacing { 500 }; /**< Between trial requests to a suspect upstream. */
 
 } // namespace
@@ -29,11 +31,15 @@
     if (sign == AttemptSign::Good) {
         this->good += 1;
         this->unreachableUntil = now;
+        this->failedConnections = 0;
         return;
     }
     this->bad += 1;
-    if (sign == AttemptSign::Unreachable)
-        this->unreachableUntil = now + unreachablePause;
+    // Several requests may fail before the first failure is known; only one after a pause makes the pause longer.
+    if (sign == AttemptSign::Unreachable && now >= this->unreachableUntil)
+        this->unreachableUntil
+            = now + std::min(firstPause * (std::int64_t { 1 } << this->failedConnections++), longestPause);
+    this->failedConnections = std::min(this->failedConnections, mostDoublings);
 }
 
 bool UpstreamHealth::isSuspect(Milliseconds now) const
--- a/modules/gateway/upstreams/UpstreamHealth.h
+++ b/modules/gateway/upstreams/UpstreamHealth.h
@@ -25,7 +25,7 @@
     bool isSuspect(Milliseconds now) const;
 
     /** True if a suspect upstream may be tried with one request now. */
-    bool isTrialDue(Milliseconds now) const { return now >= this->nextTrial; }
+    bool isTrialDue(Milliseconds now) const { return now >= this->nextTrial && now >= this->unreachableUntil; }
 
     /** Counts the start of a trial. */
     void noteTrial(Milliseconds now);
@@ -38,6 +38,7 @@
     Milliseconds weighedAt;
     Milliseconds unreachableUntil;
     Milliseconds nextTrial;
+    int failedConnections = 0; /**< In a row, one a pause. */
 };
 
 } // namespace papayashelf
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -20,7 +20,8 @@
 constexpr Milliseconds shortestPatience { 400 }; /**< For the first byte, however short the goal. */
 constexpr Milliseconds noDeadline { 60'000 }; /**< For a caller that states none. */
 constexpr Milliseconds shortestReturn { 150 }; /**< Earliest return to a service without room. */
-constexpr Milliseconds longestReturn { 600 }; /**< Latest; returns are spread between, so they come as no wave. */
+constexpr Milliseconds leastSpread { 450 }; /**< Returns are spread over at least this, so they come as no wave. */
+constexpr std::int64_t returnPart = 4; /**< Of the time left, a fourth: a peak may be over, and an answer still fits. */
 constexpr int extraPlacements = 2; /**< Beyond the route's attempts, after upstreams that did not run the request. */
 constexpr std::string_view relayLabel = "relay:"; /**< Marks a VM where the log names an upstream. */
 constexpr Milliseconds stoppingReturn { 50 }; /**< Other VMs take requests at once. */
@@ -94,10 +95,12 @@
     return sum;
 }
 
-Milliseconds spreadReturn()
+/** When a caller with so much time left should come back to a service that has no room now. */
+Milliseconds spreadReturn(Milliseconds remaining)
 {
     thread_local std::minstd_rand random { std::random_device {}() };
-    std::uniform_int_distribution<std::int64_t> spread(shortestReturn.count(), longestReturn.count());
+    const Milliseconds latest = std::max(shortestReturn + leastSpread, remaining / returnPart);
+    std::uniform_int_distribution<std::int64_t> spread(shortestReturn.count(), latest.count());
     return Milliseconds(spread(random));
 }
 
@@ -246,7 +249,7 @@
         : cause == NoPlaceCause::AllCold                        ? RefusalCause::AllCold
                                                                 : RefusalCause::NoUpstream;
     const Milliseconds wait = this->context.core.getReadingWait(this->now(), this->admitted->service);
-    co_await this->refuse(Refusal { refusal, wait + spreadReturn() });
+    co_await this->refuse(Refusal { refusal, wait + spreadReturn(this->getRemaining()) });
     co_return Next::Done;
 }
 
@@ -472,8 +475,8 @@
     }
     if (this->runs == 0) {
         const bool isLate = this->getRemaining() < leastUseful;
-        co_await this->refuse(Refusal {
-            isLate ? RefusalCause::NoTimeLeft : RefusalCause::NoRetryLeft, isLate ? Milliseconds(0) : spreadReturn() });
+        co_await this->refuse(Refusal { isLate ? RefusalCause::NoTimeLeft : RefusalCause::NoRetryLeft,
+            isLate ? Milliseconds(0) : spreadReturn(this->getRemaining()) });
         co_return;
     }
     const bool isLate = this->getRemaining() < leastUseful;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -20,7 +20,9 @@
 constexpr std::size_t mostHeaderBytes = 32 * kibibyte;
 constexpr std::size_t mostBodyBytes = 8 * mebibyte; /**< Of an answer that is read whole. */
 constexpr int mostStrayAnswers = 2; /**< Answers of earlier requests that a connection may still hold. */
-constexpr Milliseconds idleMargin { 1'000 }; /**< Before the upstream closes an idle connection: for what is under way. */
+constexpr Milliseconds idleMargin {
+    1'000
+}; /**< Before the upstream closes an idle connection: for what is under way. */
 constexpr Milliseconds longestIdle { 30'000 }; /**< However long the upstream would keep it. */
 constexpr unsigned int unacknowledgedLimit = 2'000; /**< Milliseconds until a silent link counts as broken. */
 
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(testNoPlaceSaysWhy);
     CPPUNIT_TEST(testLeavingAndEvacuatedUpstreamsGetNothing);
     CPPUNIT_TEST(testSuspectUpstreamGetsTrialsOnly);
+    CPPUNIT_TEST(testDarkUpstreamIsTriedLessAndLess);
     CPPUNIT_TEST(testReturnedUnderItsIdKnowsNothingOfBefore);
     CPPUNIT_TEST(testVanishedUpstreamIsKeptUntilItMayBeBack);
     CPPUNIT_TEST(testEntriesAreNearAndReady);
@@ -169,6 +170,26 @@
         CPPUNIT_ASSERT_EQUAL(1, uses);
     }
 
+    void testDarkUpstreamIsTriedLessAndLess()
+    {
+        // Load pattern: a failure domain goes dark at a peak; each request that tries an upstream there loses time.
+        const UpstreamId dark("north0");
+        int tried = 0;
+        for (std::int64_t at = 0; at < 10'000; at += 10) {
+            const Milliseconds moment = now + Milliseconds(at);
+            const PlacementDecision decision = this->placement->choose(moment, this->makeQuery(), {});
+            if (std::get<UseUpstream>(decision).upstream.id != dark)
+                continue;
+            this->table->noteTrial(moment, dark);
+            this->table->noteSign(moment, dark, AttemptSign::Unreachable);
+            ++tried;
+        }
+        CPPUNIT_ASSERT(tried >= 2 && tried <= 5);
+        this->table->noteSign(now + Milliseconds(10'000), dark, AttemptSign::Good);
+        this->table->noteSign(now + Milliseconds(10'000), dark, AttemptSign::Good);
+        CPPUNIT_ASSERT(!this->table->find(dark)->health.isSuspect(now + Milliseconds(20'000)));
+    }
+
     void testReturnedUnderItsIdKnowsNothingOfBefore()
     {
         const UpstreamId id("north0");
