--- a/modules/serving/process/DigestExchange.cpp
+++ b/modules/serving/process/DigestExchange.cpp
@@ -10,11 +10,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds interval { 500 }; /**< Limits follow callers that move about this fast. */
-constexpr std::size_t longestDatagram = 64 * 1024;
+constexpr std::size_t longestDatagram = 65'536;
 
 } // namespace
 
-DigestExchange::DigestExchange(asio::any_io_executor executor, GatewayCore& core, DecisionLog& log)
+DigestExchange::DigestExchange(const asio::any_io_executor& executor, GatewayCore& core, DecisionLog& log)
     : socket(executor)
     , timer(executor)
     , core(core)
--- a/modules/serving/process/DigestExchange.h
+++ b/modules/serving/process/DigestExchange.h
@@ -17,7 +17,7 @@
 class DigestExchange {
 public:
     /** All references must outlive the exchange. */
-    DigestExchange(boost::asio::any_io_executor executor, GatewayCore& core, DecisionLog& log);
+    DigestExchange(const boost::asio::any_io_executor& executor, GatewayCore& core, DecisionLog& log);
 
     /** Takes the UDP port. Error: Unavailable if it cannot be had. */
     Outcome<void> open(const Endpoint& at);
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -67,7 +67,7 @@
     });
 }
 
-Outcome<void> GatewayProcess::listenPlain(const Endpoint& at, PlainHandler handler)
+Outcome<void> GatewayProcess::listenPlain(const Endpoint& at, const PlainHandler& handler)
 {
     BOOST_OUTCOME_TRY(auto acceptor, openAcceptor(this->context.get_executor(), at));
     auto shared = std::make_shared<asio::ip::tcp::acceptor>(std::move(acceptor));
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -47,7 +47,7 @@
     Clock getClock() const { return this->serving.clock; }
 
 private:
-    Outcome<void> listenPlain(const Endpoint& at, PlainHandler handler);
+    Outcome<void> listenPlain(const Endpoint& at, const PlainHandler& handler);
     Outcome<Endpoint> listenForRequests(const Endpoint& at, SenderKind sender);
     boost::asio::awaitable<void> watchSignals();
     boost::asio::awaitable<void> tickOften();
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -198,7 +198,7 @@
         auto parser = std::make_unique<Parser>();
         if (!co_await this->readHead(*parser))
             co_return this->fail(AttemptEnd::Unanswered, "no answer");
-        const int status = parser->get().result_int();
+        const auto status = static_cast<int>(parser->get().result_int());
         if (status >= 100 && status < 200) {
             --stray;
             continue;
@@ -230,7 +230,7 @@
 AttemptOutcome UpstreamAttempt::judge(Parser& parser)
 {
     AttemptOutcome result;
-    const int status = parser.get().result_int();
+    const auto status = static_cast<int>(parser.get().result_int());
     const bool isSealed = parser.get().find(this->names.seal) != parser.get().end();
     const bool isRefused = this->isPromisedNotRun(parser);
     const bool isCoded = parser.get().find(http::field::content_encoding) != parser.get().end();
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -63,7 +63,7 @@
 {
     const std::string id = headerOf(request, "Attempt-Id");
     const std::string body = "body of " + id;
-    const std::string whole = withLength(headOf("200 OK", id, true), body);
+    std::string whole = withLength(headOf("200 OK", id, true), body);
     switch (kind) {
     case AnswerKind::Failure:
         return withLength(headOf("500 Internal Server Error", id, true), "failed");
