Drop settings that nothing used, and let bounds be fractions or missing

Cause: the template made '8.5000' of a grace of 8.5 s and a line without a value of a bound that a deployment does not state; either kept the process from starting. Before: both refused; after: testBoundsMayBeFractionsOrLeftOut.

--- a/modules/gateway/settings/GatewaySettings.h
+++ b/modules/gateway/settings/GatewaySettings.h
@@ -25,25 +25,13 @@
 struct GatewayBounds {
     Milliseconds keyWithdrawal { 5000 }; /**< From the store's acknowledgement until a withdrawn key runs nothing. */
     Milliseconds stopGrace { 8000 }; /**< From SIGTERM to SIGKILL. */
-    Milliseconds longestEntryAge { 5000 }; /**< How long callers may keep a list of entries. */
     double retryRatio = 0.2; /**< Retries for each request of a service. */
     double extraRetries = 0; /**< Retries beyond the ratio in one window, over all VMs. */
     double tokenSlack = 0; /**< Tokens by which a workspace may pass its limit in one window, over all VMs. */
-    double coldOvershoot = 1; /**< Factor on what a cold upstream bears a second. */
-    double coldSlack = 0; /**< Requests a second beyond it. */
 
     bool operator==(const GatewayBounds&) const = default;
 };
 
-/** What one process takes of its VM. */
-struct GatewayResources {
-    double coreShare = 1; /**< Of one core. */
-    std::size_t memoryMegabytes = 256;
-    std::size_t descriptors = 1024;
-
-    bool operator==(const GatewayResources&) const = default;
-};
-
 /** The settings of one gateway process. */
 struct GatewaySettings {
     VmId vm;
@@ -53,7 +41,6 @@
     GatewayListeners listeners;
     Endpoint store;
     GatewayBounds bounds;
-    GatewayResources resources;
 
     bool operator==(const GatewaySettings&) const = default;
 };
--- a/tests/gateway/SettingsAndStatusTest.cpp
+++ b/tests/gateway/SettingsAndStatusTest.cpp
@@ -25,6 +25,7 @@
 class SettingsAndStatusTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(SettingsAndStatusTest);
     CPPUNIT_TEST(testSmallestSettings);
+    CPPUNIT_TEST(testBoundsMayBeFractionsOrLeftOut);
     CPPUNIT_TEST(testEveryFaultIsReported);
     CPPUNIT_TEST(testStatusSurvivesItsEncoding);
     CPPUNIT_TEST(testStatusOfAnotherVersionIsLeftAlone);
@@ -40,6 +41,15 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t { 7020 }, settings.value().listeners.relays.port);
     }
 
+    void testBoundsMayBeFractionsOrLeftOut()
+    {
+        const auto given
+            = checkGatewaySettings("boot.toml", smallest + "[bounds]\nstop_grace_s = 7.5\nretry_ratio = 1\n");
+        CPPUNIT_ASSERT(given && given.value().bounds.stopGrace == Milliseconds(7500));
+        const auto without = checkGatewaySettings("boot.toml", smallest + "[bounds]\n");
+        CPPUNIT_ASSERT(without && without.value().bounds.stopGrace == Milliseconds(8000));
+    }
+
     void testEveryFaultIsReported()
     {
         const std::string text = smallest + "odd = 1\n[bounds]\nretry_ratio = \"much\"\n";
