Name stopping VMs that still take requests before VMs that may not see them

Change: a status tells whether the VM takes requests, and such VMs of the region and the homes come before any other region.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -276,7 +276,7 @@
     return this->configuration ? this->configuration->getLimits() : defaults;
 }
 
-VmAnnouncement GatewayCore::makeStatus() const
+VmAnnouncement GatewayCore::makeStatus(Milliseconds now) const
 {
     VmAnnouncement status;
     status.vm = this->settings.vm;
@@ -286,6 +286,7 @@
     status.relays = this->settings.listeners.relays;
     status.relayKey = this->relayKey;
     status.isReady = this->configuration && !this->isStopping();
+    status.takesRequests = this->configuration && this->takesRequests(now);
     return status;
 }
 
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -143,7 +143,7 @@
     const std::string& getRelayKey() const { return this->relayKey; }
 
     /** What the store is told of this VM. */
-    VmAnnouncement makeStatus() const;
+    VmAnnouncement makeStatus(Milliseconds now) const;
 
     UpstreamTable& getUpstreams() { return this->upstreams; }
     const UpstreamTable& getUpstreams() const { return this->upstreams; }
--- a/modules/gateway/vms/VmAnnouncement.cpp
+++ b/modules/gateway/vms/VmAnnouncement.cpp
@@ -33,6 +33,7 @@
     status.relays = endpointOf(object, "relays");
     status.relayKey = textOf(object, "relay_key");
     status.isReady = object.at("ready").as_bool();
+    status.takesRequests = object.at("takes_requests").as_bool();
     return status;
 }
 
@@ -49,6 +50,7 @@
     object["relays"] = status.relays.string();
     object["relay_key"] = status.relayKey;
     object["ready"] = status.isReady;
+    object["takes_requests"] = status.takesRequests;
     return json::serialize(object);
 }
 
--- a/modules/gateway/vms/VmAnnouncement.h
+++ b/modules/gateway/vms/VmAnnouncement.h
@@ -17,6 +17,7 @@
     Endpoint relays;
     std::string relayKey; /**< Relayed requests must carry it; made anew by each process. */
     bool isReady = false; /**< False while it starts and once it stops. */
+    bool takesRequests = false; /**< Also true for a while after it began to stop. */
 
     bool operator==(const VmAnnouncement&) const = default;
 };
--- a/modules/gateway/vms/VmRegistry.cpp
+++ b/modules/gateway/vms/VmRegistry.cpp
@@ -35,14 +35,16 @@
 
 std::vector<Endpoint> VmRegistry::chooseEntries(const CallerPlace& place, std::size_t most) const
 {
-    std::array<std::vector<Endpoint>, 4> byNearness;
+    std::array<std::vector<Endpoint>, 5> byNearness;
     for (const auto& [vm, status] : this->vms) {
-        if (!status.isReady)
+        const bool isAllowed = status.region == place.region || isHome(place.homes, status.region);
+        if (!status.isReady && !(status.takesRequests && isAllowed))
             continue;
-        const std::size_t nearness = status.failureDomain == place.failureDomain ? 0
-            : status.region == place.region                                      ? 1
-            : isHome(place.homes, status.region)                                 ? 2
-                                                                                 : 3;
+        const std::size_t nearness = !status.isReady      ? 3
+            : status.failureDomain == place.failureDomain ? 0
+            : status.region == place.region               ? 1
+            : isAllowed                                   ? 2
+                                                          : 4;
         byNearness[nearness].push_back(status.callers);
     }
     for (std::vector<Endpoint>& entries : byNearness) {
--- a/modules/gateway/vms/VmRegistry.h
+++ b/modules/gateway/vms/VmRegistry.h
@@ -35,8 +35,8 @@
     std::vector<VmId> expire(Milliseconds now);
 
     /**
-        Ready VMs that a caller should connect to: those of its failure domain, else of its region, else of the homes of
-        its requests, else all.
+        VMs that a caller should connect to: ready ones of its failure domain, else of its region, else of the homes of
+       its requests; else those there that stop but still take requests; else any that is ready.
     */
     std::vector<Endpoint> chooseEntries(const CallerPlace& place, std::size_t most) const;
 
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -192,11 +192,13 @@
     {
         const auto owned = this->makeCore(makeDocument(1));
         GatewayCore& core = *owned;
-        CPPUNIT_ASSERT(core.isReady(now) && core.makeStatus().isReady);
+        CPPUNIT_ASSERT(core.isReady(now) && core.makeStatus(now).isReady);
         core.beginStopping(now);
-        CPPUNIT_ASSERT(!core.isReady(now) && !core.makeStatus().isReady);
+        CPPUNIT_ASSERT(!core.isReady(now) && !core.makeStatus(now).isReady);
         CPPUNIT_ASSERT(core.takesRequests(now + Milliseconds(500)));
+        CPPUNIT_ASSERT(core.makeStatus(now + Milliseconds(500)).takesRequests);
         CPPUNIT_ASSERT(!core.takesRequests(now + Milliseconds(3000)));
+        CPPUNIT_ASSERT(!core.makeStatus(now + Milliseconds(3000)).takesRequests);
     }
 
 private:
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -17,6 +17,7 @@
     vm.relays = Endpoint { "127.0.0.1", static_cast<std::uint16_t>(30000 + stableHash(name) % 10000) };
     vm.relayKey = "key-of-" + name;
     vm.isReady = isReady;
+    vm.takesRequests = isReady;
     return vm;
 }
 
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(testVanishedUpstreamIsKeptUntilItMayBeBack);
     CPPUNIT_TEST(testEntriesAreNearAndReady);
     CPPUNIT_TEST(testEntriesOfARegionWithoutVmsAreInItsHomes);
+    CPPUNIT_TEST(testStoppingVmsAreNamedBeforeOnesThatMayNotSeeTheRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -236,6 +237,19 @@
         CPPUNIT_ASSERT(entries == std::vector<Endpoint> { makeVm("vm-south", "south").callers });
     }
 
+    void testStoppingVmsAreNamedBeforeOnesThatMayNotSeeTheRequests()
+    {
+        // Every VM of the north is being restarted, one after the other; the south may not see the north's requests.
+        VmAnnouncement stopping = makeVm("vm-north", "north", false);
+        const CallerPlace place { RegionId("north"), FailureDomainId("north-a"), { RegionId("north") } };
+        this->vms->put(stopping);
+        CPPUNIT_ASSERT(
+            this->vms->chooseEntries(place, 64) == std::vector<Endpoint> { makeVm("vm-south", "south").callers });
+        stopping.takesRequests = true;
+        this->vms->put(stopping);
+        CPPUNIT_ASSERT(this->vms->chooseEntries(place, 64) == std::vector<Endpoint> { stopping.callers });
+    }
+
 private:
     PlacementQuery makeQuery() const
     {
