--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -1,10 +1,10 @@
 #include "gateway/digest/Digest.h"
 
+#include "foundation/text/JsonText.h"
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/json/value_to.hpp>
 #include <vector>
 
 namespace papayashelf {
@@ -45,11 +45,6 @@
     return figures;
 }
 
-std::string textAt(const json::object& object, std::string_view name)
-{
-    return json::value_to<std::string>(object.at(name));
-}
-
 DigestReport decodeReport(const json::object& object)
 {
     DigestReport report;
@@ -79,11 +74,14 @@
 {
     for (const auto& [workspace, units] : other.demand)
         this->demand[workspace] += units;
-    for (const auto& [service, load] : other.services) {
-        this->services[service].running += load.running;
-        this->services[service].unreadTokens += load.unreadTokens;
-        this->services[service].askedTokens += load.askedTokens;
-    }
+    for (const auto& [service, load] : other.services)
+        this->services[service].add(load);
+}
+
+ServiceLoad LoadFigures::getLoad(const ServiceId& service) const
+{
+    const auto found = this->services.find(service);
+    return found == this->services.end() ? ServiceLoad {} : found->second;
 }
 
 std::string encodeDigest(const DigestReport& report, std::string_view key)
--- a/modules/gateway/digest/Digest.h
+++ b/modules/gateway/digest/Digest.h
@@ -20,6 +20,9 @@
 
     /** Adds another VM's figures. */
     void add(const LoadFigures& other);
+
+    /** Of one service; nothing if there is none. */
+    ServiceLoad getLoad(const ServiceId& service) const;
 };
 
 /** One VM tells another its load, or its region's. */
--- a/modules/gateway/digest/DigestBook.cpp
+++ b/modules/gateway/digest/DigestBook.cpp
@@ -26,9 +26,7 @@
     if (!this->collecting) {
         receivers.push_back(collector);
     } else {
-        std::set<RegionId> others;
-        for (const auto& [id, status] : vms.getAll())
-            others.insert(status.region);
+        std::set<RegionId> others = vms.getRegions();
         others.erase(this->region);
         for (const RegionId& other : others) {
             if (const VmAnnouncement* receiver = this->findCollector(now, vms, other))
@@ -36,7 +34,7 @@
         }
     }
     for (const VmAnnouncement* receiver : receivers)
-        this->noteAsked(now, receiver->vm);
+        this->askedSince.try_emplace(receiver->vm, now);
     return receivers;
 }
 
@@ -57,11 +55,6 @@
     return nullptr;
 }
 
-void DigestBook::noteAsked(Milliseconds now, const VmId& receiver)
-{
-    this->askedSince.try_emplace(receiver, now);
-}
-
 DigestReport DigestBook::makeReport(Milliseconds now, const RegionId& receiver, const LoadFigures& load)
 {
     this->own = load;
@@ -141,31 +134,24 @@
 ServiceLoad DigestBook::getLoadOfOthersHere(const ServiceId& service) const
 {
     ServiceLoad others = this->getLoad(this->region, service);
-    const auto here = this->own.services.find(service);
-    if (here == this->own.services.end())
-        return others;
-    others.running = std::max(0, others.running - here->second.running);
-    others.unreadTokens = std::max<std::int64_t>(0, others.unreadTokens - here->second.unreadTokens);
-    others.askedTokens = std::max<std::int64_t>(0, others.askedTokens - here->second.askedTokens);
+    const ServiceLoad here = this->own.getLoad(service);
+    others.running = std::max(0, others.running - here.running);
+    others.unreadTokens = std::max<std::int64_t>(0, others.unreadTokens - here.unreadTokens);
+    others.askedTokens = std::max<std::int64_t>(0, others.askedTokens - here.askedTokens);
     return others;
 }
 
 ServiceLoad DigestBook::getLoad(const RegionId& of, const ServiceId& service) const
 {
-    LoadFigures collected;
-    const LoadFigures* figures = &collected;
+    // Asked for at each request: only the one service is added up.
     if (of == this->region && this->collecting) {
+        ServiceLoad sum = this->own.getLoad(service);
         for (const auto& [id, heard] : this->byVm)
-            collected.add(heard.figures);
-        collected.add(this->own);
-    } else {
-        const auto found = this->byRegion.find(of);
-        if (found == this->byRegion.end())
-            return {};
-        figures = &found->second.figures;
+            sum.add(heard.figures.getLoad(service));
+        return sum;
     }
-    const auto load = figures->services.find(service);
-    return load == figures->services.end() ? ServiceLoad {} : load->second;
+    const auto found = this->byRegion.find(of);
+    return found == this->byRegion.end() ? ServiceLoad {} : found->second.figures.getLoad(service);
 }
 
 } // namespace papayashelf
--- a/modules/gateway/digest/DigestBook.h
+++ b/modules/gateway/digest/DigestBook.h
@@ -71,7 +71,6 @@
     };
 
     const VmAnnouncement* findCollector(Milliseconds now, const VmRegistry& vms, const RegionId& of);
-    void noteAsked(Milliseconds now, const VmId& receiver);
     LoadFigures sumRegion(Milliseconds now) const;
 
     VmId vm;
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -13,8 +13,8 @@
 constexpr double missWeight = 3; /**< Reading a shared part again also takes memory from others' cached parts. */
 constexpr std::array<double, 3> likelyCached { 1, 0.6, 0.3 }; /**< By place in the order of a part's upstreams. */
 constexpr double relayCost = 220; /**< Milliseconds: two long ways, there and back, and another VM's work. */
-constexpr double readingPart
-    = 0.85; /**< Of an engine's time; while it reads without pause, answers take ten times as long. */
+/** Of an engine's time; while it reads without pause, answers take ten times as long. */
+constexpr double readingPart = 0.85;
 constexpr double openPart = 0.9; /**< Of what a region can read; above it others hand nothing over. */
 constexpr double tieWidth = 2; /**< Milliseconds; costs closer than this are equal, and VMs choose at random. */
 
@@ -40,7 +40,7 @@
         cause = NoPlaceCause::AllFull;
     else if (isHome(query.homes, this->region))
         candidates = this->findCandidates(now, query, service, cause);
-    this->weigh(now, query, candidates);
+    this->weigh(query, candidates);
     const Candidate* best = this->pick(candidates);
     this->inputs = {};
     this->inputs.candidates = candidates.size();
@@ -89,7 +89,7 @@
     return sound;
 }
 
-void Placement::weigh(Milliseconds, const PlacementQuery& query, std::vector<Candidate>& candidates)
+void Placement::weigh(const PlacementQuery& query, std::vector<Candidate>& candidates)
 {
     if (candidates.empty())
         return;
@@ -136,10 +136,7 @@
 {
     const VmAnnouncement* chosen = nullptr;
     double lowest = ownCost;
-    std::set<RegionId> regions;
-    for (const auto& [id, status] : this->vms.getAll())
-        regions.insert(status.region);
-    for (const RegionId& other : regions) {
+    for (const RegionId& other : this->vms.getRegions()) {
         if (other == this->region || query.triedRegions.contains(other) || !isHome(query.homes, other))
             continue;
         const double cost = this->weighRegion(query, other);
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -66,8 +66,8 @@
     Chooses the upstream for a request.
 
     Every choice has a cost in milliseconds: the prompts that are to be read before, the shared part of this prompt
-   where it is not likely to be cached, what other running requests slow down, and the way to another region. The least
-   one is taken. Engines run out of time for reading long before they run out of slots.
+    where it is not likely to be cached, what other running requests slow down, and the way to another region. The
+    least one is taken. Engines run out of time for reading long before they run out of slots.
 
     Load patterns: prompts with shared parts at a load near the engines' capacity; regional peaks that move; a region
     without upstreams. Thread safety: none; owned by one thread.
@@ -112,7 +112,7 @@
 
     std::vector<Candidate> findCandidates(
         Milliseconds now, const PlacementQuery& query, const ServingService& service, NoPlaceCause& cause);
-    void weigh(Milliseconds now, const PlacementQuery& query, std::vector<Candidate>& candidates);
+    void weigh(const PlacementQuery& query, std::vector<Candidate>& candidates);
     const Candidate* pick(const std::vector<Candidate>& candidates);
     std::optional<UseRelay> findRelay(Milliseconds now, const PlacementQuery& query, double ownCost);
     double weighRegion(const PlacementQuery& query, const RegionId& other) const;
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -17,6 +17,14 @@
     std::int64_t unreadTokens = 0; /**< Of prompts that have not brought a first event. */
     std::int64_t askedTokens = 0; /**< A second, of prompts that were to be read here, let in or not. */
 
+    /** Adds what is under way elsewhere. */
+    void add(const ServiceLoad& other)
+    {
+        this->running += other.running;
+        this->unreadTokens += other.unreadTokens;
+        this->askedTokens += other.askedTokens;
+    }
+
     bool operator==(const ServiceLoad&) const = default;
 };
 
--- a/modules/gateway/vms/VmAnnouncement.cpp
+++ b/modules/gateway/vms/VmAnnouncement.cpp
@@ -1,9 +1,9 @@
 #include "gateway/vms/VmAnnouncement.h"
 
+#include "foundation/text/JsonText.h"
 #include "settings/reading/FieldRules.h"
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/json/value_to.hpp>
 
 namespace papayashelf {
 
@@ -13,25 +13,20 @@
 
 constexpr std::int64_t schemaVersion = 1;
 
-std::string textOf(const json::object& object, std::string_view name)
-{
-    return json::value_to<std::string>(object.at(name));
-}
-
 Endpoint endpointOf(const json::object& object, std::string_view name)
 {
-    return parseEndpoint(textOf(object, name)).value_or(Endpoint {});
+    return parseEndpoint(textAt(object, name)).value_or(Endpoint {});
 }
 
 VmAnnouncement statusOf(const json::object& object)
 {
     VmAnnouncement status;
-    status.vm = VmId(textOf(object, "vm"));
-    status.region = RegionId(textOf(object, "region"));
-    status.failureDomain = FailureDomainId(textOf(object, "failure_domain"));
+    status.vm = VmId(textAt(object, "vm"));
+    status.region = RegionId(textAt(object, "region"));
+    status.failureDomain = FailureDomainId(textAt(object, "failure_domain"));
     status.callers = endpointOf(object, "callers");
     status.relays = endpointOf(object, "relays");
-    status.relayKey = textOf(object, "relay_key");
+    status.relayKey = textAt(object, "relay_key");
     status.isReady = object.at("ready").as_bool();
     status.takesRequests = object.at("takes_requests").as_bool();
     return status;
--- a/modules/gateway/vms/VmRegistry.cpp
+++ b/modules/gateway/vms/VmRegistry.cpp
@@ -56,6 +56,14 @@
     return {};
 }
 
+std::set<RegionId> VmRegistry::getRegions() const
+{
+    std::set<RegionId> regions;
+    for (const auto& [vm, status] : this->vms)
+        regions.insert(status.region);
+    return regions;
+}
+
 std::vector<const VmAnnouncement*> VmRegistry::readyIn(const RegionId& region) const
 {
     std::vector<const VmAnnouncement*> ready;
--- a/modules/gateway/vms/VmRegistry.h
+++ b/modules/gateway/vms/VmRegistry.h
@@ -3,7 +3,7 @@
 #include "foundation/time/Clock.h"
 #include "gateway/vms/VmAnnouncement.h"
 #include <map>
-#include <optional>
+#include <set>
 #include <vector>
 
 namespace papayashelf {
@@ -43,6 +43,9 @@
     /** Ready VMs of a region. */
     std::vector<const VmAnnouncement*> readyIn(const RegionId& region) const;
 
+    /** Regions in which there is any VM, ready or not. */
+    std::set<RegionId> getRegions() const;
+
     /** All VMs known, whether ready or not. */
     const std::map<VmId, VmAnnouncement>& getAll() const { return this->vms; }
 
--- a/modules/serving/caller/RequestReading.cpp
+++ b/modules/serving/caller/RequestReading.cpp
@@ -1,6 +1,5 @@
 #include "serving/caller/RequestReading.h"
 
-#include "entrance/request/ForwardedHead.h"
 #include <boost/beast/http/error.hpp>
 
 namespace papayashelf {
@@ -80,10 +79,7 @@
     request.target = std::string(message.target());
     request.keepAlive = message.keep_alive();
     request.arrivedAt = this->beganAt;
-    HeaderFields all;
-    for (const auto& field : message)
-        all.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    request.headers = withoutHopByHop(all);
+    request.headers = takePassableHeaders(message);
     request.body = std::move(message.body());
     return request;
 }
--- a/modules/serving/http/Message.h
+++ b/modules/serving/http/Message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entrance/request/ForwardedHead.h"
 #include "entrance/request/HeaderFields.h"
 #include "entrance/server/Signal.h"
 #include <string>
@@ -11,6 +12,15 @@
 /** Header fields in the order in which they came. */
 using HeaderFields = std::vector<HeaderField>;
 
+/** The fields of a Beast message that may be passed on: without hop-by-hop fields and length. */
+template <typename Message> HeaderFields takePassableHeaders(const Message& message)
+{
+    HeaderFields all;
+    for (const auto& field : message)
+        all.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    return withoutHopByHop(all);
+}
+
 /** A whole request as it came in. */
 struct IncomingRequest {
     std::string method;
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/http/RelayHeaders.h"
 #include <boost/asio/this_coro.hpp>
+#include <boost/beast/http/status.hpp>
 #include <charconv>
 #include <random>
 #include <utility>
@@ -23,41 +24,12 @@
 constexpr Milliseconds leastSpread { 450 }; /**< Returns are spread over at least this, so they come as no wave. */
 constexpr std::int64_t returnPart = 4; /**< Of the time left, a fourth: a peak may be over, and an answer still fits. */
 constexpr int extraPlacements = 2; /**< Beyond the route's attempts, after upstreams that did not run the request. */
-constexpr std::string_view relayLabel = "relay:"; /**< Marks a VM where the log names an upstream. */
 constexpr Milliseconds stoppingReturn { 50 }; /**< Other VMs take requests at once. */
 constexpr std::chrono::milliseconds waitStep { 40 }; /**< Between looks whether an upstream has room now. */
 constexpr std::uint64_t lowestPriority = 9;
 constexpr int misdirected = 421; /**< Another upstream than the expected one answers. */
 constexpr std::string_view bearer = "Bearer ";
 
-std::string_view reasonOf(int status)
-{
-    switch (status) {
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "";
-    }
-}
-
 int statusOf(RefusalCause cause)
 {
     switch (cause) {
@@ -139,8 +111,10 @@
     const auto stated = this->readNumber(context.names.deadline);
     const Milliseconds patience = stated ? Milliseconds(static_cast<std::int64_t>(*stated)) : noDeadline;
     this->endsAt = this->arrivedAt + patience - finalMargin;
-    if (const auto counts = readTokenCounts(findHeader(request.headers, context.names.tokenCounts)))
+    if (const auto counts = readTokenCounts(findHeader(request.headers, context.names.tokenCounts))) {
         this->promptTokens = counts->first;
+        this->allTokens = counts->first + counts->second;
+    }
     const std::string_view shared = takeSharedParts(findHeader(request.headers, context.names.promptParts));
     this->sharedTokens = sumTokens(shared);
     this->cacheKey = shared.empty() ? 0 : stableHash(shared);
@@ -161,8 +135,7 @@
         const std::string_view authorization = findHeader(this->request.headers, "authorization");
         if (authorization.starts_with(bearer))
             query.key = authorization.substr(bearer.size());
-        if (const auto counts = readTokenCounts(findHeader(this->request.headers, this->context.names.tokenCounts)))
-            query.tokens = counts->first + counts->second;
+        query.tokens = this->allTokens;
         const AdmissionDecision decision = this->context.core.admit(this->now(), query);
         if (const Refusal* refusal = std::get_if<Refusal>(&decision)) {
             co_await this->refuse(*refusal);
@@ -281,6 +254,7 @@
     UpstreamTable& table = this->context.core.getUpstreams();
     this->tried.insert(id);
     this->lastUpstream = id.string();
+    this->wasHandedOver = false;
     table.noteStarted(id, this->promptTokens);
     if (choice.isTrial)
         table.noteTrial(this->now(), id);
@@ -292,8 +266,7 @@
         this->context.core.getPlacement().noteFirstEvent(
             this->admitted->service, this->promptTokens - this->sharedTokens, this->now() - sentAt);
     };
-    const AttemptOutcome outcome
-        = co_await this->attempt(choice.upstream.endpoint, this->formatForUpstream(choice.upstream));
+    AttemptOutcome outcome = co_await this->attempt(choice.upstream.endpoint, this->formatForUpstream(choice.upstream));
     if (std::exchange(this->onFirstEvent, {}))
         table.notePromptDone(id, this->promptTokens);
     table.noteEnded(id);
@@ -313,12 +286,13 @@
 asio::awaitable<RequestServer::Next> RequestServer::tryRelay(const UseRelay& choice)
 {
     this->triedRegions.insert(choice.region);
-    this->lastUpstream = std::string(relayLabel) + choice.vm.string();
+    this->lastUpstream = "relay:" + choice.vm.string();
+    this->wasHandedOver = true;
     ++this->attempts;
     Placement& placement = this->context.core.getPlacement();
     placement.noteRelayBegan(choice.region, this->promptTokens);
     this->onFirstEvent = [this, &placement, to = choice.region] { placement.noteRelayRead(to, this->promptTokens); };
-    const AttemptOutcome outcome = co_await this->attempt(choice.endpoint, this->formatForRelay(choice));
+    AttemptOutcome outcome = co_await this->attempt(choice.endpoint, this->formatForRelay(choice));
     if (const auto unread = std::exchange(this->onFirstEvent, {}))
         unread();
     this->context.figures.noteAttempt(toString(outcome.end));
@@ -377,8 +351,7 @@
 {
     const ServingRoute& route = *this->admitted->route;
     AttemptTimes times;
-    const bool isRelay = this->lastUpstream.starts_with(relayLabel);
-    times.connect = std::min(isRelay ? relayConnectLimit : connectLimit, this->getRemaining());
+    times.connect = std::min(this->wasHandedOver ? relayConnectLimit : connectLimit, this->getRemaining());
     times.end = toTimePoint(this->getRemaining());
     times.firstByte = times.end;
     times.silence = this->getRemaining();
@@ -398,7 +371,7 @@
     return !isWorthRetry || !this->admitted->route->mayRunAgain || this->runs >= this->admitted->route->maximumAttempts;
 }
 
-asio::awaitable<RequestServer::Next> RequestServer::conclude(AttemptOutcome outcome)
+asio::awaitable<RequestServer::Next> RequestServer::conclude(AttemptOutcome& outcome)
 {
     if (outcome.end == AttemptEnd::CallerGone) {
         this->logEnd("request_left", LogWeight::Notable, "caller_gone", 0);
@@ -452,8 +425,8 @@
     const bool hasAttempt
         = this->runs < std::max(1, route.maximumAttempts) && this->attempts < route.maximumAttempts + extraPlacements;
     // A request that reached no upstream is not a retry to them.
-    const bool isFree = outcome.end == AttemptEnd::NotSent
-        || (outcome.end == AttemptEnd::NotRun && this->lastUpstream.starts_with(relayLabel));
+    const bool isFree
+        = outcome.end == AttemptEnd::NotSent || (outcome.end == AttemptEnd::NotRun && this->wasHandedOver);
     if (!this->isRelayed && isSafe && canContinue && hasAttempt && this->getRemaining() > leastUseful
         && (isFree || this->context.core.tryRetry(this->now(), this->admitted->service)))
         co_return Next::TryAgain;
@@ -494,7 +467,8 @@
 asio::awaitable<void> RequestServer::answerOwn(
     int status, std::string_view code, Milliseconds retryAfter, bool isNotRun)
 {
-    ResponseHead head { status, std::string(reasonOf(status)), {} };
+    const auto reason = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
+    ResponseHead head { status, std::string(reason), {} };
     head.headers.emplace_back("Content-Type", "application/json");
     if (!this->requestId.empty())
         head.headers.emplace_back(this->context.names.requestId, this->requestId);
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -41,13 +41,12 @@
         TryAgain,
     };
 
-    std::optional<Admitted> admit();
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<Next> tryOnce();
     boost::asio::awaitable<Next> tryUpstream(const UseUpstream& choice);
     boost::asio::awaitable<Next> tryRelay(const UseRelay& choice);
     boost::asio::awaitable<AttemptOutcome> attempt(const Endpoint& endpoint, const std::string& bytes);
-    boost::asio::awaitable<Next> conclude(AttemptOutcome outcome);
+    boost::asio::awaitable<Next> conclude(AttemptOutcome& outcome); /**< Takes the answer's body if it is kept. */
     boost::asio::awaitable<Next> retryOrGiveUp(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> passWhole(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> finishStream(const AttemptOutcome& outcome);
@@ -79,6 +78,7 @@
     Milliseconds endsAt; /**< When the final answer is due. */
     std::int64_t promptTokens = 0;
     std::int64_t sharedTokens = 0;
+    std::optional<std::int64_t> allTokens; /**< That it may use, if it says so. */
     std::uint64_t cacheKey = 0;
     std::function<void()> onFirstEvent; /**< What is to be told when the prompt under way is read. */
     std::set<UpstreamId> tried;
@@ -88,7 +88,8 @@
     bool isRelayed = false;
     bool hasLooked = false; /**< For a place, at least once. */
     std::optional<AttemptOutcome> kept; /**< An upstream's failure, for the caller if a retry brings nothing better. */
-    std::string lastUpstream;
+    std::string lastUpstream; /**< For the log; a VM after "relay:". */
+    bool wasHandedOver = false; /**< The last attempt went to another VM. */
 };
 
 } // namespace papayashelf
