Let vouches last from one proof to the next

Cause: a collector's watch without news proves what was true when it began, so its view was 1.5 to 3 s old, while the other VMs of its region gave a vouched view up at 2.6 s.

--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -88,7 +88,7 @@
     /** The store's revision up to which this VM knows every change. */
     void noteChanges(std::int64_t revision) { this->lastChange = std::max(this->lastChange, revision); }
 
-    /** The reports that this VM sends now. Call about twice a second. */
+    /** The reports that this VM sends now. Call once each DigestBook::reportInterval. */
     std::vector<std::pair<const VmAnnouncement*, DigestReport>> makeReports(Milliseconds now);
 
     /** Takes a report of another VM and answers it. */
--- a/modules/gateway/digest/DigestBook.h
+++ b/modules/gateway/digest/DigestBook.h
@@ -29,6 +29,9 @@
 */
 class DigestBook {
 public:
+    /** Between reports; limits follow callers that move about this fast. */
+    static constexpr Milliseconds reportInterval { 500 };
+
     DigestBook(VmId vm, RegionId region);
 
     /** VMs that get a report now: the own region's collector, and from a collector those of the other regions. */
--- a/modules/serving/process/DigestExchange.cpp
+++ b/modules/serving/process/DigestExchange.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds interval { 500 }; /**< Limits follow callers that move about this fast. */
 constexpr std::size_t longestDatagram = 65'536;
 
 } // namespace
@@ -42,7 +41,7 @@
     while (true) {
         for (const auto& [receiver, report] : this->core.makeReports(this->clock.now()))
             this->send(*receiver, encodeDigest(report, receiver->relayKey));
-        this->timer.expires_after(interval);
+        this->timer.expires_after(std::chrono::milliseconds(DigestBook::reportInterval.count()));
         co_await this->timer.async_wait(useResult);
     }
 }
--- a/tests/gateway/DigestTest.cpp
+++ b/tests/gateway/DigestTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::int64_t interval = 500;
+constexpr std::int64_t interval = DigestBook::reportInterval.count();
 
 /** Several VMs that exchange digests on virtual time; messages of a silent VM are lost, both ways. */
 class DigestFleet {
@@ -63,6 +63,7 @@
 class DigestTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(DigestTest);
     CPPUNIT_TEST(testOneVmOfARegionVouchesForTheOthers);
+    CPPUNIT_TEST(testVouchesLastFromProofToProof);
     CPPUNIT_TEST(testNobodyIsVouchedForByAVmThatKnowsNothing);
     CPPUNIT_TEST(testVmThatMissedAChangeIsNotVouchedFor);
     CPPUNIT_TEST(testProofIsNeverYoungerThanTheQuestion);
@@ -84,6 +85,21 @@
         CPPUNIT_ASSERT(!fleet.at("a-2").mustAskStore(Milliseconds(13'000)));
     }
 
+    void testVouchesLastFromProofToProof()
+    {
+        // A wait at the store without news proves what was true when it began. No VM but the collector may ask it.
+        constexpr std::int64_t wait = ConfigurationFreshness::proofInterval.count();
+        constexpr std::int64_t way = 100;
+        DigestFleet fleet({ "a" }, 3);
+        for (std::int64_t proof = 10'400; proof < 40'000; proof += wait + way) {
+            fleet.runUntil(proof);
+            fleet.at("a-0").noteConfigurationProof(Milliseconds(proof - wait - way));
+            fleet.runUntil(proof + wait + way);
+            if (proof > 14'000)
+                CPPUNIT_ASSERT(!fleet.at("a-2").mustAskStore(Milliseconds(fleet.now - 1)));
+        }
+    }
+
     void testNobodyIsVouchedForByAVmThatKnowsNothing()
     {
         DigestFleet fleet({ "a" }, 2);
