--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -18,8 +18,8 @@
 constexpr double urgentDebt = 0.5; /**< Of the depth, by which the most urgent requests may go below 0. */
 constexpr double rankStep = 0.25; /**< Of the depth, that each less urgent rank leaves to those before it. */
 constexpr Milliseconds longReading { 270 }; /**< A prompt that takes this long, a fifth of usual goals, leaves all. */
-constexpr double easyPressure = 0.7; /**< Of what engines read; up to here all prompts are alike. */
-constexpr double fullPressure = 1.0; /**< From here on, long prompts give way in full. */
+constexpr double easyPressure = 0.9; /**< Of what engines read; up to here all prompts are alike. */
+constexpr double fullPressure = 1.2; /**< From here on, long prompts give way in full. */
 constexpr double mostLeft = 0.9; /**< Of the depth; engines that are nearly idle read any prompt. */
 constexpr int lowestRank = 4; /**< Ranks from here on are alike. */
 constexpr double luckyPart = 0.1; /**< Of all requests go before the most urgent ones, so that no rank starves. */
