--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,204 @@
+"""The promises, checked from what callers and upstreams saw. A violation names the promise and the request."""
+
+from collections import defaultdict
+
+from callers import NOT_RUN
+from deployment import COLD_PER_SECOND, KINDS, LIMITED
+
+
+def check_all(world):
+    ledger, bounds = world.ledger, world.bounds
+    runs_of = defaultdict(list)
+    for run in ledger.runs:
+        runs_of[run.attempt].append(run)
+    check_runs(ledger, runs_of)
+    check_refusals(ledger, runs_of)
+    check_withdrawn_keys(ledger, bounds)
+    check_leaving(ledger, bounds, world)
+    check_evacuation(ledger, bounds, world)
+    check_cold(ledger, bounds)
+    check_limit(ledger, bounds, world, runs_of)
+    check_retries(ledger, bounds)
+    check_routes(ledger, bounds)
+    check_stops(ledger, bounds, runs_of)
+    check_left(ledger, bounds, world)
+    check_recovery(ledger, bounds, world)
+
+
+def check_runs(ledger, runs_of):
+    for attempt, runs in runs_of.items():
+        sent = ledger.sent.get(attempt)
+        if not sent:
+            continue  # Reported on arrival.
+        most = sent.kind.attempts if sent.kind.may_run_again else 1
+        if len(runs) > most:
+            ledger.violate("twice", f"{attempt}: ran {len(runs)} times, {sent.kind.path} allows {most}")
+        for run in runs:
+            if sent.kind.homes and run.region not in sent.kind.homes:
+                ledger.violate("homes", f"{attempt}: ran in {run.region}")
+
+
+def check_refusals(ledger, runs_of):
+    for outcome in ledger.outcomes:
+        attempt = outcome.sent.attempt
+        if outcome.answer.status in NOT_RUN and runs_of.get(attempt):
+            ledger.violate("refused", f"{attempt}: answered {outcome.answer.status} and ran at {runs_of[attempt][0].upstream}")
+
+
+def check_withdrawn_keys(ledger, bounds):
+    for run in ledger.runs:
+        sent = ledger.sent.get(run.attempt)
+        since = ledger.withdrawn.get(sent.key) if sent else None
+        if since and sent.at > since + bounds.key_withdrawal:
+            ledger.violate("withdrawn", f"{run.attempt}: sent {sent.at - since:.2f} s after its key was withdrawn")
+
+
+def is_held_up(ledger, bounds, world, run, sent):
+    """True if the run may be late: something was done to the store, the link or a VM that may have sent it."""
+    vms = {vm.name for vm in world.vms if vm.region == run.region} | {sent.vm, "store", run.upstream}
+    return not ledger.is_calm(vms, run.at - bounds.contact, run.at)
+
+
+def check_leaving(ledger, bounds, world):
+    for run in ledger.runs:
+        since = ledger.leaving.get(run.upstream)
+        sent = ledger.sent.get(run.attempt)
+        if sent and since and run.at > since + bounds.leaving and not is_held_up(ledger, bounds, world, run, sent):
+            ledger.violate("leaving", f"{run.attempt}: reached {run.upstream} {run.at - since:.2f} s after it said that it leaves")
+
+
+def check_evacuation(ledger, bounds, world):
+    for run in ledger.runs:
+        sent = ledger.sent.get(run.attempt)
+        for domain, begin, end in ledger.evacuations:
+            is_late = domain == run.region + "-a" and begin + bounds.evacuation < run.at < end
+            if sent and is_late and not is_held_up(ledger, bounds, world, run, sent):
+                ledger.violate("evacuated", f"{run.attempt}: reached {domain} {run.at - begin:.2f} s after it was evacuated")
+
+
+def check_cold(ledger, bounds):
+    most = COLD_PER_SECOND * bounds.cold_overshoot + bounds.cold_slack
+    times = defaultdict(list)
+    for run in ledger.runs:
+        sent = ledger.sent.get(run.attempt)
+        if sent and any(begin <= run.at < end for begin, end in ledger.cold[run.upstream]):
+            times[run.upstream].append((run.at, sent.at))
+    for upstream, runs in times.items():
+        runs.sort()
+        for begin, _ in runs:
+            count = sum(1 for at, sent_at in runs if begin <= at < begin + 1 and sent_at >= begin - 0.001)
+            if count > most:
+                ledger.violate("cold", f"{upstream}: {count} requests in a second while cold, {most} allowed")
+                break
+
+
+def check_limit(ledger, bounds, world, runs_of):
+    governance = world.governance
+    most = (governance.rate * bounds.limit_window + governance.burst) * (1 + bounds.limit_overshoot) + bounds.token_slack
+    used = []
+    for attempt, runs in runs_of.items():
+        sent = ledger.sent.get(attempt)
+        if sent and sent.workspace == LIMITED:
+            used.append((sent.at, runs[0].at, sum(sent.kind.tokens) or 50))
+    for begin, _, _ in used:
+        tokens = sum(count for at, run_at, count in used if at >= begin and run_at <= begin + bounds.limit_window)
+        if tokens > most:
+            ledger.violate("limit", f"{tokens} tokens in {bounds.limit_window} s, {most:.0f} allowed")
+            return
+    world.figures["limited_tokens"] = sum(count for _, _, count in used)
+
+
+def check_retries(ledger, bounds):
+    requests = defaultdict(list)
+    for sent in ledger.sent.values():
+        requests[sent.kind.service].append(sent.at)
+    beyond, seen = defaultdict(list), set()
+    for at, service, attempt in ledger.arrivals:
+        if attempt in seen:
+            beyond[service].append(at)
+        seen.add(attempt)
+    for service, times in beyond.items():
+        for begin in times:
+            end = begin + bounds.retry_window
+            count = sum(1 for at in times if begin <= at < end)
+            windows = (begin, begin - bounds.retry_window / 2, begin - bounds.retry_window)
+            asked = max(sum(1 for at in requests[service] if w <= at < w + bounds.retry_window) for w in windows)
+            if count > asked * bounds.retry_ratio + bounds.extra_retries:
+                ledger.violate("retries", f"{service}: {count} arrivals beyond the first for {asked} requests")
+                break
+
+
+def check_routes(ledger, bounds):
+    served = {}
+    for outcome in sorted(ledger.outcomes, key=lambda each: each.sent.at):
+        sent, status = outcome.sent, outcome.answer.status
+        path = sent.kind.path
+        added, removed = ledger.routes_added.get(path), ledger.routes_removed.get(path)
+        if added is None or removed is not None and sent.at > removed - 0.001:
+            continue
+        place = (sent.vm, sent.incarnation, path)
+        if status == 200:
+            served.setdefault(place, outcome.answer.ended_at)
+        is_calm = ledger.is_calm({sent.vm, "store"}, sent.at - bounds.contact, sent.at + 0.1)
+        if status == 404 and not removed and sent.at > added + bounds.configuration and is_calm:
+            ledger.violate("configuration", f"{sent.attempt}: {path} unknown {sent.at - added:.2f} s after it was in force")
+        if status == 404 and not removed and place in served and sent.at > served[place] + bounds.rollback:
+            ledger.violate("configuration", f"{sent.attempt}: {sent.vm} went back to before {path}")
+    for run in ledger.runs:
+        sent = ledger.sent.get(run.attempt)
+        removed = ledger.routes_removed.get(sent.kind.path) if sent else None
+        if removed and sent.at > removed + bounds.configuration:
+            if ledger.is_calm({sent.vm, "store"}, sent.at - bounds.contact, sent.at + 0.1):
+                ledger.violate("configuration", f"{run.attempt}: ran on {sent.kind.path} after its removal")
+
+
+def check_stops(ledger, bounds, runs_of):
+    """Around a planned stop of its VM alone, no request that was read goes without a whole answer."""
+    for outcome in ledger.outcomes:
+        sent, answer = outcome.sent, outcome.answer
+        stop = next((at for vm, incarnation, at in ledger.stops
+                     if vm == sent.vm and incarnation == sent.incarnation and answer.ended_at >= at >= sent.at - bounds.stop_grace), None)
+        if stop is None or outcome.left_at or answer.is_complete or not answer.sent_whole_at:
+            continue
+        others = {sent.vm, *(run.upstream for run in runs_of.get(sent.attempt, ()))}
+        if not ledger.is_calm(others, sent.at - bounds.contact, answer.ended_at, except_for=("stop", "reload", "end")):
+            continue
+        was_held = answer.ended_at > answer.sent_whole_at + bounds.stop_slack
+        is_long = answer.ended_at > stop + bounds.stop_grace * 5 / 6 and sent.at < stop + 3
+        if (runs_of.get(sent.attempt) or was_held) and not is_long:
+            ledger.violate("stops", f"{sent.attempt}: cut by the stop of {sent.vm}: {answer.failure}")
+
+
+def check_left(ledger, bounds, world):
+    """Upstreams stop work that its caller has left."""
+    left_at = {each.sent.attempt: each for each in ledger.outcomes if each.left_at}
+    late, counted = [], 0
+    for run in ledger.runs:
+        outcome = left_at.get(run.attempt)
+        if not outcome or not outcome.sent.kind.may_run_again or not outcome.sent.kind.events:
+            continue
+        if is_held_up(ledger, bounds, world, run, outcome.sent) or not run.ended_at:
+            continue
+        would_last = run.at + outcome.sent.kind.events * 0.04
+        if would_last < outcome.left_at + bounds.caller_left * 1.5:
+            continue
+        counted += 1
+        if run.ended_at > outcome.left_at + bounds.caller_left:
+            late.append(run.attempt)
+    world.figures["left_while_running"] = counted
+    if len(late) > max(1, counted / 4):
+        ledger.violate("left", f"upstreams worked on after {len(late)} of {counted} callers had left: {late[:5]}")
+
+
+def check_recovery(ledger, bounds, world):
+    """All is served again once the faults are over."""
+    since = world.healed_at + bounds.recovery
+    late = [each for each in ledger.outcomes
+            if each.sent.at > since and not each.left_at and each.sent.kind in KINDS and each.sent.workspace != LIMITED
+            and each.sent.key not in ledger.withdrawn]
+    served = sum(1 for each in late if each.answer.status == 200 and each.answer.is_complete)
+    world.figures["asked_after_recovery"], world.figures["served_after_recovery"] = len(late), served
+    if not late or served < len(late) * 0.98:
+        unserved = [(each.sent.attempt, each.answer.status, each.answer.failure) for each in late
+                    if not (each.answer.status == 200 and each.answer.is_complete)]
+        ledger.violate("recovery", f"{served} of {len(late)} served after the recovery; {unserved[:5]}")
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,133 @@
+"""The gateway processes: real programs that are started, stopped, paused and killed by their own process ids."""
+
+import asyncio
+import itertools
+import signal
+import socket
+
+from deployment import REGIONS, settings_text
+from proxy import FaultProxy
+
+RESTART_S = 0.4
+READY_LIMIT_S = 20
+PORT_NAMES = ("callers", "readiness", "entries", "relays", "metrics")
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Vm:
+    def __init__(self, name, region, world):
+        self.name, self.region, self.world = name, region, world
+        self.ports = dict(zip(PORT_NAMES, free_ports(len(PORT_NAMES))))
+        self.incarnation = 0
+        self.process = None
+        self.store = None
+        self.is_wanted = False
+        self.is_up = False
+        self.expected_end = True
+        self.down_since = None
+
+    async def start(self):
+        if not self.store:
+            self.store = await FaultProxy(self.world.store.port).start()
+        domains = {region + "-a": region for region in REGIONS}
+        if self.world.sabotage == "mix_regions":
+            domains = dict(zip(domains, [REGIONS[-1], *REGIONS[:-1]]))
+        text = settings_text(self.name, self.region, self.store.port, self.ports, self.world.vm_bounds, domains)
+        settings = self.world.folder / f"{self.name}.toml"
+        settings.write_text(text)
+        self.is_wanted = True
+        self.supervisor = asyncio.create_task(self._supervise(settings))
+
+    async def _supervise(self, settings):
+        """Runs the program, and again after each end, as the platform does."""
+        for self.incarnation in itertools.count(self.incarnation + 1):
+            span = self.world.ledger.begin(self.name, "start")
+            log = (self.world.folder / f"{self.name}.log").open("ab")
+            self.process = await asyncio.create_subprocess_exec(
+                str(self.world.binary), "gateway", f"--settings={settings}", stdout=log, stderr=log)
+            log.close()
+            self.expected_end = False
+            self.is_up, self.down_since = True, None
+            span.end = self.world.ledger.now()
+            status = await self.process.wait()
+            self.is_up, self.down_since = False, self.world.ledger.now()
+            self.world.ledger.spans.append(type(span)(self.name, "end", self.down_since, self.down_since))
+            if not self.expected_end:
+                self.world.ledger.violate("exits", f"{self.name}: ended by itself with {status}")
+            if not self.is_wanted:
+                return
+            await asyncio.sleep(RESTART_S + self.pause_before_restart())
+
+    def pause_before_restart(self):
+        pause, self.extra_pause = getattr(self, "extra_pause", 0), 0
+        return pause
+
+    # ---- Signals. Each returns when the system has dealt with it.
+
+    async def stop(self):
+        """SIGTERM, and SIGKILL at the end of the grace."""
+        if not self.is_up:
+            return
+        ledger, process = self.world.ledger, self.process
+        span = ledger.begin(self.name, "stop")
+        self.expected_end = True
+        ledger.stops.append((self.name, self.incarnation, ledger.now()))
+        process.send_signal(signal.SIGKILL if self.world.sabotage == "stop_at_once" else signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), self.world.bounds.stop_grace)
+        except asyncio.TimeoutError:
+            ledger.violate("stops", f"{self.name}: still there at the end of the grace")
+            process.kill()
+        span.end = ledger.now()
+
+    async def kill(self, extra_pause=0.0):
+        if not self.is_up:
+            return
+        span = self.world.ledger.begin(self.name, "kill")
+        self.expected_end = True
+        self.extra_pause = extra_pause
+        self.process.kill()
+        await self.process.wait()
+        span.end = self.world.ledger.now()
+
+    async def freeze(self, seconds):
+        if not self.is_up:
+            return
+        span, process = self.world.ledger.begin(self.name, "freeze"), self.process
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+        span.end = self.world.ledger.now()
+
+    async def reload(self):
+        if self.is_up:
+            span = self.world.ledger.begin(self.name, "reload")
+            self.process.send_signal(signal.SIGHUP)
+            span.end = self.world.ledger.now()
+
+    async def end(self):
+        """Ends the process for good."""
+        self.is_wanted = False
+        self.expected_end = True
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+        await asyncio.gather(self.supervisor, return_exceptions=True)
+
+    async def wait_until_ready(self):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + READY_LIMIT_S
+        while loop.time() < end:
+            if await self.world.ask_readiness(self):
+                return True
+            await asyncio.sleep(0.1)
+        return False
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,253 @@
+"""Plays one seed of the fault soak: real gateway processes between stand-ins, with faults from outside."""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import time
+
+import checks
+import faults
+from callers import Caller
+from deployment import REGIONS, Bounds, Governance
+from fleet import Vm
+from http1 import ClientConnection
+from ledger import Ledger
+from proxy import Mode
+from store import MetadataStore, Trouble
+from upstream import Upstream
+
+SETTLE_S = 3.0  # Traffic before the first fault.
+CALM_END_S = 18.0  # The recovery time and some seconds in which all must be served.
+UPSTREAMS_PER_REGION = {"assistant": 2, "desk": 2}
+
+
+@dataclasses.dataclass(frozen=True)
+class Sabotage:
+    """Breaks one mechanism from outside; the promise must be seen to fail."""
+
+    promise: str
+    faults: tuple  # What shows it.
+    callers: int = 20
+
+
+SABOTAGES = {
+    "keep_withdrawn": Sabotage("withdrawn", ("withdraw_key",)),
+    "hide_leaving": Sabotage("leaving", ("replace_upstream",)),
+    "hide_evacuation": Sabotage("evacuated", ("evacuate",)),
+    "hide_cold": Sabotage("cold", ("crash_upstream",), callers=100),
+    "hide_routes": Sabotage("configuration", ("change_routes",)),
+    "mix_regions": Sabotage("homes", ("reload_vm",)),
+    "run_refused": Sabotage("twice", ("break_upstreams",)),
+    "skip_event": Sabotage("order", ("reload_vm",)),
+    "loose_limit": Sabotage("limit", ("reload_vm",), callers=60),
+    "loose_retries": Sabotage("retries", ("fail_service",), callers=40),
+    "stop_at_once": Sabotage("stops", ("stop_vm",)),
+    "keep_runs": Sabotage("left", ("reload_vm",)),
+    "never_heal": Sabotage("recovery", ("slow_store",)),
+}
+
+
+class World:
+    def __init__(self, arguments):
+        self.binary = pathlib.Path(arguments.binary).resolve()
+        self.folder = pathlib.Path(arguments.folder) / f"seed-{arguments.seed}"
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+        self.sabotage = arguments.sabotage or ""
+        self.bounds = Bounds()
+        self.vm_bounds = self.bounds
+        if self.sabotage == "loose_retries":
+            self.vm_bounds = dataclasses.replace(self.bounds, retry_ratio=50, extra_retries=100000)
+        self.ledger = Ledger()
+        self.governance = Governance(rate=arguments.limited_rate, burst=arguments.limited_rate / 2,
+                                     rate_factor=4 if self.sabotage == "loose_limit" else 1)
+        self.store = MetadataStore()
+        self.vms, self.upstreams = [], []
+        self.removed_routes, self.withdrawn_keys, self.new_keys = [], [], {}
+        self.route_serial, self.key_serial = 0, 0
+        self.is_over = False
+        self.healed_at = 0.0
+        self.figures = {}
+        self.random = random.Random(arguments.seed)
+
+    async def build(self, vms):
+        await self.store.start()
+        await self.publish()
+        self.store.hides = self._hides
+        for region in REGIONS:
+            for service, count in UPSTREAMS_PER_REGION.items():
+                for _ in range(count):
+                    upstream = Upstream(service, region, self.store, self.ledger, self.governance.routes,
+                                        random.Random(self.random.getrandbits(32)))
+                    upstream.sabotage = self.sabotage
+                    self.upstreams.append(await upstream.start(is_cold=False))
+        self.vms = [Vm(f"{REGIONS[i % 3]}-{i // 3 + 1}", REGIONS[i % 3], self) for i in range(vms)]
+        await asyncio.gather(*(vm.start() for vm in self.vms))
+        if not all(await asyncio.gather(*(vm.wait_until_ready() for vm in self.vms))):
+            self.ledger.violate("starts", "not every VM was ready in time")
+
+    def _hides(self, key, value):
+        if key == "op/config":
+            return self.sabotage in ("keep_withdrawn", "hide_routes")
+        if key.startswith("op/evacuate/"):
+            return self.sabotage == "hide_evacuation"
+        return self.sabotage == "hide_leaving" and b'"draining"' in value
+
+    # ---- The operator.
+
+    async def wait_for_store(self):
+        while not self.store.is_stable():
+            await asyncio.sleep(0.05)
+
+    async def publish(self, added=None, removed=None):
+        await self.wait_for_store()
+        self.store.put("op/config", self.governance.encode())
+        now = self.ledger.now()
+        if added:
+            self.ledger.routes_added[added.path] = now
+        if removed:
+            self.ledger.routes_removed[removed.path] = now
+            self.removed_routes = [*self.removed_routes[-2:], removed]
+
+    async def withdraw_key(self):
+        keys = self.governance.keys["farm"]
+        self.key_serial += 1
+        key = f"farm-key-{self.key_serial}"
+        keys.append(key)
+        self.new_keys[key] = float("inf")
+        await self.publish()
+        self.new_keys[key] = self.ledger.now() + self.bounds.configuration
+        if len(keys) < 3:
+            return
+        gone = keys.pop(0)
+        # A request on its way may be refused as soon as the document is written, so it counts as withdrawn before.
+        self.withdrawn_keys.append(gone)
+        self.ledger.withdrawn[gone] = float("inf")
+        await self.publish()
+        self.ledger.withdrawn[gone] = self.ledger.now()
+
+    def is_new_key(self, sent):
+        """A key may be unknown to VMs that have not heard of it, for as long as they are out of touch."""
+        since = self.new_keys.get(sent.key, 0)
+        if sent.at < since:
+            return True
+        return since and not self.ledger.is_calm({sent.vm, "store"}, sent.at - self.bounds.contact, sent.at)
+
+    # ---- The day.
+
+    async def ask_readiness(self, vm):
+        try:
+            connection = await ClientConnection.open(vm.ports["readiness"], 1)
+        except (OSError, asyncio.TimeoutError):
+            return False
+        answer = await connection.exchange("GET", "/-/ready", [("Host", "vm"), ("Connection", "close")], b"")
+        connection.close()
+        return answer.status == 200
+
+    async def play(self, seconds, callers, names):
+        crowd = [Caller(self, random.Random(self.random.getrandbits(32))) for _ in range(callers)]
+        asking = [asyncio.create_task(caller.run()) for caller in crowd]
+        begin = self.ledger.now()
+        plan = faults.draw_plan(self.random, SETTLE_S, seconds - CALM_END_S, names)
+        tasks = []
+        for planned in plan:
+            await asyncio.sleep(max(0.0, begin + planned.at - self.ledger.now()))
+            self.note(planned)
+            tasks.append(asyncio.create_task(faults.FAULTS[planned.name](self, random.Random(planned.seed))))
+        await asyncio.gather(*tasks)
+        self.heal()
+        await asyncio.sleep(CALM_END_S)
+        self.is_over = True
+        await asyncio.gather(*asking)
+        self.figures["faults"] = len(plan)
+
+    def note(self, planned):
+        with (self.folder / "faults.jsonl").open("a") as file:
+            file.write(json.dumps({"t_ms": int(time.time() * 1000), "now": self.ledger.now(), "fault": planned.name}) + "\n")
+
+    def heal(self):
+        self.store.trouble, self.store.delay = Trouble.NONE, 0
+        for each in [*(vm.store for vm in self.vms), *(upstream.proxy for upstream in self.upstreams)]:
+            each.set(Mode.PASS)
+        if self.sabotage == "never_heal":
+            self.store.trouble = Trouble.OUT
+        self.healed_at = self.ledger.now()
+
+    async def end(self):
+        await asyncio.gather(*(vm.end() for vm in self.vms))
+        self.check_logs()
+
+    def check_logs(self):
+        for vm in self.vms:
+            for line in (self.folder / f"{vm.name}.log").read_text(errors="replace").splitlines():
+                try:
+                    json.loads(line)
+                except ValueError:
+                    self.ledger.violate("logs", f"{vm.name}: not a JSON line: {line[:200]}")
+                    break
+
+
+async def soak(arguments):
+    # A stop from outside ends the gateway processes too.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    world = World(arguments)
+    try:
+        await world.build(arguments.vms)
+        await world.play(arguments.seconds, arguments.callers, arguments.only)
+    finally:
+        await world.end()
+    checks.check_all(world)
+    return world
+
+
+def report(world, arguments):
+    outcomes = world.ledger.outcomes
+    statuses = {}
+    for outcome in outcomes:
+        name = str(outcome.answer.status or outcome.answer.failure.split(":")[0])
+        statuses[name] = statuses.get(name, 0) + 1
+    broken = sorted({promise for promise, _ in world.ledger.violations})
+    result = {"seed": arguments.seed, "sabotage": world.sabotage, "requests": len(outcomes), "runs": len(world.ledger.runs),
+              "statuses": statuses, **world.figures, "broken": broken}
+    if world.sabotage:
+        result["seen_to_fail"] = SABOTAGES[world.sabotage].promise in broken
+    (world.folder / "report.json").write_text(
+        json.dumps({**result, "violations": world.ledger.violations}, indent=1))
+    print(json.dumps(result), flush=True)
+    if not world.sabotage:
+        for promise, detail in world.ledger.violations[:20]:
+            print(f"BROKEN {promise}: {detail}", flush=True)
+    return result["seen_to_fail"] if world.sabotage else not broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=45)
+    parser.add_argument("--vms", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=20)
+    parser.add_argument("--limited-rate", type=float, default=4000, help="tokens a second of the limited workspace")
+    parser.add_argument("--only", action="append", choices=sorted(faults.FAULTS), help="only these faults")
+    parser.add_argument("--sabotage", choices=sorted(SABOTAGES), help="break a mechanism; passes if its promise fails")
+    parser.add_argument("--binary", default="build/papayashelf")
+    parser.add_argument("--folder", default="build/soak", help="logs and report of each seed go there")
+    parser.add_argument("--keep", action="store_true", help="keep the logs of a seed that passed")
+    arguments = parser.parse_args()
+    if arguments.sabotage and not arguments.only:
+        arguments.only = list(SABOTAGES[arguments.sabotage].faults)
+        arguments.callers = SABOTAGES[arguments.sabotage].callers
+    world = asyncio.run(soak(arguments))
+    is_good = report(world, arguments)
+    if is_good and not arguments.keep:
+        shutil.rmtree(world.folder)
+    return 0 if is_good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/upstream.py
@@ -0,0 +1,216 @@
+"""A stand-in upstream: it registers in the store, answers with seals, and fails as told."""
+
+import asyncio
+import enum
+import hashlib
+import itertools
+import json
+import time
+
+import http1
+from ledger import Run
+from proxy import FaultProxy
+
+HEARTBEAT_S = 1.2
+SLOTS = 32
+EVENT_GAP_S = 0.04
+WORK_S = 0.02
+COLD_S = 3.0
+
+
+class Fault(enum.Enum):
+    NONE = "none"
+    REFUSES = "refuses"  # Says that it has not run the request.
+    LOSES_ANSWER = "loses_answer"  # Runs it and closes the connection.
+    BREAKS_STREAM = "breaks_stream"  # Stops in the middle of an event.
+    FAILS = "fails"  # A sealed 500.
+    STALLS = "stalls"  # Runs it and says nothing.
+    EARLY_BYTES = "early_bytes"  # An answer of another request comes first.
+
+
+def seal(attempt, body):
+    return hashlib.sha1(attempt.encode() + body).hexdigest()
+
+
+def event(attempt, number):
+    return f"id: {number}\ndata: {attempt} piece {number}\n\n".encode()
+
+
+class Upstream:
+    serials = itertools.count(1)
+
+    def __init__(self, service, region, store, ledger, kinds, random):
+        self.service, self.region, self.domain = service, region, region + "-a"
+        self.store, self.ledger, self.kinds, self.random = store, ledger, kinds, random
+        self.fault, self.fault_share = Fault.NONE, 0.0
+        self.sabotage = ""
+        self.is_up = False
+        self.proxy = None
+        self._tasks = set()
+
+    async def start(self, is_new=True, is_cold=True):
+        """Starts to serve and registers; anew, or under the id and the address that it had."""
+        if is_new or not self.proxy:
+            self.id = f"u-{self.service}-{next(self.serials)}"
+        self.server, port = await http1.listen(self._handle)
+        if self.proxy:
+            self.proxy.target_port = port
+        else:
+            self.proxy = await FaultProxy(port).start()
+            self.proxy.keeps_server_side = self.sabotage == "keep_runs"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.is_up, self.is_leaving = True, False
+        self.cold_end = self.ledger.now() + (COLD_S if is_cold else 0)
+        self.ledger.cold.setdefault(self.id, []).append((self.ledger.now(), self.cold_end))
+        self.ledger.leaving.pop(self.id, None)
+        self._beat = asyncio.create_task(self._heartbeats(self.id))
+        return self
+
+    def _register(self):
+        self.sequence += 1
+        cold_left = max(0.0, self.cold_end - self.ledger.now())
+        state = "draining" if self.is_leaving else "ready"
+        entry = {"service": self.service, "address": f"127.0.0.1:{self.proxy.port}", "zone": self.domain, "version": "v1",
+                 "slots": SLOTS, "state": state, "seq": self.sequence, "born": self.born,
+                 "cold_left_ms": 0 if self.sabotage == "hide_cold" else int(cold_left * 1000)}
+        self.store.put("servers/" + self.id, json.dumps(entry).encode())
+
+    async def _heartbeats(self, own_id):
+        """Writes the entry while alive; a dead one's entry ends after three intervals."""
+        shown = None
+        while self.is_up and self.id == own_id:
+            state = (self.is_leaving, self.cold_end > self.ledger.now())
+            if self.store.is_stable() and (state != shown or self.sequence % 5 == 0):
+                self._register()
+                shown = state
+            self.sequence += 1
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def leave(self):
+        """Says that it leaves, serves on for a while, and ends."""
+        while not self.store.is_stable():
+            await asyncio.sleep(0.1)
+        self.is_leaving = True
+        self._register()
+        self.ledger.leaving[self.id] = self.ledger.now()
+        await asyncio.sleep(6)
+        self.stop()
+        self.store.remove("servers/" + self.id)
+
+    async def crash(self):
+        """Ends at once; the entry follows when its time is over."""
+        own_id = self.id
+        self.stop()
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        if not (self.is_up and self.id == own_id):
+            self.store.remove("servers/" + own_id)
+
+    def stop(self):
+        self.is_up = False
+        self._beat.cancel()
+        self.server.close()
+        self.proxy.reset()
+        for task in list(self._tasks):
+            task.cancel()
+
+    # ---- Requests.
+
+    async def _handle(self, request, connection):
+        self._tasks.add(asyncio.current_task())
+        try:
+            await self._answer(request, connection)
+        finally:
+            self._tasks.discard(asyncio.current_task())
+
+    async def _answer(self, request, connection):
+        attempt = request.header("attempt-id")
+        self.ledger.arrivals.append((self.ledger.now(), self.service, attempt))
+        if request.header("expect-instance") != self.id:
+            await connection.answer(421, [("Not-Executed", "1")], b"")
+            return
+        fault = self.fault if self.random.random() < self.fault_share else Fault.NONE
+        if fault is Fault.REFUSES:
+            if self.sabotage == "run_refused":
+                self._begin_run(request, attempt)
+            await connection.answer(503, [("Not-Executed", "1")], b"full")
+            return
+        run = self._begin_run(request, attempt)
+        try:
+            await self._work(request, connection, attempt, fault, run)
+        finally:
+            run.ended_at = self.ledger.now()
+
+    def _begin_run(self, request, attempt):
+        resumed = request.header("last-event-id")
+        run = Run(attempt, self.ledger.now(), self.id, self.region, self.service, int(resumed or 0))
+        self.ledger.runs.append(run)
+        self._check_arrival(request, attempt)
+        return run
+
+    def _check_arrival(self, request, attempt):
+        """What an upstream sees of a request is what its caller sent, and nothing of the caller's key."""
+        sent = self.ledger.sent.get(attempt)
+        if not sent:
+            self.ledger.violate("unasked", f"{attempt}: no caller sent it")
+            return
+        if (request.method, request.target, request.body) != (sent.method, sent.path, sent.body):
+            self.ledger.violate("unasked", f"{attempt}: method, path or body changed")
+        if request.header("tenant") != sent.workspace:
+            self.ledger.violate("unasked", f"{attempt}: workspace {request.header('tenant')}, not {sent.workspace}")
+        if request.header("authorization") or any(sent.key in value for value in request.headers.values()):
+            self.ledger.violate("unasked", f"{attempt}: the key was passed on")
+        for name in ("hold", "pin-ms", "kv-backup", "kv-from"):
+            if request.header(name):
+                self.ledger.violate("unasked", f"{attempt}: {name} of the caller was passed on")
+        for name in ("model", "token-usage", "prompt-prefix"):
+            if request.header(name) != sent.headers.get(name, ""):
+                self.ledger.violate("unasked", f"{attempt}: {name} changed")
+
+    async def _work(self, request, connection, attempt, fault, run):
+        if fault is Fault.STALLS:
+            await connection.peer_gone.wait()
+            return
+        if await self._sleep(connection, WORK_S):
+            return
+        if fault is Fault.LOSES_ANSWER:
+            connection.abort()
+            return
+        kind = next((kind for kind in self.kinds if request.target.startswith(kind.path)), None)
+        own = [("Attempt-Id", attempt), ("Server-Load", f"{len(self._tasks)},0,{SLOTS}")]
+        if fault is Fault.EARLY_BYTES:
+            other = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: x\r\nContent-Length: 5\r\n\r\nother"
+            connection.writer.write(other)
+        if fault is Fault.FAILS:
+            await connection.answer(500, [*own, ("Response-Seal", seal(attempt, b"failed"))], b"failed")
+        elif kind and kind.events:
+            await self._stream(connection, attempt, kind, own, fault, run)
+        else:
+            body = f"{attempt} done by {self.service}".encode()
+            await connection.answer(200, [*own, ("Response-Seal", seal(attempt, body))], body)
+        run.is_whole = not connection.peer_gone.is_set()
+
+    async def _stream(self, connection, attempt, kind, own, fault, run):
+        head = [*own, ("Response-Seal", "stream-" + attempt), ("Content-Type", "text/event-stream"),
+                ("Transfer-Encoding", "chunked")]
+        await connection.start(200, head)
+        breaks_at = run.resumed_after + self.random.randint(1, 6) if fault is Fault.BREAKS_STREAM else 0
+        for number in range(run.resumed_after + 1, kind.events + 1):
+            if await self._sleep(connection, EVENT_GAP_S):
+                return
+            if number == breaks_at:
+                await connection.send(event(attempt, number)[:9])
+                connection.abort()
+                return
+            if self.sabotage != "skip_event" or number != 3:
+                await connection.send(event(attempt, number))
+        await connection.finish()
+
+    @staticmethod
+    async def _sleep(connection, seconds):
+        """Returns true if the peer left meanwhile."""
+        try:
+            await asyncio.wait_for(connection.peer_gone.wait(), seconds)
+            return True
+        except asyncio.TimeoutError:
+            return False
