--- /dev/null
+++ b/tests/adapter/StoreConnectionTest.cpp
@@ -0,0 +1,106 @@
+#include "adapter/StoreConnection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <thread>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/** Takes one connection and answers its first call in pieces with pauses between. */
+class PiecewiseStore {
+public:
+    PiecewiseStore(std::vector<std::string> pieces, std::chrono::milliseconds pause)
+        : acceptor(this->context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , thread([this, pieces = std::move(pieces), pause] { this->serve(pieces, pause); })
+    {
+    }
+
+    ~PiecewiseStore() { this->thread.join(); }
+
+    Endpoint endpoint() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
+
+private:
+    void serve(const std::vector<std::string>& pieces, std::chrono::milliseconds pause)
+    {
+        boost::system::error_code ignored;
+        tcp::socket socket = this->acceptor.accept(ignored);
+        std::array<char, 1024> request {};
+        socket.read_some(asio::buffer(request), ignored);
+        for (const std::string& piece : pieces) {
+            asio::write(socket, asio::buffer(piece), ignored);
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+std::optional<Outcome<StoreReply>> callOnce(const Endpoint& store, Milliseconds limit)
+{
+    asio::io_context context;
+    StoreConnection connection(context.get_executor(), store);
+    std::optional<Outcome<StoreReply>> reply;
+    const auto run = [&]() -> asio::awaitable<void> {
+        reply.emplace(co_await connection.call(boost::beast::http::verb::get, "/", std::nullopt, limit));
+    };
+    asio::co_spawn(context, run, asio::detached);
+    context.run();
+    return reply;
+}
+
+} // namespace
+
+class StoreConnectionTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StoreConnectionTest);
+    CPPUNIT_TEST(testAnswerThatComesInMayTakeLongerThanTheLimit);
+    CPPUNIT_TEST(testSilenceBeforeAnAnswerEndsTheCall);
+    CPPUNIT_TEST(testAnswerThatStopsHalfWayEndsTheCall);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testAnswerThatComesInMayTakeLongerThanTheLimit()
+    {
+        // A watch that missed several long configurations, over a slow link.
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n";
+        PiecewiseStore store({ head, "{\"a\"", ":[1,",
+                                 "2]}"
+                                 "  " },
+            std::chrono::milliseconds(200));
+        const auto reply = callOnce(store.endpoint(), Milliseconds(300));
+        CPPUNIT_ASSERT(reply && *reply);
+        CPPUNIT_ASSERT_EQUAL(200, reply->value().status);
+        CPPUNIT_ASSERT(reply->value().body.contains("a"));
+    }
+
+    void testSilenceBeforeAnAnswerEndsTheCall()
+    {
+        PiecewiseStore store({ "" }, std::chrono::milliseconds(900));
+        const auto reply = callOnce(store.endpoint(), Milliseconds(200));
+        CPPUNIT_ASSERT(reply && !*reply && reply->error().code == ErrorCode::OutcomeUnknown);
+    }
+
+    void testAnswerThatStopsHalfWayEndsTheCall()
+    {
+        PiecewiseStore store(
+            { "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{", "", "" }, std::chrono::milliseconds(1'200));
+        const auto began = std::chrono::steady_clock::now();
+        const auto reply = callOnce(store.endpoint(), Milliseconds(300));
+        CPPUNIT_ASSERT(reply && !*reply && reply->error().code == ErrorCode::OutcomeUnknown);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began < std::chrono::seconds(3));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreConnectionTest);
+
+} // namespace papayashelf
