--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -163,8 +163,11 @@
     gauge("papayashelf_configuration_version",
         configuration ? static_cast<std::int64_t>(configuration->getVersion()) : 0);
     gauge("papayashelf_configuration_age_milliseconds", this->core.getConfigurationAge(now).count());
-    for (const auto& [service, load] : this->core.getUpstreams().measureLoad(this->settings.region))
-        gauge("papayashelf_unread_tokens{service=\"" + service.string() + "\"}", load.unreadTokens);
+    text.append("# TYPE papayashelf_unread_tokens gauge\n");
+    for (const auto& [service, load] : this->core.getUpstreams().measureLoad(this->settings.region)) {
+        text.append("papayashelf_unread_tokens{service=\"").append(service.string()).append("\"} ");
+        text.append(std::to_string(load.unreadTokens)).append("\n");
+    }
     gauge("papayashelf_upstreams", static_cast<std::int64_t>(this->core.getUpstreams().getAll().size()));
     gauge("papayashelf_vms", static_cast<std::int64_t>(this->core.getVms().getAll().size()));
     gauge("papayashelf_log_lines_left_out", static_cast<std::int64_t>(this->log.countDropped()));
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import random
+import re
 import shutil
 import signal
 import sys
@@ -162,7 +163,9 @@
             tasks.append(asyncio.create_task(faults.FAULTS[planned.name](self, random.Random(planned.seed))))
         await asyncio.gather(*tasks)
         self.heal()
-        await asyncio.sleep(CALM_END_S)
+        await asyncio.sleep(CALM_END_S / 2)
+        await self.check_metrics()
+        await asyncio.sleep(CALM_END_S / 2)
         self.is_over = True
         await asyncio.gather(*asking)
         self.figures["faults"] = len(plan)
@@ -183,6 +186,19 @@
         await asyncio.gather(*(vm.end() for vm in self.vms))
         self.check_logs()
 
+    async def check_metrics(self):
+        """Each VM's metrics are lines of the Prometheus text format."""
+        line_form = re.compile(r"# TYPE [a-z_]+ (counter|gauge|histogram)|[a-z_]+(\{[a-z]+=\"[^\"]*\"\})? -?[0-9]+")
+        for vm in self.vms:
+            connection = await ClientConnection.open(vm.ports["metrics"], 1)
+            answer = await connection.exchange("GET", "/metrics", [("Host", "vm"), ("Connection", "close")], b"")
+            connection.close()
+            for line in bytes(answer.body).decode().splitlines():
+                if not line_form.fullmatch(line):
+                    self.ledger.violate("metrics", f"{vm.name}: {line}")
+            if answer.status != 200 or not answer.body:
+                self.ledger.violate("metrics", f"{vm.name}: status {answer.status}")
+
     def check_logs(self):
         for vm in self.vms:
             for line in (self.folder / f"{vm.name}.log").read_text(errors="replace").splitlines():
