--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -107,7 +107,7 @@
 async def silence_store_connections(world, random):
     for vm in world.vms:
         if random.random() < 0.5:
-            world.ledger.begin(vm.name, "silenced").end = world.ledger.now()
+            world.ledger.note(vm.name, "silenced")
             vm.store.silence_open()
 
 
@@ -191,7 +191,7 @@
 async def reset_connections(world, random):
     for upstream in world.upstreams:
         if random.random() < 0.5:
-            world.ledger.begin(upstream.id, "reset").end = world.ledger.now()
+            world.ledger.note(upstream.id, "reset")
             if random.random() < 0.5:
                 upstream.proxy.reset()
             else:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -33,7 +33,7 @@
         self.is_wanted = False
         self.is_up = False
         self.expected_end = True
-        self.down_since = None
+        self.extra_pause = 0.0  # Before the next start.
 
     async def start(self):
         if not self.store:
@@ -56,20 +56,17 @@
                 str(self.world.binary), "gateway", f"--settings={settings}", stdout=log, stderr=log)
             log.close()
             self.expected_end = False
-            self.is_up, self.down_since = True, None
+            self.is_up = True
             span.end = self.world.ledger.now()
             status = await self.process.wait()
-            self.is_up, self.down_since = False, self.world.ledger.now()
-            self.world.ledger.spans.append(type(span)(self.name, "end", self.down_since, self.down_since))
+            self.is_up = False
+            self.world.ledger.note(self.name, "end")
             if not self.expected_end:
                 self.world.ledger.violate("exits", f"{self.name}: ended by itself with {status}")
             if not self.is_wanted:
                 return
-            await asyncio.sleep(RESTART_S + self.pause_before_restart())
-
-    def pause_before_restart(self):
-        pause, self.extra_pause = getattr(self, "extra_pause", 0), 0
-        return pause
+            pause, self.extra_pause = RESTART_S + self.extra_pause, 0.0
+            await asyncio.sleep(pause)
 
     # ---- Signals. Each returns when the system has dealt with it.
 
@@ -111,9 +108,8 @@
 
     async def reload(self):
         if self.is_up:
-            span = self.world.ledger.begin(self.name, "reload")
+            self.world.ledger.note(self.name, "reload")
             self.process.send_signal(signal.SIGHUP)
-            span.end = self.world.ledger.now()
 
     async def end(self):
         """Ends the process for good."""
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -79,6 +79,10 @@
         self.spans.append(span)
         return span
 
+    def note(self, subject, what):
+        """Something was done to the subject at this moment."""
+        self.begin(subject, what).end = self.now()
+
     def is_calm(self, subjects, since, until, except_for=()):
         """True if nothing was done to any of them in that time, but for what is excepted."""
         return not any(span.subject in subjects and span.begin <= until and span.end >= since and span.what not in except_for
