--- a/modules/application/commands/CommandLine.cpp
+++ b/modules/application/commands/CommandLine.cpp
@@ -1,6 +1,7 @@
 #include "application/commands/CommandLine.h"
 
 #include "adapter/PlatformGateway.h"
+#include "application/commands/ExplainCommand.h"
 #include "application/commands/ObserveCommands.h"
 #include "application/commands/ServeCommand.h"
 #include "application/commands/VmClient.h"
@@ -27,6 +28,8 @@
 ABSL_FLAG(std::string, workspace, "", "entries: the workspace that the caller belongs to");
 ABSL_FLAG(std::string, key_file, "", "file with the administration key; PAPAYASHELF_KEY in the environment otherwise");
 ABSL_FLAG(std::string, digest, "", "withdraw: SHA-256 of the key in hexadecimal");
+ABSL_FLAG(std::string, request, "", "explain: the id that the caller sent with the request");
+ABSL_FLAG(std::vector<std::string>, logs, {}, "explain: files with the decision logs of VMs");
 ABSL_FLAG(bool, json, false, "status, timeline, entries: print JSON instead of a table");
 
 namespace papayashelf {
@@ -117,6 +120,12 @@
     return ExitCode::Usage;
 }
 
+ExitCode explain()
+{
+    const ExplainOptions options { absl::GetFlag(FLAGS_request), absl::GetFlag(FLAGS_logs) };
+    return explainRequest(options, std::cout, std::cerr);
+}
+
 const std::vector<Subcommand>& getSubcommands()
 {
     static const std::vector<Subcommand> subcommands {
@@ -135,6 +144,8 @@
             [] { return showStatus(readObserveOptions()); } },
         { "timeline", "show the merged time line of several VMs", "--vms=IP:PORT,... [--key_file=FILE] [--json]",
             [] { return showTimeline(readObserveOptions()); } },
+        { "explain", "tell from VMs' decision logs what became of a request, and why", "--request=ID --logs=FILE,...",
+            explain },
         { "entries", "ask which VMs callers should use, best first", "--entry=IP:PORT [--workspace=NAME] [--json]",
             [] { return showEntries(readObserveOptions()); } },
         { "key", "make a new key for a caller and print it with its digest", "",
