Leave cold upstreams alone until VMs that started together know each other

Cause: VMs that start at once each see only themselves in the list of VMs, so each took the whole bound of a cold engine for its own.

Change: in the first 2 s of its life a VM sends cold upstreams nothing.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -1,6 +1,7 @@
 #include "gateway/core/GatewayCore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayashelf {
 
@@ -98,6 +99,8 @@
 
 void GatewayCore::tick(Milliseconds now)
 {
+    if (!std::exchange(this->hasTicked, true))
+        this->placement.noteStart(now);
     this->upstreams.expire(now);
     this->vms.expire(now);
     this->shareLimits();
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -74,7 +74,8 @@
         if (candidate.load >= fullLoad) {
             cause = NoPlaceCause::AllFull;
         } else if (isColdBound
-            && !this->coldLimit.mayUse(now, upstream->record.id, service.coldRequestsPerSecond, sharers)) {
+            && (now < this->knowsOthersAt
+                || !this->coldLimit.mayUse(now, upstream->record.id, service.coldRequestsPerSecond, sharers))) {
             cause = cause == NoPlaceCause::NoUpstream ? NoPlaceCause::AllCold : cause;
         } else if (!upstream->health.isSuspect(now)) {
             sound.push_back(candidate);
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -90,6 +90,9 @@
     /** What the last decision rested on. */
     const PlacementInputs& getInputs() const { return this->inputs; }
 
+    /** The VM starts now: until it knows the others, it leaves cold upstreams to them. */
+    void noteStart(Milliseconds now) { this->knowsOthersAt = now + introductionTime; }
+
     /** Counts the use that a decision led to. */
     void noteUse(Milliseconds now, const UpstreamId& upstream);
 
@@ -122,6 +125,8 @@
     const VmAnnouncement* pickVm(Milliseconds now, const RegionId& region);
     std::vector<VmId> vmsOfRegion() const;
 
+    /** Until VMs that started together know each other: a status is written within 0.5 s and read within 1 s. */
+    static constexpr Milliseconds introductionTime { 2000 };
     static constexpr Milliseconds relayPause { 1000 }; /**< As long as statuses take to tell a VM's new state. */
 
     VmId vm;
@@ -131,6 +136,7 @@
     const DigestBook& digests;
     std::mt19937_64 random;
     ColdStartLimit coldLimit;
+    Milliseconds knowsOthersAt;
     ReadingSpeed speed;
     std::map<VmId, Milliseconds> avoidedVms;
     std::map<RegionId, std::int64_t> relayedTokens; /**< Prompts handed over that have not brought a first event. */
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(testShortPromptsAreReadBeforeLongOnes);
     CPPUNIT_TEST(testIdleEnginesReadAnyPrompt);
     CPPUNIT_TEST(testLongPromptsAreReadWhileTheEnginesHaveTime);
+    CPPUNIT_TEST(testVmsThatStartTogetherLeaveColdUpstreamsAlone);
     CPPUNIT_TEST(testRetriesAreAPartOfRequests);
     CPPUNIT_TEST(testRetriesOverAllVmsStayWithinTheBound);
     CPPUNIT_TEST(testStoppingVmIsNotReadyAndSoonTakesNothing);
@@ -182,6 +183,24 @@
         CPPUNIT_ASSERT_EQUAL(run.offeredTokens[2], run.grantedTokens[2]);
     }
 
+    void testVmsThatStartTogetherLeaveColdUpstreamsAlone()
+    {
+        // A region returns: its VMs start at once, and each believes for a moment that it is the only one. Its engines
+        // are cold, and all of these VMs together must not send them more than they bear.
+        ServingDocument document = makeDocument(1);
+        document.services = { { ServiceId("engine"), 3.2 } };
+        const auto core = this->makeCore(std::move(document));
+        core->tick(now);
+        UpstreamRecord cold = makeUpstream("u0", "north");
+        cold.coldFor = Milliseconds(6000);
+        core->getUpstreams().put(now, cold);
+        PlacementQuery query;
+        query.service = ServiceId("engine");
+        const auto early = core->place(now + Milliseconds(500), query, 0);
+        CPPUNIT_ASSERT(NoPlaceCause::AllCold == std::get<NoPlace>(early).cause);
+        CPPUNIT_ASSERT(std::holds_alternative<UseUpstream>(core->place(now + Milliseconds(2500), query, 0)));
+    }
+
     void testRetriesAreAPartOfRequests()
     {
         const auto owned = this->makeCore(makeDocument(1));
