Bound the retries of a service over all VMs at every moment

Cause: GatewayCore discarded its retry budgets whenever the number of known VMs changed, and each new budget started full. Every VM that was killed, started, added or delisted therefore gave each VM a whole budget again. A VM that had just started counted only itself and took the extra retries of the whole fleet, and each VM had at least one extra retry, which in a large fleet adds up to more than all of them. Separately, a relayed request that an upstream of the other region had received and rejected was retried without using the budget, as its answer did not say whether an upstream had been reached (the record shows relay_failed, not_run, status 503, attempts 2 and 3).

Change: SharedRetryBudget counts the requests and retries of the window instead of storing credit. The part of a VM follows the greatest number of VMs that it knew during the window; a new process has no extra retries for one window. A VM that refuses a relayed request says whether it had sent it (papayashelf-not-sent); without that the next attempt uses the budget. The window's length is now a setting, retry_window_s.

Ruled out: a request is not sent again inside a kept connection that broke; resumed streams and the second placement after an upstream's refusal already used the budget.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -7,13 +7,10 @@
 
 namespace {
 
-/** Keeps a margin below the retry ratio: a request counted in one window here may be counted in another elsewhere. */
-constexpr double retryRatioFactor = 0.9;
-/** Half of the extra retries is available at once, the other half accrues over the window. */
+/** VMs that the store no longer lists may still use the other half, while the listed ones share this one. */
 constexpr double extraRetriesFactor = 0.5;
 /** The rest of the slack covers demand that moves between VMs before the other VMs receive the new figures. */
 constexpr double tokenSlackFactor = 0.5;
-constexpr double retryWindowSeconds = 10;
 /** Two intervals between confirmations plus one between reports; only missing replies make a confirmed view older. */
 constexpr Milliseconds maximumConfirmationAge
     = ConfigurationFreshness::confirmationInterval * 2 + LoadExchange::reportInterval + Milliseconds(300);
@@ -92,6 +89,7 @@
     , freshness(settings.bounds.keyWithdrawal)
     , loadExchange(settings.vm, settings.region)
     , placement(settings.vm, settings.region, this->upstreams, this->vms, this->loadExchange, seed + 1)
+    , recentVmCount(settings.bounds.retryWindow)
 {
 }
 
@@ -113,6 +111,7 @@
         this->placement.noteStart(now);
     this->upstreams.expire(now);
     this->vms.expire(now);
+    this->recentVmCount.note(now, this->vms.countVms());
     this->updateShares();
 }
 
@@ -252,32 +251,29 @@
     return found == this->prefillAllowances.end() ? Milliseconds(0) : found->second.getWait(now);
 }
 
-RetryBudget& GatewayCore::getBudget(const ServiceId& service)
+SharedRetryBudget& GatewayCore::getRetryBudget(const ServiceId& service)
 {
-    if (this->budgetVmCount != this->vms.countVms()) {
-        this->budgets.clear();
-        this->budgetVmCount = this->vms.countVms();
-    }
-    const auto found = this->budgets.find(service);
-    if (found != this->budgets.end())
-        return found->second;
-    DispatchSettings dispatch;
-    const double extra
-        = this->settings.bounds.extraRetries * extraRetriesFactor / static_cast<double>(this->budgetVmCount);
-    dispatch.retriesPerRequest = this->settings.bounds.retryRatio * retryRatioFactor;
-    dispatch.retriesPerSecond = extra / retryWindowSeconds;
-    dispatch.retryBudgetLimit = std::max(1.0, extra);
-    return this->budgets.emplace(service, RetryBudget(dispatch)).first->second;
+    const GatewayBounds& bounds = this->settings.bounds;
+    const RetryBound bound { bounds.retryRatio, bounds.extraRetries, bounds.retryWindow };
+    return this->retryBudgets.try_emplace(service, bound).first->second;
+}
+
+double GatewayCore::getExtraRetryShare(Milliseconds now) const
+{
+    // A process that ran on this VM before may have used its share, and a new process may not know all VMs yet.
+    if (!this->recentVmCount.coversWindow(now))
+        return 0;
+    return extraRetriesFactor / static_cast<double>(std::max<std::size_t>(1, this->recentVmCount.get()));
 }
 
-void GatewayCore::noteRequest(const ServiceId& service)
+void GatewayCore::noteRequest(Milliseconds now, const ServiceId& service)
 {
-    this->getBudget(service).noteRequest();
+    this->getRetryBudget(service).noteRequest(now);
 }
 
 bool GatewayCore::tryRetry(Milliseconds now, const ServiceId& service)
 {
-    return this->getBudget(service).tryTake(now);
+    return this->getRetryBudget(service).tryTake(now, this->getExtraRetryShare(now));
 }
 
 bool GatewayCore::isReady(Milliseconds now) const
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "dispatch/retries/RetryBudget.h"
 #include "gateway/digest/LoadExchange.h"
 #include "gateway/limits/ConfigurationFreshness.h"
+#include "gateway/limits/RecentMaximum.h"
 #include "gateway/limits/SharedAllowance.h"
+#include "gateway/limits/SharedRetryBudget.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/placement/Placement.h"
 #include "gateway/settings/GatewaySettings.h"
@@ -136,7 +137,7 @@
     Milliseconds getPrefillWait(Milliseconds now, const ServiceId& service);
 
     /** Counts a caller's request for a service, which adds to its retry budget. */
-    void noteRequest(const ServiceId& service);
+    void noteRequest(Milliseconds now, const ServiceId& service);
 
     /** Takes one retry from the service's budget. Returns false if none is left. */
     bool tryRetry(Milliseconds now, const ServiceId& service);
@@ -178,7 +179,8 @@
 
 private:
     const ServiceId& chooseService(const ServingRoute& route);
-    RetryBudget& getBudget(const ServiceId& service);
+    SharedRetryBudget& getRetryBudget(const ServiceId& service);
+    double getExtraRetryShare(Milliseconds now) const;
     void updateShares();
     LoadFigures measureLoad(Milliseconds now) const;
 
@@ -198,8 +200,8 @@
     std::optional<Milliseconds> behindSince; /**< Since when another VM has reported a later revision. */
     std::map<WorkspaceId, SharedAllowance> workspaceAllowances;
     std::map<ServiceId, SharedAllowance> prefillAllowances; /**< This VM's share of its region's prefill capacity. */
-    std::map<ServiceId, RetryBudget> budgets;
-    std::size_t budgetVmCount = 0; /**< Number of VMs that the budgets were divided by. */
+    std::map<ServiceId, SharedRetryBudget> retryBudgets;
+    RecentMaximum recentVmCount; /**< Number of VMs that may have used extra retries in the current window. */
     bool hasTicked = false;
     std::optional<Milliseconds> stoppingSince;
 };
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -6,15 +6,17 @@
     this VM's share of the limits, and the continuation of interrupted streams.
 
     The module uses no threads, sockets, files, wall clock or global state: callers pass in times and seeds. It depends
-    on foundation, on settings (to parse text and report errors with their location) and on dispatch (the retry budget).
+    on foundation and on settings (to parse text and report errors with their location).
 */
 
-#include "dispatch/retries/RetryBudget.h"
 #include "gateway/core/GatewayCore.h"
 #include "gateway/digest/LoadExchange.h"
 #include "gateway/limits/ColdStartLimit.h"
 #include "gateway/limits/ConfigurationFreshness.h"
+#include "gateway/limits/RecentMaximum.h"
 #include "gateway/limits/SharedAllowance.h"
+#include "gateway/limits/SharedRetryBudget.h"
+#include "gateway/limits/WindowCounter.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/placement/Placement.h"
 #include "gateway/settings/GatewaySettings.h"
--- /dev/null
+++ b/modules/gateway/limits/SharedRetryBudget.cpp
@@ -0,0 +1,31 @@
+#include "gateway/limits/SharedRetryBudget.h"
+
+#include <algorithm>
+
+namespace papayashelf {
+
+namespace {
+
+/** Keeps a margin below the ratio: an attempt reaches its upstream later than it was counted here. */
+constexpr double ratioFactor = 0.9;
+
+} // namespace
+
+SharedRetryBudget::SharedRetryBudget(const RetryBound& bound)
+    : bound(bound)
+    , requests(std::max(Milliseconds(1), bound.window - WindowCounter::resolution * 2))
+    , retries(bound.window)
+{
+}
+
+bool SharedRetryBudget::tryTake(Milliseconds now, double extraShare)
+{
+    const double allowed = static_cast<double>(this->requests.count(now)) * this->bound.perRequest * ratioFactor
+        + this->bound.extra * extraShare;
+    if (static_cast<double>(this->retries.count(now) + 1) > allowed)
+        return false;
+    this->retries.add(now);
+    return true;
+}
+
+} // namespace papayashelf
--- a/modules/gateway/settings/GatewaySettings.cpp
+++ b/modules/gateway/settings/GatewaySettings.cpp
@@ -29,6 +29,9 @@
     bounds.stopGrace = Milliseconds(static_cast<std::int64_t>(stopGraceSeconds * 1000));
     reader.optional("retry_ratio", bounds.retryRatio, number);
     reader.optional("extra_retries", bounds.extraRetries, number);
+    double retryWindowSeconds = bounds.retryWindow.seconds();
+    reader.optional("retry_window_s", retryWindowSeconds, NumberRule { 1, maximumBound.seconds() });
+    bounds.retryWindow = Milliseconds(static_cast<std::int64_t>(retryWindowSeconds * 1000));
     reader.optional("token_slack", bounds.tokenSlack, number);
     reader.finish();
 }
--- a/modules/gateway/settings/GatewaySettings.h
+++ b/modules/gateway/settings/GatewaySettings.h
@@ -27,6 +27,7 @@
     Milliseconds keyWithdrawal { 5000 };
     Milliseconds stopGrace { 8000 }; /**< Time from SIGTERM to SIGKILL. */
     double retryRatio = 0.2; /**< Maximum retries per request of a service. */
+    Milliseconds retryWindow { 10'000 }; /**< Length of the window in which retries count. */
     double extraRetries = 0; /**< Retries allowed beyond the ratio in one window, over all VMs. */
     double tokenSlack = 0; /**< Tokens by which a workspace may exceed its limit in one window, over all VMs. */
 
--- a/modules/serving/http/RelayHeaders.h
+++ b/modules/serving/http/RelayHeaders.h
@@ -10,5 +10,7 @@
 constexpr std::string_view service = "papayashelf-service"; /**< Service that the relaying VM chose. */
 constexpr std::string_view stream = "papayashelf-stream"; /**< "1" if the answer is a stream, else "0". */
 constexpr std::string_view notRun = "papayashelf-not-run"; /**< The VM's guarantee that the request has not run. */
+/** "1" beside that guarantee if no upstream has received the request, so that another attempt is not a retry there. */
+constexpr std::string_view notSent = "papayashelf-not-sent";
 
 } // namespace papayashelf::relayheaders
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -148,7 +148,7 @@
         } else {
             this->admitted = std::get<Admitted>(decision);
             this->answerDeadline = std::min(this->answerDeadline, this->arrivedAt + this->admitted->route->timeout);
-            this->context.core.noteRequest(this->admitted->service);
+            this->context.core.noteRequest(this->now(), this->admitted->service);
             co_await this->runAttempts();
         }
     }
@@ -278,6 +278,7 @@
     if (std::exchange(this->onFirstEvent, {}))
         table.notePrefillDone(id, this->promptTokens);
     table.noteEnded(id);
+    this->hasReachedUpstream = this->hasReachedUpstream || outcome.end != AttemptEnd::NotSent;
     this->reportAttemptEnd(id, outcome);
     if (outcome.end != AttemptEnd::Complete) {
         this->context.log.write(this->now(), LogWeight::Notable, "attempt_failed",
@@ -438,8 +439,8 @@
     const bool hasAttemptsLeft = this->possibleRuns < std::max(1, route.maximumAttempts)
         && this->attempts < route.maximumAttempts + extraPlacements;
     // Another attempt adds no retry load on upstreams if the last one did not reach any of them.
-    const bool isExemptFromRetryBudget
-        = outcome.end == AttemptEnd::NotSent || (outcome.end == AttemptEnd::NotRun && this->wasLastAttemptRelayed);
+    const bool isExemptFromRetryBudget = outcome.end == AttemptEnd::NotSent
+        || (outcome.end == AttemptEnd::NotRun && this->wasLastAttemptRelayed && outcome.isNotSentGuaranteed);
     if (!this->isRelayed && isSafe && canContinue && hasAttemptsLeft && this->getRemaining() > minimumAttemptTime
         && (isExemptFromRetryBudget || this->context.core.tryRetry(this->now(), this->admitted->service)))
         co_return NextAction::TryAgain;
@@ -490,6 +491,8 @@
         head.headers.emplace_back(this->context.names.retryAfter, std::to_string(retryAfter.seconds()));
     if (this->isRelayed && isNotRun)
         head.headers.emplace_back(std::string(relayheaders::notRun), "1");
+    if (this->isRelayed && isNotRun && !this->hasReachedUpstream)
+        head.headers.emplace_back(std::string(relayheaders::notSent), "1");
     const std::string body = "{\"error\":\"" + std::string(code) + "\"}";
     co_await this->answer.writeComplete(head, body);
 }
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -93,6 +93,7 @@
     bool hasQueriedPlacement = false; /**< Whether placement was queried at least once. */
     std::optional<AttemptOutcome> keptFailure; /**< Error answer of an upstream, sent if all retries fail. */
     std::string lastUpstream; /**< For the log; "relay:" and the id of the VM for a relay. */
+    bool hasReachedUpstream = false; /**< Whether this VM has sent the request to an upstream. */
     bool wasLastAttemptRelayed = false; /**< Whether the last attempt went to another VM. */
 };
 
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -230,6 +230,7 @@
 AttemptOutcome UpstreamAttempt::evaluateAnswer(Parser& parser)
 {
     AttemptOutcome result;
+    const auto& message = parser.get();
     const auto status = static_cast<int>(parser.get().result_int());
     const bool isSealed = parser.get().find(this->names.seal) != parser.get().end();
     const bool isNotRun = this->hasNotRunGuarantee(parser);
@@ -240,6 +241,9 @@
         return result;
     }
     result.end = isNotRun ? AttemptEnd::NotRun : AttemptEnd::Complete;
+    result.isNotSentGuaranteed = isNotRun
+        && message.find(boost::beast::string_view(relayheaders::notSent.data(), relayheaders::notSent.size()))
+            != message.end();
     result.head = { status, std::string(parser.get().reason()), extractForwardableHeaders(parser.get()) };
     result.body = std::move(parser.get().body());
     result.detail = "status " + std::to_string(status);
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -32,6 +32,7 @@
     std::string body;
     std::string detail; /**< Description of the failure, for the log. */
     std::optional<ReportedLoad> load;
+    bool isNotSentGuaranteed = false; /**< Whether a relaying VM stated that no upstream has received the request. */
     bool isReused = false; /**< Whether the connection had served an earlier request. */
 };
 
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -207,7 +207,7 @@
         const ServiceId service("engine");
         int retries = 0;
         for (int request = 0; request < 1000; ++request) {
-            core.noteRequest(service);
+            core.noteRequest(now, service);
             retries += core.tryRetry(now, service) ? 1 : 0;
         }
         CPPUNIT_ASSERT(retries >= 100 && retries <= 200 + 16);
@@ -226,7 +226,7 @@
         int requests = 0;
         for (std::int64_t elapsed = 0; elapsed < 10000; elapsed += 20) {
             for (const auto& core : cores) {
-                core->noteRequest(ServiceId("engine"));
+                core->noteRequest(now + Milliseconds(elapsed), ServiceId("engine"));
                 ++requests;
                 retries += core->tryRetry(now + Milliseconds(elapsed), ServiceId("engine")) ? 1 : 0;
             }
--- a/tests/gateway/SettingsAndStatusTest.cpp
+++ b/tests/gateway/SettingsAndStatusTest.cpp
@@ -43,9 +43,10 @@
 
     void testBoundsMayBeFractionsOrOmitted()
     {
-        const auto given
-            = checkGatewaySettings("boot.toml", minimalSettings + "[bounds]\nstop_grace_s = 7.5\nretry_ratio = 1\n");
+        const auto given = checkGatewaySettings(
+            "boot.toml", minimalSettings + "[bounds]\nstop_grace_s = 7.5\nretry_ratio = 1\nretry_window_s = 12\n");
         CPPUNIT_ASSERT(given && given.value().bounds.stopGrace == Milliseconds(7500));
+        CPPUNIT_ASSERT(given.value().bounds.retryWindow == Milliseconds(12000));
         const auto without = checkGatewaySettings("boot.toml", minimalSettings + "[bounds]\n");
         CPPUNIT_ASSERT(without && without.value().bounds.stopGrace == Milliseconds(8000));
     }
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(testMalformedAndSmuggledRequestsAreRefused);
     CPPUNIT_TEST(testConnectionsAreReused);
     CPPUNIT_TEST(testRelayWithWrongKeyIsRefused);
+    CPPUNIT_TEST(testRefusedRelayStatesWhetherUpstreamWasReached);
+    CPPUNIT_TEST(testRefusalOfRelayedRequestUsesRetryBudget);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -247,22 +249,54 @@
 
     void testRelayWithWrongKeyIsRefused()
     {
-        const GatewayProcess& process = this->harness->getProcess();
+        GatewayProcess& process = this->harness->getProcess();
         for (const bool isRight : { false, true }) {
-            const std::string key = isRight ? this->harness->getProcess().getCore().getRelayKey() : "guessed";
-            asio::ip::tcp::socket socket = this->harness->connect(process.getRelaysEndpoint());
-            asio::write(socket,
-                asio::buffer(ServingHarness::makeHead("GET", "/once/x", "id-1",
-                    "papayashelf-relay-key: " + key + "\r\npapayashelf-service: service\r\n\r\n")));
-            RawAnswer answer;
-            boost::system::error_code ended;
-            asio::read(socket, asio::dynamic_buffer(answer.text), ended);
-            CPPUNIT_ASSERT_EQUAL(isRight ? 200 : 401, answer.getStatus());
+            const std::string key = isRight ? process.getCore().getRelayKey() : "guessed";
+            CPPUNIT_ASSERT_EQUAL(isRight ? 200 : 401, this->relay(key, "service").getStatus());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
     }
 
+    // The relaying VM must know whether its next attempt is a retry at the service.
+    void testRefusedRelayStatesWhetherUpstreamWasReached()
+    {
+        const std::string key = this->harness->getProcess().getCore().getRelayKey();
+        this->queueAnswersOnBoth({ AnswerKind::NotRun });
+        const RawAnswer refusedByUpstream = this->relay(key, "service");
+        CPPUNIT_ASSERT_EQUAL(503, refusedByUpstream.getStatus());
+        CPPUNIT_ASSERT(refusedByUpstream.has("papayashelf-not-run: 1"));
+        CPPUNIT_ASSERT(!refusedByUpstream.has("papayashelf-not-sent"));
+        const RawAnswer notPlaced = this->relay(key, "unknown-service");
+        CPPUNIT_ASSERT_EQUAL(503, notPlaced.getStatus());
+        CPPUNIT_ASSERT(notPlaced.has("papayashelf-not-run: 1") && notPlaced.has("papayashelf-not-sent: 1"));
+    }
+
+    // Load pattern: the upstreams of every region refuse requests that other regions relay to them.
+    void testRefusalOfRelayedRequestUsesRetryBudget()
+    {
+        for (const double retryRatio : { 0.0, ServingHarness::ampleRetryRatio }) {
+            this->harness = std::make_unique<ServingHarness>(retryRatio);
+            this->queueAnswersOnBoth({ AnswerKind::NotRun });
+            CPPUNIT_ASSERT_EQUAL(503, this->get("/remote/x", "id-1").getStatus());
+            const std::size_t expected = retryRatio == 0 ? 1 : 2;
+            CPPUNIT_ASSERT_EQUAL(expected, this->harness->getArrivals().size());
+        }
+    }
+
 private:
+    /** Sends a request to the process as another VM would relay it. */
+    RawAnswer relay(const std::string& key, const std::string& service)
+    {
+        asio::ip::tcp::socket socket = this->harness->connect(this->harness->getProcess().getRelaysEndpoint());
+        asio::write(socket,
+            asio::buffer(ServingHarness::makeHead("GET", "/once/x", "id-1",
+                "papayashelf-relay-key: " + key + "\r\npapayashelf-service: " + service + "\r\n\r\n")));
+        RawAnswer answer;
+        boost::system::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(answer.text), ended);
+        return answer;
+    }
+
     RawAnswer get(const std::string& path, const std::string& id)
     {
         return this->harness->call(ServingHarness::makeHead("GET", path, id));
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -101,9 +101,10 @@
 
 Endpoint SealedUpstream::start()
 {
-    return this->http.start([this](const StandinHttp::Request& request, StandinHttp::Stream& stream) {
+    this->endpoint = this->http.start([this](const StandinHttp::Request& request, StandinHttp::Stream& stream) {
         return this->handle(request, stream);
     });
+    return this->endpoint;
 }
 
 void SealedUpstream::queueAnswers(std::deque<AnswerKind> kinds)
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -31,6 +31,9 @@
     SealedUpstream();
     ~SealedUpstream() { this->http.stop(); }
 
+    /** Returns the endpoint of the started server. */
+    const Endpoint& getEndpoint() const { return this->endpoint; }
+
     /** Starts the server on a free port and returns its endpoint. */
     Endpoint start();
 
@@ -50,6 +53,7 @@
     mutable std::mutex mutex;
     std::deque<AnswerKind> queuedAnswers;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
+    Endpoint endpoint;
     StandinHttp http;
 };
 
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 const ServiceId service("service");
+const ServiceId remoteService("remote-service"); /**< Has upstreams in other regions only. */
 
-GatewaySettings makeSettings()
+GatewaySettings makeSettings(double retryRatio)
 {
     GatewaySettings settings;
     settings.vm = VmId("vm-1");
@@ -20,7 +21,7 @@
     settings.failureDomain = FailureDomainId("north-a");
     const Endpoint any { "127.0.0.1", 0 };
     settings.listeners = { any, any, any, any, any };
-    settings.bounds.extraRetries = 1000;
+    settings.bounds.retryRatio = retryRatio;
     // The tests follow no store, so the configuration that they apply must count as fresh for as long as they run.
     settings.bounds.keyWithdrawal = Milliseconds::fromSeconds(600);
     return settings;
@@ -66,7 +67,9 @@
     ServingDocument document;
     document.version = 1;
     document.routes = { makeRoute("/once/", false, false), makeRoute("/again/", true, false),
-        makeRoute("/stream/once/", false, true), makeRoute("/stream/again/", true, true) };
+        makeRoute("/stream/once/", false, true), makeRoute("/stream/again/", true, true),
+        makeRoute("/remote/", true, false) };
+    document.routes.back().services = { { remoteService, 1 } };
     ServingWorkspace workspace;
     workspace.id = WorkspaceId("members");
     workspace.keys = { "secret-key" };
@@ -74,8 +77,8 @@
     return document;
 }
 
-ServingHarness::ServingHarness()
-    : process(std::make_unique<GatewayProcess>(makeSettings(), wire::makeHeaderNames()))
+ServingHarness::ServingHarness(double retryRatio)
+    : process(std::make_unique<GatewayProcess>(makeSettings(retryRatio), wire::makeHeaderNames()))
 {
     const auto nothing = [](std::string_view) { return SimpleHttpResponse {}; };
     CPPUNIT_ASSERT(this->process->open({ nothing, nothing, [] {}, [] {} }));
@@ -83,6 +86,8 @@
     this->process->getCore().noteConfigurationConfirmation(this->process->getClock().now());
     this->addUpstream("u-1", this->upstreams[0].start());
     this->addUpstream("u-2", this->upstreams[1].start());
+    this->addVmOfOtherRegion("south", this->upstreams[0].getEndpoint());
+    this->addVmOfOtherRegion("west", this->upstreams[1].getEndpoint());
     this->thread = std::thread([this] { this->process->run(); });
 }
 
@@ -104,6 +109,25 @@
     this->process->getCore().getUpstreams().put(this->process->getClock().now(), record);
 }
 
+void ServingHarness::addVmOfOtherRegion(const std::string& otherRegion, const Endpoint& relays)
+{
+    GatewayCore& core = this->process->getCore();
+    VmAnnouncement vm;
+    vm.vm = VmId("vm-" + otherRegion);
+    vm.region = RegionId(otherRegion);
+    vm.failureDomain = FailureDomainId(otherRegion + "-a");
+    vm.callers = vm.relays = relays;
+    vm.isReady = vm.takesRequests = true;
+    core.putVm(vm);
+    UpstreamRecord record;
+    record.id = UpstreamId("u-" + otherRegion);
+    record.service = remoteService;
+    record.region = vm.region;
+    record.failureDomain = vm.failureDomain;
+    record.slots = 8;
+    core.getUpstreams().put(this->process->getClock().now(), record);
+}
+
 std::string ServingHarness::makeHead(
     const std::string& method, const std::string& path, const std::string& id, const std::string& more)
 {
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -25,8 +25,11 @@
 /** Runs a gateway process on a thread of the test, with two sealed upstreams of one service. */
 class ServingHarness {
 public:
+    /** Retries per request that no test uses up. */
+    static constexpr double ampleRetryRatio = 10;
+
     /** Starts the upstreams and the process. */
-    ServingHarness();
+    explicit ServingHarness(double retryRatio = ampleRetryRatio);
     ~ServingHarness();
 
     /** Sends a request with "Connection: close" and reads until the connection ends. */
@@ -54,6 +57,7 @@
 private:
     static ServingDocument makeDocument();
     void addUpstream(const std::string& id, const Endpoint& endpoint);
+    void addVmOfOtherRegion(const std::string& otherRegion, const Endpoint& relays);
 
     mutable boost::asio::io_context clients;
     std::array<SealedUpstream, 2> upstreams;
