Exchange the load of each upstream, and keep the longest prompts from starving

Cause 1: a VM that had no recent response of an upstream took its own running requests times the number of VMs of its region as the upstream's load. With 32 VMs in a region two requests of one VM filled an engine of 64 slots, so VMs refused requests for lack of capacity while a third of the slots was in use, and the prefill of other VMs was taken to be spread evenly. Change: digests within a region carry running requests and pending prefill by upstream; the collector replies with the sums. A collector without other regions never set its own load in its replies; it does now, and loads of VMs that are gone expire on a collector too. testLargeRegionWithFreeCapacityIsNotFull failed before.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -137,6 +137,7 @@
             load.demand[workspace] = demand;
     }
     load.services = this->upstreams.measureLoad(this->settings.region);
+    load.upstreams = this->upstreams.measureUpstreamLoads(this->settings.region);
     for (const auto& [service, allowance] : this->prefillAllowances)
         load.services[service].requestedTokensPerSecond = static_cast<std::int64_t>(allowance.getDemand(now));
     return load;
@@ -145,9 +146,10 @@
 std::vector<std::pair<const VmAnnouncement*, DigestReport>> GatewayCore::makeReports(Milliseconds now)
 {
     std::vector<std::pair<const VmAnnouncement*, DigestReport>> reports;
-    const LoadFigures load = this->measureLoad(now);
+    // A collector without other regions sends no reports, but its replies contain its own load.
+    this->loadExchange.setOwnLoad(this->measureLoad(now));
     for (const VmAnnouncement* receiver : this->loadExchange.chooseReceivers(now, this->vms))
-        reports.emplace_back(receiver, this->loadExchange.makeReport(now, receiver->region, load));
+        reports.emplace_back(receiver, this->loadExchange.makeReport(now, receiver->region));
     return reports;
 }
 
@@ -229,19 +231,27 @@
     const auto unsharedTokens = static_cast<double>(query.promptTokens - query.sharedTokens);
     const double tokens = unsharedTokens + static_cast<double>(query.sharedTokens) * cacheMissProbability;
     SharedAllowance& allowance = this->prefillAllowances[query.service];
-    if (query.isFirstPlacement)
+    const int level = std::min(priority, lowestPriority);
+    PromptSizeFairness& fairness = this->sizeFairness[{ query.service, level }];
+    if (query.isFirstPlacement) {
         allowance.noteDemand(now, tokens);
+        fairness.noteOffered(now, tokens);
+    }
     const bool isPromoted = std::bernoulli_distribution(promotedShare)(this->random);
-    const double effectivePriority = isPromoted ? promotedPriority : std::min(priority, lowestPriority);
+    const double effectivePriority = isPromoted ? promotedPriority : level;
     // Long prompts yield to short ones, which are most of the requests but need little of the prefill capacity.
     const double pressure = (allowance.getPressure(now) - lowPressure) / (highPressure - lowPressure);
     const double time = tokens / this->placement.getPrefillSpeed(query.service);
-    const double lengthReserve = std::clamp(pressure, 0.0, 1.0) * time / static_cast<double>(longPrefillTime.count());
+    const double lengthReserve = fairness.shouldYield(now, tokens)
+        ? std::clamp(pressure, 0.0, 1.0) * time / static_cast<double>(longPrefillTime.count())
+        : 0;
     query.hasPrefillCapacity = allowance.hasLevelAbove(
         now, std::min(maximumReserve, effectivePriority * priorityReserveStep - urgentOverdraft + lengthReserve));
     PlacementDecision decision = this->placement.choose(now, query, service);
     if (std::holds_alternative<UseUpstream>(decision))
         allowance.take(tokens);
+    if (!std::holds_alternative<PlacementFailure>(decision))
+        fairness.notePlaced(now, tokens);
     return decision;
 }
 
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -2,6 +2,7 @@
 
 #include "gateway/digest/LoadExchange.h"
 #include "gateway/limits/ConfigurationFreshness.h"
+#include "gateway/limits/PromptSizeFairness.h"
 #include "gateway/limits/RecentMaximum.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
@@ -174,6 +175,12 @@
     /** Returns the known VMs. */
     const VmRegistry& getVms() const { return this->vms; }
 
+    /** Returns the last reported load of this region's other VMs on an upstream, or nothing without any report. */
+    std::optional<UpstreamLoad> getLoadOfOtherVms(const UpstreamId& upstream) const
+    {
+        return this->loadExchange.getLoadOfOtherVms(upstream);
+    }
+
     /** Returns the component that chooses upstreams. */
     Placement& getPlacement() { return this->placement; }
 
@@ -200,6 +207,7 @@
     std::optional<Milliseconds> behindSince; /**< Since when another VM has reported a later revision. */
     std::map<WorkspaceId, SharedAllowance> workspaceAllowances;
     std::map<ServiceId, SharedAllowance> prefillAllowances; /**< This VM's share of its region's prefill capacity. */
+    std::map<std::pair<ServiceId, int>, PromptSizeFairness> sizeFairness; /**< By service and priority. */
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
     RecentMaximum recentVmCount; /**< Number of VMs that may have used extra retries in the current window. */
     bool hasTicked = false;
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -31,7 +31,14 @@
     for (const auto& [service, load] : figures.services)
         services[service.string()]
             = json::array { load.running, load.pendingPrefillTokens, load.requestedTokensPerSecond };
-    return json::object { { "d", demand }, { "s", services } };
+    json::object figuresObject { { "d", demand }, { "s", services } };
+    if (!figures.upstreams.empty()) {
+        json::object upstreams;
+        for (const auto& [upstream, load] : figures.upstreams)
+            upstreams[upstream.string()] = json::array { load.running, load.pendingPrefillTokens };
+        figuresObject["u"] = std::move(upstreams);
+    }
+    return figuresObject;
 }
 
 LoadFigures decodeFigures(const json::object& object)
@@ -44,6 +51,14 @@
         figures.services[ServiceId(std::string(member.key()))] = { numbers.at(0).to_number<int>(),
             numbers.at(1).to_number<std::int64_t>(), numbers.at(2).to_number<std::int64_t>() };
     }
+    const json::value* upstreams = object.if_contains("u");
+    if (!upstreams)
+        return figures;
+    for (const auto& member : upstreams->as_object()) {
+        const json::array& numbers = member.value().as_array();
+        figures.upstreams[UpstreamId(std::string(member.key()))]
+            = { numbers.at(0).to_number<int>(), numbers.at(1).to_number<std::int64_t>() };
+    }
     return figures;
 }
 
@@ -78,6 +93,8 @@
         this->demand[workspace] += units;
     for (const auto& [service, load] : other.services)
         this->services[service].add(load);
+    for (const auto& [upstream, load] : other.upstreams)
+        this->upstreams[upstream].add(load);
 }
 
 ServiceLoad LoadFigures::getLoad(const ServiceId& service) const
--- a/modules/gateway/digest/Digest.h
+++ b/modules/gateway/digest/Digest.h
@@ -15,6 +15,8 @@
 struct LoadFigures {
     std::map<WorkspaceId, double> demand; /**< Units per second that callers request, granted or not. */
     std::map<ServiceId, ServiceLoad> services; /**< Load on upstreams of the VMs' own region. */
+    /** The same by upstream. Exchanged within a region only, as no other VM sends these upstreams requests. */
+    std::map<UpstreamId, UpstreamLoad> upstreams;
 
     bool operator==(const LoadFigures&) const = default;
 
--- a/modules/gateway/digest/LoadExchange.cpp
+++ b/modules/gateway/digest/LoadExchange.cpp
@@ -55,11 +55,13 @@
     return nullptr;
 }
 
-DigestReport LoadExchange::makeReport(Milliseconds now, const RegionId& receiver, const LoadFigures& load)
+DigestReport LoadExchange::makeReport(Milliseconds now, const RegionId& receiver) const
 {
-    this->own = load;
-    const bool isWholeRegion = receiver != this->region;
-    return { this->vm, this->region, isWholeRegion, isWholeRegion ? this->sumRegion(now) : load, now.count() };
+    if (receiver == this->region)
+        return { this->vm, this->region, false, this->own, now.count() };
+    DigestReport report { this->vm, this->region, true, this->sumRegion(now), now.count() };
+    report.figures.upstreams.clear();
+    return report;
 }
 
 LoadFigures LoadExchange::sumRegion(Milliseconds now) const
@@ -72,12 +74,35 @@
     return sum;
 }
 
+void LoadExchange::replaceFigures(const VmId& from, ReceivedFigures figures)
+{
+    // The sum is kept up to date here, because it is needed for each upstream at each request.
+    const auto removeFromSum = [this](const LoadFigures& old) {
+        for (const auto& [upstream, load] : old.upstreams)
+            this->reportedSum.upstreams[upstream].add({ -load.running, -load.pendingPrefillTokens });
+    };
+    const auto known = this->byVm.find(from);
+    if (known != this->byVm.end())
+        removeFromSum(known->second.figures);
+    for (const auto& [upstream, load] : figures.figures.upstreams)
+        this->reportedSum.upstreams[upstream].add(load);
+    const Milliseconds now = figures.receivedAt;
+    this->byVm[from] = std::move(figures);
+    std::erase_if(this->byVm, [&](const auto& entry) {
+        const bool isExpired = now - entry.second.receivedAt >= figuresLifetime;
+        if (isExpired)
+            removeFromSum(entry.second.figures);
+        return isExpired;
+    });
+    std::erase_if(this->reportedSum.upstreams, [](const auto& entry) { return entry.second == UpstreamLoad {}; });
+}
+
 void LoadExchange::noteReport(Milliseconds now, const DigestReport& report)
 {
     if (report.isWholeRegion)
         this->byRegion[report.region] = { report.figures, now };
     else if (report.region == this->region)
-        this->byVm[report.from] = { report.figures, now };
+        this->replaceFigures(report.from, { report.figures, now });
 }
 
 DigestReply LoadExchange::makeReply(
@@ -92,8 +117,10 @@
     }
     reply.regions[this->region] = this->sumRegion(now);
     // A collector of another region needs only this region; it receives the others from their own collectors.
-    if (report.isWholeRegion)
+    if (report.isWholeRegion) {
         std::erase_if(reply.regions, [this](const auto& entry) { return entry.first != this->region; });
+        reply.regions[this->region].upstreams.clear();
+    }
     return reply;
 }
 
@@ -144,6 +171,23 @@
     return others;
 }
 
+std::optional<UpstreamLoad> LoadExchange::getLoadOfOtherVms(const UpstreamId& upstream) const
+{
+    const auto findLoad = [&upstream](const LoadFigures& figures) {
+        const auto found = figures.upstreams.find(upstream);
+        return found == figures.upstreams.end() ? UpstreamLoad {} : found->second;
+    };
+    if (this->isCollectorVm)
+        return this->byVm.empty() ? std::nullopt : std::optional(findLoad(this->reportedSum));
+    const auto here = this->byRegion.find(this->region);
+    if (here == this->byRegion.end())
+        return std::nullopt;
+    const UpstreamLoad all = findLoad(here->second.figures);
+    const UpstreamLoad mine = findLoad(this->own);
+    return UpstreamLoad { std::max(0, all.running - mine.running),
+        std::max<std::int64_t>(0, all.pendingPrefillTokens - mine.pendingPrefillTokens) };
+}
+
 ServiceLoad LoadExchange::getLoad(const RegionId& targetRegion, const ServiceId& service) const
 {
     // This runs for each request, so it adds up the load of this service only.
--- a/modules/gateway/digest/LoadExchange.h
+++ b/modules/gateway/digest/LoadExchange.h
@@ -41,12 +41,11 @@
     /** Returns true if this VM is the collector of its region. */
     bool isCollector() const { return this->isCollectorVm; }
 
-    /**
-        Creates the report for a receiver in the given region.
+    /** Sets the current load of this VM, which its reports and replies contain. */
+    void setOwnLoad(const LoadFigures& load) { this->own = load; }
 
-        @param own  current load of this VM
-    */
-    DigestReport makeReport(Milliseconds now, const RegionId& receiver, const LoadFigures& own);
+    /** Creates the report for a receiver in the given region. */
+    DigestReport makeReport(Milliseconds now, const RegionId& receiver) const;
 
     /** Stores the figures of another VM's report. */
     void noteReport(Milliseconds now, const DigestReport& report);
@@ -70,6 +69,12 @@
     /** Returns the last received load of the other VMs of the own region. */
     ServiceLoad getLocalLoadOfOtherVms(const ServiceId& service) const;
 
+    /**
+        Returns the last received load of the other VMs of the own region on one of its upstreams, or nothing if no
+        figures of them have arrived.
+    */
+    std::optional<UpstreamLoad> getLoadOfOtherVms(const UpstreamId& upstream) const;
+
     /** Returns the last received load of all VMs of a region on a service's upstreams there. */
     ServiceLoad getLoad(const RegionId& region, const ServiceId& service) const;
 
@@ -81,12 +86,14 @@
 
     const VmAnnouncement* findCollector(Milliseconds now, const VmRegistry& vms, const RegionId& targetRegion);
     LoadFigures sumRegion(Milliseconds now) const;
+    void replaceFigures(const VmId& from, ReceivedFigures figures);
 
     VmId vm;
     RegionId region;
     bool isCollectorVm = false;
-    LoadFigures own; /**< This VM's load in its last report. */
+    LoadFigures own; /**< Load of this VM when it was last set. */
     std::map<VmId, ReceivedFigures> byVm; /**< Figures of this region's other VMs, from their reports. */
+    LoadFigures reportedSum; /**< Sum of the upstream loads in byVm; its other figures are not used. */
     /** Figures from other collectors, or from replies of the own collector. */
     std::map<RegionId, ReceivedFigures> byRegion;
     std::map<VmId, Milliseconds> unansweredSince; /**< Time of the first report without a reply. */
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/digest/LoadExchange.h"
 #include "gateway/limits/ColdStartLimit.h"
 #include "gateway/limits/ConfigurationFreshness.h"
+#include "gateway/limits/PromptSizeFairness.h"
 #include "gateway/limits/RecentMaximum.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -73,7 +73,12 @@
         if (query.tried.contains(upstream->record.id))
             continue;
         const double slots = std::max(1, upstream->record.slots);
-        const Candidate candidate { upstream, estimateLoad(*upstream, regionVms.size(), now) / slots, 0 };
+        // Without figures of the other VMs, all VMs of the region are taken to send the upstream as much as this one.
+        const std::optional<UpstreamLoad> others = this->loadExchange.getLoadOfOtherVms(upstream->record.id);
+        const double running
+            = others ? upstream->running + others->running : upstream->running * static_cast<double>(regionVms.size());
+        const Candidate candidate { upstream, estimateLoad(*upstream, running, now) / slots,
+            upstream->pendingPrefillTokens + (others ? others->pendingPrefillTokens : 0), 0 };
         const bool isColdBound = upstream->isCold(now) && service.coldRequestsPerSecond > 0;
         if (candidate.load >= fullLoad) {
             cause = PlacementFailureCause::AllFull;
@@ -98,21 +103,22 @@
 {
     if (candidates.empty())
         return;
-    std::int64_t own = 0;
+    std::int64_t attributed = 0;
     std::vector<std::uint64_t> hashes;
     hashes.reserve(candidates.size());
     for (const Candidate& candidate : candidates) {
-        own += candidate.upstream->pendingPrefillTokens;
+        attributed += candidate.pendingTokens;
         hashes.push_back(stableHash(candidate.upstream->record.id.string()));
     }
     const std::int64_t all = this->loadExchange.getLoad(this->region, query.service).pendingPrefillTokens;
-    const double others
-        = static_cast<double>(std::max<std::int64_t>(0, all - own)) / static_cast<double>(hashes.size());
+    // A VM of an earlier version reports no load by upstream; its load is taken to be spread evenly.
+    const double unattributed
+        = static_cast<double>(std::max<std::int64_t>(0, all - attributed)) / static_cast<double>(hashes.size());
     const double prefillSpeed = this->prefillSpeed.get(query.service);
     const double cacheMissCost
         = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) * cacheMissFactor / prefillSpeed;
     for (Candidate& candidate : candidates) {
-        const double pendingTokens = static_cast<double>(candidate.upstream->pendingPrefillTokens) + others;
+        const double pendingTokens = static_cast<double>(candidate.pendingTokens) + unattributed;
         candidate.cost = pendingTokens / prefillSpeed + candidate.load * fullLoadCost + cacheMissCost;
     }
     if (query.cacheKey == 0)
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -123,6 +123,7 @@
     struct Candidate {
         const KnownUpstream* upstream = nullptr;
         double load = 0; /**< Running requests per slot. */
+        std::int64_t pendingTokens = 0; /**< Tokens of prompts without a first event, of all VMs as far as known. */
         double cost = 0; /**< Cost in milliseconds; see Placement. */
     };
 
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -140,13 +140,22 @@
     return loads;
 }
 
-double estimateLoad(const KnownUpstream& upstream, std::size_t vmsInRegion, Milliseconds now)
+std::map<UpstreamId, UpstreamLoad> UpstreamTable::measureUpstreamLoads(const RegionId& region) const
+{
+    std::map<UpstreamId, UpstreamLoad> loads;
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (upstream.record.region == region && upstream.running > 0)
+            loads[id] = { upstream.running, upstream.pendingPrefillTokens };
+    }
+    return loads;
+}
+
+double estimateLoad(const KnownUpstream& upstream, double running, Milliseconds now)
 {
-    const double own = upstream.running;
     if (now - upstream.reportedAt > reportLifetime || upstream.reported.slots == 0)
-        return own * static_cast<double>(std::max<std::size_t>(1, vmsInRegion));
+        return running;
     const double reported = upstream.reported.running + upstream.reported.waiting;
-    return std::max(own, reported + own - upstream.runningAtReport);
+    return std::max<double>(upstream.running, reported + upstream.running - upstream.runningAtReport);
 }
 
 } // namespace papayashelf
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -28,6 +28,21 @@
     bool operator==(const ServiceLoad&) const = default;
 };
 
+/** The load that one or more VMs put on one upstream. */
+struct UpstreamLoad {
+    int running = 0; /**< Requests that have not ended. */
+    std::int64_t pendingPrefillTokens = 0; /**< Tokens of prompts without a first event. */
+
+    /** Adds the load from another VM. */
+    void add(const UpstreamLoad& other)
+    {
+        this->running += other.running;
+        this->pendingPrefillTokens += other.pendingPrefillTokens;
+    }
+
+    bool operator==(const UpstreamLoad&) const = default;
+};
+
 /** One upstream: its own record and what this VM has observed of it. */
 struct KnownUpstream {
     UpstreamRecord record;
@@ -98,6 +113,9 @@
     /** Returns this VM's running requests and pending prefill on upstreams of a region, by service. */
     std::map<ServiceId, ServiceLoad> measureLoad(const RegionId& region) const;
 
+    /** Returns this VM's running requests and pending prefill on each upstream of a region that has any. */
+    std::map<UpstreamId, UpstreamLoad> measureUpstreamLoads(const RegionId& region) const;
+
     /** Returns all known upstreams, usable or not. */
     const std::map<UpstreamId, KnownUpstream>& getAll() const { return this->upstreams; }
 
@@ -110,10 +128,11 @@
 };
 
 /**
-    Estimates the requests that an upstream has from all VMs, from its last report and this VM's requests since then.
+    Estimates the requests that an upstream has from all VMs, from its last report and this VM's requests since then, or
+    from the running requests if the report is stale.
 
-    @param vmsInRegion  number of VMs that send it requests; used for the estimate when the report is stale
+    @param running  requests of all VMs, as far as this VM knows
 */
-double estimateLoad(const KnownUpstream& upstream, std::size_t vmsInRegion, Milliseconds now);
+double estimateLoad(const KnownUpstream& upstream, double running, Milliseconds now);
 
 } // namespace papayashelf
--- a/tests/gateway/DigestTest.cpp
+++ b/tests/gateway/DigestTest.cpp
@@ -68,6 +68,9 @@
     CPPUNIT_TEST(testVmThatMissedAChangeIsNotConfirmed);
     CPPUNIT_TEST(testConfirmationIsNeverNewerThanTheReport);
     CPPUNIT_TEST(testSilentCollectorIsReplaced);
+    CPPUNIT_TEST(testEveryVmLearnsTheLoadOfEachUpstream);
+    CPPUNIT_TEST(testLoadOfAVmThatIsGoneExpires);
+    CPPUNIT_TEST(testLargeRegionWithFreeCapacityIsNotFull);
     CPPUNIT_TEST(testMessagesGrowLinearlyWithVms);
     CPPUNIT_TEST(testDemandOfOtherRegionsReducesTheShare);
     CPPUNIT_TEST(testDamagedDatagramsAreRejected);
@@ -144,6 +147,70 @@
         CPPUNIT_ASSERT(fleet.at("a-2").getConfigurationAge(Milliseconds(16'000)) < Milliseconds(1'700));
     }
 
+    void testEveryVmLearnsTheLoadOfEachUpstream()
+    {
+        DigestFleet fleet({ "north" }, 5);
+        for (const auto& [vm, core] : fleet.cores) {
+            core->getUpstreams().put(Milliseconds(fleet.now), makeUpstream("engine-1", "north"));
+            core->getUpstreams().put(Milliseconds(fleet.now), makeUpstream("engine-2", "north"));
+        }
+        // Load pattern: all requests but one go to one engine, from VMs that each see only their own.
+        for (int vm = 0; vm < 4; ++vm)
+            fleet.at("north-" + std::to_string(vm)).getUpstreams().noteStarted(UpstreamId("engine-1"), 9'000);
+        fleet.at("north-4").getUpstreams().noteStarted(UpstreamId("engine-2"), 1'000);
+        fleet.runUntil(fleet.now + 4 * interval);
+        for (const auto& [vm, core] : fleet.cores) {
+            const KnownUpstream* upstream = core->getUpstreams().find(UpstreamId("engine-1"));
+            const std::optional<UpstreamLoad> others = core->getLoadOfOtherVms(UpstreamId("engine-1"));
+            CPPUNIT_ASSERT(others);
+            CPPUNIT_ASSERT_EQUAL(4, upstream->running + others->running);
+            CPPUNIT_ASSERT_EQUAL(
+                std::int64_t { 36'000 }, upstream->pendingPrefillTokens + others->pendingPrefillTokens);
+            PlacementQuery query;
+            query.service = ServiceId("engine");
+            const PlacementDecision decision = core->place(Milliseconds(fleet.now), query, 0);
+            CPPUNIT_ASSERT(UpstreamId("engine-2") == std::get<UseUpstream>(decision).upstream.id);
+        }
+    }
+
+    void testLoadOfAVmThatIsGoneExpires()
+    {
+        DigestFleet fleet({ "north" }, 3);
+        for (const auto& [vm, core] : fleet.cores)
+            core->getUpstreams().put(Milliseconds(fleet.now), makeUpstream("engine-1", "north"));
+        fleet.at("north-2").getUpstreams().noteStarted(UpstreamId("engine-1"), 9'000);
+        fleet.runUntil(fleet.now + 4 * interval);
+        CPPUNIT_ASSERT_EQUAL(1, fleet.at("north-0").getLoadOfOtherVms(UpstreamId("engine-1"))->running);
+        fleet.makeUnreachable("north-2");
+        fleet.runUntil(fleet.now + 12 * interval);
+        for (const char* vm : { "north-0", "north-1" })
+            CPPUNIT_ASSERT_EQUAL(0, fleet.at(vm).getLoadOfOtherVms(UpstreamId("engine-1"))->running);
+    }
+
+    void testLargeRegionWithFreeCapacityIsNotFull()
+    {
+        // Load pattern: long streams at 32 VMs. Each VM has two at each engine of 64 slots by chance on a few engines,
+        // and no report of those engines for a while. A third of the region's slots are in use.
+        constexpr int vmCount = 32;
+        constexpr int engineCount = 4;
+        DigestFleet fleet({ "north" }, vmCount);
+        for (const auto& [vm, core] : fleet.cores) {
+            for (int engine = 0; engine < engineCount; ++engine) {
+                const std::string name = "engine-" + std::to_string(engine);
+                core->getUpstreams().put(Milliseconds(fleet.now), makeUpstream(name, "north"));
+                const bool isBusyVm = stableHash(vm.string()) % 3 == 0;
+                for (int request = 0; request < (isBusyVm ? 2 : 0); ++request)
+                    core->getUpstreams().noteStarted(UpstreamId(name), 0);
+            }
+        }
+        fleet.runUntil(fleet.now + 4 * interval);
+        for (const auto& [vm, core] : fleet.cores) {
+            PlacementQuery query;
+            query.service = ServiceId("engine");
+            CPPUNIT_ASSERT(std::holds_alternative<UseUpstream>(core->place(Milliseconds(fleet.now), query, 0)));
+        }
+    }
+
     void testMessagesGrowLinearlyWithVms()
     {
         DigestFleet smallFleet({ "a", "b", "c" }, 3);
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(testPrefillIsLimitedToItsShareOfEngineTime);
     CPPUNIT_TEST(testUrgentRequestsGetPrefillCapacityFirst);
     CPPUNIT_TEST(testShortPromptsPrecedeLongOnesUnderLoad);
+    CPPUNIT_TEST(testLongestPromptsDoNotStarveUnderLoad);
     CPPUNIT_TEST(testIdleEnginesAcceptAnyPrompt);
     CPPUNIT_TEST(testLongPromptsAreAcceptedBelowCapacity);
     CPPUNIT_TEST(testStartingVmSendsNothingToColdUpstreams);
@@ -168,6 +169,25 @@
         CPPUNIT_ASSERT(run.granted() <= run.prefillableTokens * 0.95);
     }
 
+    void testLongestPromptsDoNotStarveUnderLoad()
+    {
+        // Load pattern: one kind of request needs more than twice the prefill that its engines provide. Its prompts
+        // differ in length so much that one in ten carries four tenths of the tokens.
+        const std::vector<OfferedPrompt> prompts { { 2000, 1 }, { 6000, 1 }, { 3000, 1 }, { 1500, 1 }, { 9000, 1 },
+            { 4000, 1 }, { 26000, 1 }, { 2500, 1 }, { 5000, 1 }, { 7000, 1 } };
+        for (const double loadFactor : { 1.3, 1.6, 2.3, 3.0 }) {
+            const PrefillRun run = this->runPrompts(loadFactor, prompts, 60);
+            double offered = 0;
+            double granted = 0;
+            for (std::size_t index = 0; index < prompts.size(); ++index) {
+                offered += run.offeredTokens[index] / static_cast<double>(prompts[index].tokens);
+                granted += run.grantedTokens[index] / static_cast<double>(prompts[index].tokens);
+            }
+            // The users' bound is half as often as all prompts of the kind.
+            CPPUNIT_ASSERT(run.grantedTokens[6] / run.offeredTokens[6] >= 0.5 * granted / offered);
+        }
+    }
+
     void testIdleEnginesAcceptAnyPrompt()
     {
         const PrefillRun run = this->runPrompts(0.1, { { 54000, 9 } });
@@ -261,8 +281,9 @@
         double granted() const { return std::accumulate(this->grantedTokens.begin(), this->grantedTokens.end(), 0.0); }
     };
 
-    /** Offers the prompts in turn at a multiple of four engines' prefill speed; counts from second 4 to second 14. */
-    PrefillRun runPrompts(double loadFactor, const std::vector<OfferedPrompt>& prompts)
+    /** Offers the prompts in turn at a multiple of four engines' prefill speed; counts from second 4 on. */
+    PrefillRun runPrompts(
+        double loadFactor, const std::vector<OfferedPrompt>& prompts, std::int64_t countedSeconds = 10)
     {
         constexpr std::int64_t speed = 50;
         const auto core = this->makeCore(makeDocument(1));
@@ -270,11 +291,11 @@
             core->getUpstreams().put(now, makeUpstream("u" + std::to_string(number), "north"));
         core->getPlacement().noteFirstEvent(ServiceId("engine"), speed * 1000, Milliseconds(1000));
         PrefillRun run;
-        run.prefillableTokens = speed * 1000 * 4 * 10;
+        run.prefillableTokens = speed * 1000 * 4 * countedSeconds;
         run.offeredTokens.resize(prompts.size());
         run.grantedTokens.resize(prompts.size());
         std::size_t promptIndex = 0;
-        for (double elapsed = 0; elapsed < 14000; promptIndex = (promptIndex + 1) % prompts.size()) {
+        for (double elapsed = 0; elapsed < 4000.0 + 1000.0 * countedSeconds; promptIndex = (promptIndex + 1) % prompts.size()) {
             const OfferedPrompt& prompt = prompts[promptIndex];
             const Milliseconds moment = now + Milliseconds(static_cast<std::int64_t>(elapsed));
             core->tick(moment);
