Fetch shared prompt parts from the upstream that probably holds them

Change: Placement names the first upstream in the rendezvous order of the shared part as its source, full or not, unless it is chosen itself, cold, suspect or leaving; parts below 512 tokens are read. Costs of placement are unchanged. testOverflowFetchesSharedPartFromItsUsualUpstream is new.

--- a/modules/gateway/limits/PromptSizeFairness.h
+++ b/modules/gateway/limits/PromptSizeFairness.h
@@ -8,8 +8,8 @@
     Decides when long prompts stop yielding prefill capacity to shorter ones of the same service and priority: once they
     are placed clearly less often than all of them.
 
-    Load pattern: prompts of very different lengths arrive faster than the engines can prefill them, for long enough that
-    yielding would turn into starvation of the longest ones.
+    Load pattern: prompts of very different lengths arrive faster than the engines can prefill them, for long enough
+   that yielding would turn into starvation of the longest ones.
 
     Times must not decrease from one call to the next. Thread safety: none; owned by one thread.
 */
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -14,6 +14,7 @@
 constexpr double cacheMissFactor = 3;
 /** By the upstream's position in the rendezvous order of a shared part. */
 constexpr std::array<double, 3> cacheHitProbability { 1, 0.6, 0.3 };
+constexpr std::int64_t minimumFetchTokens = 512; /**< Reading fewer takes about as long as setting up a fetch. */
 /** Milliseconds for two long-distance trips, there and back, and another VM's work. */
 constexpr double relayCost = 220;
 /** Share of an engine's time. With three quarters of it spent on prefill, responses take four times as long. */
@@ -60,7 +61,26 @@
     }
     if (!best)
         return PlacementFailure { cause };
-    return UseUpstream { best->upstream->record, best->upstream->health.isSuspect(now) };
+    return UseUpstream { best->upstream->record, best->upstream->health.isSuspect(now),
+        this->findCacheSource(now, query, *best->upstream) };
+}
+
+std::optional<Endpoint> Placement::findCacheSource(
+    Milliseconds now, const PlacementQuery& query, const KnownUpstream& chosen) const
+{
+    if (query.cacheKey == 0 || query.sharedTokens < minimumFetchTokens)
+        return std::nullopt;
+    std::vector<const KnownUpstream*> holders = this->table.getUsableUpstreams(query.service, this->region);
+    std::erase_if(holders,
+        [now](const KnownUpstream* upstream) { return upstream->isCold(now) || upstream->health.isSuspect(now); });
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(holders.size());
+    for (const KnownUpstream* upstream : holders)
+        hashes.push_back(stableHash(upstream->record.id.string()));
+    const std::vector<std::size_t> order = rendezvousOrder(query.cacheKey, hashes, 1);
+    if (order.empty() || holders[order.front()] == &chosen)
+        return std::nullopt;
+    return holders[order.front()]->record.endpoint;
 }
 
 std::vector<Placement::Candidate> Placement::findCandidates(
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -6,6 +6,7 @@
 #include "gateway/placement/PrefillSpeed.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmRegistry.h"
+#include <optional>
 #include <random>
 #include <set>
 #include <variant>
@@ -30,6 +31,8 @@
 struct UseUpstream {
     UpstreamRecord upstream;
     bool isTrial = false; /**< True if the upstream is suspect and the request is a trial. */
+    std::optional<Endpoint>
+        cacheSource; /**< Upstream that probably holds the shared prompt parts if this one does not. */
 };
 
 /** Decision to relay the request to a VM of another region. */
@@ -68,7 +71,7 @@
     Every option has a cost in milliseconds, and the cheapest one is chosen. The cost adds up the pending prefill of
     earlier prompts, the prefill of this prompt's shared part where it is unlikely to be cached, the slowdown by other
     running requests, and the network time to another region. Engines run out of prefill capacity long before they run
-    out of slots.
+    out of slots. An upstream that does not have the shared part fetches it from the one that probably has.
 
     Load patterns: prompts with shared parts at a load close to the engines' capacity; peaks that move between regions;
     a region without upstreams. Thread safety: none; owned by one thread.
@@ -130,6 +133,8 @@
     std::vector<Candidate> findCandidates(
         Milliseconds now, const PlacementQuery& query, const ServingService& service, PlacementFailureCause& cause);
     void estimateCosts(const PlacementQuery& query, std::vector<Candidate>& candidates);
+    std::optional<Endpoint> findCacheSource(
+        Milliseconds now, const PlacementQuery& query, const KnownUpstream& chosen) const;
     const Candidate* chooseCheapest(const std::vector<Candidate>& candidates);
     std::optional<UseRelay> findRelay(Milliseconds now, const PlacementQuery& query, double ownCost);
     double estimateRegionCost(const PlacementQuery& query, const RegionId& other) const;
--- a/modules/serving/http/HeaderNames.h
+++ b/modules/serving/http/HeaderNames.h
@@ -18,6 +18,7 @@
     std::string priority; /**< 0 is the most urgent; engines run urgent requests first. */
     std::string load; /**< Running requests, waiting requests and slots, separated by commas. */
     std::string notRun; /**< An upstream's guarantee that the request has not run. */
+    std::string cacheSource; /**< Address of an upstream from which the receiver fetches cached prompt parts. */
     std::string retryAfter; /**< Seconds, as a decimal fraction. */
     std::vector<std::string> reserved; /**< Headers that only the gateway may send to upstreams. */
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -273,8 +273,7 @@
         this->context.core.getPlacement().noteFirstEvent(
             this->admitted->service, this->promptTokens - this->sharedTokens, this->now() - sentAt);
     };
-    AttemptOutcome outcome
-        = co_await this->attempt(choice.upstream.endpoint, this->formatUpstreamRequest(choice.upstream));
+    AttemptOutcome outcome = co_await this->attempt(choice.upstream.endpoint, this->formatUpstreamRequest(choice));
     if (std::exchange(this->onFirstEvent, {}))
         table.notePrefillDone(id, this->promptTokens);
     table.noteEnded(id);
@@ -287,7 +286,8 @@
                 { "reused_connection", boost::json::value(outcome.isReused) },
                 { "candidates", boost::json::value(inputs.candidates) }, { "load", boost::json::value(inputs.load) },
                 { "cost_ms", boost::json::value(inputs.cost) },
-                { "load_age_ms", boost::json::value(inputs.loadAge.count()) } });
+                { "load_age_ms", boost::json::value(inputs.loadAge.count()) },
+                { "cache_source", choice.cacheSource ? choice.cacheSource->string() : std::string() } });
     }
     co_return co_await this->handleOutcome(outcome);
 }
@@ -526,10 +526,13 @@
     return text;
 }
 
-std::string RequestServer::formatUpstreamRequest(const UpstreamRecord& upstream) const
+std::string RequestServer::formatUpstreamRequest(const UseUpstream& choice) const
 {
+    const HeaderNames& names = this->context.names;
     std::string text = this->formatCommonHead(false);
-    text.append(this->context.names.expectedUpstream).append(": ").append(upstream.id.string()).append("\r\n\r\n");
+    if (choice.cacheSource)
+        text.append(names.cacheSource).append(": ").append(choice.cacheSource->string()).append("\r\n");
+    text.append(names.expectedUpstream).append(": ").append(choice.upstream.id.string()).append("\r\n\r\n");
     return text + this->request.body;
 }
 
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -61,7 +61,7 @@
     Milliseconds getCapacityDeadline() const;
     PlacementQuery makePlacementQuery();
     AttemptTimeouts makeTimeouts() const;
-    std::string formatUpstreamRequest(const UpstreamRecord& upstream) const;
+    std::string formatUpstreamRequest(const UseUpstream& choice) const;
     std::string formatRelayRequest(const UseRelay& relay) const;
     std::string formatCommonHead(bool isRelay) const;
     void reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome);
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -295,7 +295,8 @@
         run.offeredTokens.resize(prompts.size());
         run.grantedTokens.resize(prompts.size());
         std::size_t promptIndex = 0;
-        for (double elapsed = 0; elapsed < 4000.0 + 1000.0 * countedSeconds; promptIndex = (promptIndex + 1) % prompts.size()) {
+        for (double elapsed = 0; elapsed < 4000.0 + 1000.0 * countedSeconds;
+             promptIndex = (promptIndex + 1) % prompts.size()) {
             const OfferedPrompt& prompt = prompts[promptIndex];
             const Milliseconds moment = now + Milliseconds(static_cast<std::int64_t>(elapsed));
             core->tick(moment);
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST_SUITE(PlacementTest);
     CPPUNIT_TEST(testSharedPromptsUseTheSameUpstream);
     CPPUNIT_TEST(testLoadedUpstreamLosesItsSharedPrompts);
+    CPPUNIT_TEST(testOverflowFetchesSharedPartFromItsUsualUpstream);
+    CPPUNIT_TEST(testShortSharedPartIsNotFetched);
     CPPUNIT_TEST(testFullRegionRelaysRequests);
     CPPUNIT_TEST(testRegionWithPendingPrefillRelaysRequests);
     CPPUNIT_TEST(testRelaysAreDividedAmongVms);
@@ -74,6 +76,42 @@
         CPPUNIT_ASSERT(first == this->chooseUpstream(query));
     }
 
+    void testOverflowFetchesSharedPartFromItsUsualUpstream()
+    {
+        // Load pattern: requests with the same long document exceed what one engine can prefill in time.
+        PlacementQuery query = this->makeQuery();
+        query.cacheKey = 77;
+        query.sharedTokens = 5000;
+        query.mayRelay = false;
+        const UseUpstream usual = std::get<UseUpstream>(this->placement->choose(now, query, {}));
+        CPPUNIT_ASSERT(!usual.cacheSource);
+        this->table->noteStarted(usual.upstream.id, 55'000);
+        const UseUpstream overflow = std::get<UseUpstream>(this->placement->choose(now, query, {}));
+        CPPUNIT_ASSERT(overflow.upstream.id != usual.upstream.id);
+        CPPUNIT_ASSERT(overflow.cacheSource == usual.upstream.endpoint);
+        // Requests are kept from a full engine, but it still holds what it has read.
+        this->table->noteLoad(now, usual.upstream.id, { 64, 10, 64 });
+        CPPUNIT_ASSERT(
+            std::get<UseUpstream>(this->placement->choose(now, query, {})).cacheSource == usual.upstream.endpoint);
+        // A leaving engine may be gone before the fetch.
+        UpstreamRecord leaving = usual.upstream;
+        leaving.isLeaving = true;
+        this->table->put(now, leaving);
+        CPPUNIT_ASSERT(
+            std::get<UseUpstream>(this->placement->choose(now, query, {})).cacheSource != usual.upstream.endpoint);
+    }
+
+    void testShortSharedPartIsNotFetched()
+    {
+        PlacementQuery query = this->makeQuery();
+        query.cacheKey = 77;
+        query.sharedTokens = 200;
+        query.mayRelay = false;
+        const UpstreamId usual = this->chooseUpstream(query);
+        this->table->noteStarted(usual, 55'000);
+        CPPUNIT_ASSERT(!std::get<UseUpstream>(this->placement->choose(now, query, {})).cacheSource);
+    }
+
     void testFullRegionRelaysRequests()
     {
         // Load pattern: a small region is at its peak while the other one is nearly idle.
