Bound every part of an upstream's answer

Cause: bytes that are no answer may come without end. The reader passed over interim answers without a count, read the bodies of answers that it could not use, kept a chunk extension and an event of any length, and searched an unfinished event from its beginning at each read (time grows with the square).

Change: named bounds on interim answers, unparsed bytes, unused bodies and events; the unfinished event is searched once; all answers that a process holds share one limit of 32 MiB (AnswerMemory). Past a bound the connection closes at once, the attempt counts as a failure of the upstream, attempt_failed names the bound and attempts count under over_limit. The reader of serve has the bounds on interim answers and unparsed bytes too; its event reader had one.

Not done: a soak fault, fuzz targets for these readers, the total time of a reply of the store.

--- /dev/null
+++ b/modules/entrance/upstream/AnswerBounds.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "entrance/server/Sizes.h"
+
+/** Bounds on what an upstream may send before or between the parts of an answer, whatever the request. */
+namespace papayashelf::answerbounds {
+
+/** Bytes that were received but not parsed yet, such as a chunk extension without an end. */
+constexpr std::size_t maximumUnparsedBytes = 64 * kibibyte;
+constexpr int maximumInterimAnswers = 8; /**< Answers with a status below 200 ahead of the final one. */
+
+} // namespace papayashelf::answerbounds
--- a/modules/entrance/upstream/UpstreamSource.cpp
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -1,6 +1,7 @@
 #include "entrance/upstream/UpstreamSource.h"
 
 #include "entrance/request/ForwardedHead.h"
+#include "entrance/upstream/AnswerBounds.h"
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -94,6 +95,8 @@
 asio::awaitable<AttemptResult> UpstreamSource::receive(AttemptResult otherwise)
 {
     auto& connection = *this->connection;
+    if (connection.buffer.size() > answerbounds::maximumUnparsedBytes)
+        co_return this->fail(otherwise);
     const auto space = connection.buffer.prepare(receiveBytes);
     const auto [error, count] = co_await connection.socket.async_read_some(space, useResult);
     connection.buffer.commit(count);
@@ -172,7 +175,10 @@
 asio::awaitable<AttemptResult> UpstreamSource::receiveHead()
 {
     this->limitNext(this->limits.firstByte);
+    int answers = 0;
     do {
+        if (++answers > answerbounds::maximumInterimAnswers + 1)
+            co_return this->fail(AttemptResult::NoAnswer);
         this->parser.emplace();
         this->parser->header_limit(maximumAnswerHeaderBytes);
         this->parser->body_limit(boost::none);
--- a/modules/gateway/streams/EventSplitter.cpp
+++ b/modules/gateway/streams/EventSplitter.cpp
@@ -1,15 +1,19 @@
 #include "gateway/streams/EventSplitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace papayashelf {
 
 namespace {
 
-/** Returns the position after the first complete event, or npos. Lines end with LF or CRLF. */
-std::size_t findEventEnd(std::string_view bytes)
+/** Bytes of the longest end of an event but one, which may have arrived in part. */
+constexpr std::size_t longestPartialEnd = 2;
+
+/** Returns the position after the first event that ends after the given offset, or npos. Lines end with LF or CRLF. */
+std::size_t findEventEnd(std::string_view bytes, std::size_t from)
 {
-    for (std::size_t lineFeed = bytes.find('\n'); lineFeed != std::string_view::npos;
+    for (std::size_t lineFeed = bytes.find('\n', from); lineFeed != std::string_view::npos;
          lineFeed = bytes.find('\n', lineFeed + 1)) {
         const std::string_view rest = bytes.substr(lineFeed + 1);
         if (rest.starts_with('\n'))
@@ -51,7 +55,7 @@
     std::size_t consumed = 0;
     while (true) {
         const std::string_view rest = std::string_view(this->pending).substr(consumed);
-        const std::size_t end = findEventEnd(rest);
+        const std::size_t end = findEventEnd(rest, consumed == 0 ? this->searchedBytes : 0);
         if (end == std::string_view::npos)
             break;
         if (this->acceptEvent(rest.substr(0, end)))
@@ -59,9 +63,21 @@
         consumed += end;
     }
     this->pending.erase(0, consumed);
+    this->searchedBytes = this->pending.size() - std::min(this->pending.size(), longestPartialEnd);
+    if (this->pending.size() > maximumEventBytes) {
+        this->discardPartialEvent();
+        this->overlong = true;
+    }
     return completeEvents;
 }
 
+void EventSplitter::discardPartialEvent()
+{
+    this->pending.clear();
+    this->searchedBytes = 0;
+    this->overlong = false;
+}
+
 bool EventSplitter::acceptEvent(std::string_view event)
 {
     const std::optional<std::uint64_t> id = findEventId(event);
--- a/modules/gateway/streams/EventSplitter.h
+++ b/modules/gateway/streams/EventSplitter.h
@@ -21,15 +21,26 @@
     {
     }
 
-    /** Appends bytes. Returns the events that they complete, unchanged, without those that the caller already has. */
+    static constexpr std::size_t maximumEventBytes = 262'144; /**< A longer event ends the stream. */
+
+    /**
+        Appends bytes. Returns the events that they complete, unchanged, without those that the caller already has. Once
+        an event exceeds maximumEventBytes, its bytes are discarded and isOverlong() returns true.
+    */
     std::string push(std::string_view bytes);
 
     /** Discards an incomplete event, so that another stream can continue after the last complete one. */
-    void discardPartialEvent() { this->pending.clear(); }
+    void discardPartialEvent();
 
     /** Returns true if an event is incomplete. */
     bool hasPartialEvent() const { return !this->pending.empty(); }
 
+    /** Returns true if the current event exceeded maximumEventBytes, so that the stream cannot be used any further. */
+    bool isOverlong() const { return this->overlong; }
+
+    /** Returns the bytes held of an incomplete event. */
+    std::size_t countPendingBytes() const { return this->pending.size(); }
+
     /** Returns the id of the last delivered event, or the id passed to the constructor. */
     std::optional<std::uint64_t> getLastId() const { return this->lastId; }
 
@@ -43,6 +54,8 @@
     bool acceptEvent(std::string_view event);
 
     std::string pending;
+    std::size_t searchedBytes = 0; /**< Bytes of the incomplete event that contain no end of it. */
+    bool overlong = false;
     std::optional<std::uint64_t> lastId;
     std::size_t deliveredEvents = 0;
     bool deliveredEventWithoutId = false;
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -22,6 +22,9 @@
 /** Per upstream; the number of requests that an engine runs at once. */
 constexpr std::size_t maximumIdleConnections = 64;
 
+/** A fifth of the smallest VM's memory; the rest is for connections, state and requests. */
+constexpr std::size_t answerMemoryBytes = 32 * mebibyte;
+
 std::string makeRelayKey()
 {
     std::random_device random;
@@ -48,7 +51,8 @@
     , core(settings, makeRelayKey(), std::random_device {}())
     , poolSettings(makePoolSettings())
     , pool(this->context.get_executor(), this->poolSettings)
-    , serving { this->core, this->pool, this->log, this->metrics, this->names, Clock() }
+    , answerMemory(answerMemoryBytes)
+    , serving { this->core, this->pool, this->answerMemory, this->log, this->metrics, this->names, Clock() }
     , digests(this->context.get_executor(), this->core, this->log)
     , signals(this->context, SIGTERM, SIGHUP, SIGINT)
 {
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -70,6 +70,7 @@
     GatewayCore core;
     EntranceSettings poolSettings;
     UpstreamPool pool;
+    AnswerMemory answerMemory;
     ServingMetrics metrics;
     ServingContext serving;
     ProcessHooks hooks;
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -305,7 +305,7 @@
     AttemptOutcome outcome = co_await this->attempt(choice.endpoint, this->formatRelayRequest(choice));
     if (const auto reportPrefillDone = std::exchange(this->onFirstEvent, {}))
         reportPrefillDone();
-    this->context.metrics.noteAttempt(toString(outcome.end));
+    this->context.metrics.noteAttempt(outcome.isOverLimit ? "over_limit" : toString(outcome.end));
     if (outcome.end != AttemptEnd::Complete) {
         if (outcome.end == AttemptEnd::NotSent || outcome.end == AttemptEnd::Unanswered)
             this->context.core.getPlacement().noteRelayFailed(this->now(), choice.vm);
@@ -319,7 +319,7 @@
 
 asio::awaitable<AttemptOutcome> RequestServer::attempt(const Endpoint& endpoint, const std::string& bytes)
 {
-    UpstreamAttempt attempt(this->context.pool, this->context.names, this->activeRequest);
+    UpstreamAttempt attempt(this->context.pool, this->context.answerMemory, this->context.names, this->activeRequest);
     if (!this->splitter)
         co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimeouts(), nullptr);
     StreamTarget target { &this->answer, &*this->splitter, [this] {
@@ -333,7 +333,7 @@
 void RequestServer::reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome)
 {
     UpstreamTable& table = this->context.core.getUpstreams();
-    this->context.metrics.noteAttempt(toString(outcome.end));
+    this->context.metrics.noteAttempt(outcome.isOverLimit ? "over_limit" : toString(outcome.end));
     if (outcome.load)
         table.noteLoad(this->now(), upstream, *outcome.load);
     switch (outcome.end) {
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -14,6 +14,7 @@
 struct ServingContext {
     GatewayCore& core;
     UpstreamPool& pool;
+    AnswerMemory& answerMemory;
     DecisionLog& log;
     ServingMetrics& metrics;
     const HeaderNames& names;
--- /dev/null
+++ b/modules/serving/upstream/AnswerMemory.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstddef>
+#include <utility>
+
+namespace papayashelf {
+
+/**
+    Limits the memory of all answers that one process holds at the same time, so that upstreams that send without end
+    cannot use up the VM's memory together.
+
+    Thread safety: none; owned by one I/O thread.
+*/
+class AnswerMemory {
+public:
+    /** @param limit  bytes of all answers together */
+    explicit AnswerMemory(std::size_t limit)
+        : limit(limit)
+    {
+    }
+
+    /** Bytes taken for one answer; returned when the object is destroyed. The AnswerMemory must outlive it. */
+    class Reservation {
+    public:
+        /** Creates an empty reservation that cannot grow. */
+        Reservation() = default;
+        explicit Reservation(AnswerMemory& memory)
+            : memory(&memory)
+        {
+        }
+        ~Reservation() { this->resize(0); }
+        Reservation(Reservation&& other) noexcept { *this = std::move(other); }
+        Reservation& operator=(Reservation&& other) noexcept
+        {
+            std::swap(this->memory, other.memory);
+            std::swap(this->bytes, other.bytes);
+            return *this;
+        }
+        Reservation(const Reservation&) = delete;
+        Reservation& operator=(const Reservation&) = delete;
+
+        /** Changes the number of bytes. Returns false, and changes nothing, if the limit would be exceeded. */
+        bool resize(std::size_t newBytes)
+        {
+            if (!this->memory)
+                return newBytes == 0;
+            const std::size_t used = this->memory->used - this->bytes + newBytes;
+            if (newBytes > this->bytes && used > this->memory->limit)
+                return false;
+            this->memory->used = used;
+            this->bytes = newBytes;
+            return true;
+        }
+
+    private:
+        AnswerMemory* memory = nullptr;
+        std::size_t bytes = 0;
+    };
+
+    /** Returns the bytes taken by all reservations. */
+    std::size_t getUsed() const { return this->used; }
+
+private:
+    std::size_t limit;
+    std::size_t used = 0;
+};
+
+} // namespace papayashelf
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -1,6 +1,7 @@
 #include "serving/upstream/UpstreamAttempt.h"
 
 #include "entrance/request/ForwardedHead.h"
+#include "entrance/upstream/AnswerBounds.h"
 #include "serving/http/RelayHeaders.h"
 #include <algorithm>
 #include <array>
@@ -19,6 +20,7 @@
 constexpr std::size_t receiveBytes = 16 * kibibyte;
 constexpr std::size_t maximumHeaderBytes = 32 * kibibyte;
 constexpr std::size_t maximumBodyBytes = 8 * mebibyte; /**< For an answer that is not streamed. */
+constexpr std::size_t maximumUnusedBodyBytes = 64 * kibibyte; /**< For a refusal or an answer to another request. */
 constexpr int maximumStrayAnswers = 2; /**< Unread answers to earlier requests that a connection may still deliver. */
 /** Ahead of the upstream's own idle close, so that it does not close on a request in transit. */
 constexpr Milliseconds idleCloseMargin { 1'000 };
@@ -78,10 +80,12 @@
         this->activeConnection->socket.close(ignored);
 }
 
-UpstreamAttempt::UpstreamAttempt(UpstreamPool& pool, const HeaderNames& names, ActiveRequest& request)
+UpstreamAttempt::UpstreamAttempt(
+    UpstreamPool& pool, AnswerMemory& memory, const HeaderNames& names, ActiveRequest& request)
     : pool(pool)
     , names(names)
     , request(request)
+    , reservation(memory)
 {
 }
 
@@ -89,7 +93,8 @@
 {
     AttemptOutcome result;
     result.end = this->request.isCallerGone() ? AttemptEnd::CallerDisconnected : end;
-    result.detail = std::move(detail);
+    result.isOverLimit = !this->exceededBound.empty();
+    result.detail = result.isOverLimit ? "exceeded " + std::string(this->exceededBound) : std::move(detail);
     result.isReused = this->connection && this->connection->isReused;
     return result;
 }
@@ -137,8 +142,16 @@
     co_return true;
 }
 
+bool UpstreamAttempt::exceed(std::string_view bound)
+{
+    this->exceededBound = bound;
+    return false;
+}
+
 asio::awaitable<bool> UpstreamAttempt::receive(TimePoint until)
 {
+    if (this->connection->buffer.size() > answerbounds::maximumUnparsedBytes)
+        co_return this->exceed("maximum_unparsed_bytes");
     this->connection->deadline.set(std::min(until, this->timeouts.end));
     const auto space = this->connection->buffer.prepare(receiveBytes);
     const auto [failure, count] = co_await this->connection->socket.async_read_some(space, useResult);
@@ -157,6 +170,8 @@
         boost::system::error_code failure;
         const std::size_t consumed = parser.put(this->connection->buffer.cdata(), failure);
         this->connection->buffer.consume(consumed);
+        if (failure == http::error::header_limit)
+            co_return this->exceed("maximum_header_bytes");
         if (failure && failure != http::error::need_more)
             co_return false;
         if (parser.is_header_done())
@@ -167,16 +182,23 @@
     co_return true;
 }
 
-asio::awaitable<bool> UpstreamAttempt::readBody(Parser& parser)
+asio::awaitable<bool> UpstreamAttempt::readBody(Parser& parser, std::size_t maximumBytes)
 {
+    parser.body_limit(maximumBytes);
+    if (parser.content_length().value_or(0) > maximumBytes)
+        co_return this->exceed("maximum_body_bytes");
     parser.eager(true);
     while (!parser.is_done()) {
         boost::system::error_code failure;
         if (this->connection->buffer.size() > 0) {
             const std::size_t consumed = parser.put(this->connection->buffer.cdata(), failure);
             this->connection->buffer.consume(consumed);
+            if (failure == http::error::body_limit)
+                co_return this->exceed("maximum_body_bytes");
             if (failure && failure != http::error::need_more)
                 co_return false;
+            if (!this->reservation.resize(parser.get().body().size()))
+                co_return this->exceed("answer_memory");
             if (parser.is_done())
                 break;
         }
@@ -194,12 +216,17 @@
 
 asio::awaitable<AttemptOutcome> UpstreamAttempt::readAnswer(std::string_view requestId, StreamTarget* stream)
 {
+    int interimAnswers = 0;
     for (int strayAnswers = 0; strayAnswers <= maximumStrayAnswers; ++strayAnswers) {
         auto parser = std::make_unique<Parser>();
         if (!co_await this->readHead(*parser))
             co_return this->fail(AttemptEnd::Unanswered, "no answer");
         const auto status = static_cast<int>(parser->get().result_int());
         if (status >= 100 && status < 200) {
+            if (++interimAnswers > answerbounds::maximumInterimAnswers) {
+                this->exceed("maximum_interim_answers");
+                co_return this->fail(AttemptEnd::Unanswered, {});
+            }
             --strayAnswers;
             continue;
         }
@@ -209,7 +236,10 @@
         const bool isContentEncoded = parser->get().find(http::field::content_encoding) != parser->get().end();
         if (isForThisRequest && stream && status == 200 && isSealed && !isContentEncoded)
             co_return co_await this->forwardStream(*parser, *stream);
-        if (!co_await this->readBody(*parser))
+        const bool isUsable = isForThisRequest && isSealed && !isContentEncoded;
+        if (isForThisRequest && !isUsable && !this->hasNotRunGuarantee(*parser))
+            co_return this->fail(AttemptEnd::Unanswered, "not an upstream's answer");
+        if (!co_await this->readBody(*parser, isUsable ? maximumBodyBytes : maximumUnusedBodyBytes))
             co_return this->fail(AttemptEnd::Unanswered, "answer broke off");
         if (isForThisRequest)
             co_return this->evaluateAnswer(*parser);
@@ -246,6 +276,7 @@
             != message.end();
     result.head = { status, std::string(parser.get().reason()), extractForwardableHeaders(parser.get()) };
     result.body = std::move(parser.get().body());
+    result.memory = std::move(this->reservation);
     result.detail = "status " + std::to_string(status);
     this->release(parser);
     return result;
@@ -279,6 +310,12 @@
             if (!isSent || this->request.isCallerGone())
                 co_return this->fail(AttemptEnd::CallerDisconnected, "caller left");
         }
+        if (stream.splitter->isOverlong())
+            this->exceed("maximum_event_bytes");
+        else if (!this->reservation.resize(stream.splitter->countPendingBytes()))
+            this->exceed("answer_memory");
+        if (!this->exceededBound.empty())
+            break;
         const bool isBroken = failure && failure != http::error::need_more;
         if (isBroken || (parser.is_done() && stream.splitter->hasPartialEvent()))
             break;
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -6,6 +6,7 @@
 #include "serving/caller/CallerAnswer.h"
 #include "serving/http/HeaderNames.h"
 #include "serving/http/Message.h"
+#include "serving/upstream/AnswerMemory.h"
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
@@ -33,6 +34,8 @@
     std::string detail; /**< Description of the failure, for the log. */
     std::optional<ReportedLoad> load;
     bool isNotSentGuaranteed = false; /**< Whether a relaying VM stated that no upstream has received the request. */
+    bool isOverLimit = false; /**< Whether the answer exceeded a bound on its size. */
+    AnswerMemory::Reservation memory; /**< For the body. */
     bool isReused = false; /**< Whether the connection had served an earlier request. */
 };
 
@@ -85,7 +88,7 @@
 class UpstreamAttempt {
 public:
     /** All references must outlive the attempt. */
-    UpstreamAttempt(UpstreamPool& pool, const HeaderNames& names, ActiveRequest& request);
+    UpstreamAttempt(UpstreamPool& pool, AnswerMemory& memory, const HeaderNames& names, ActiveRequest& request);
 
     /**
         Runs the attempt.
@@ -102,7 +105,7 @@
 
     boost::asio::awaitable<bool> connect(const Endpoint& endpoint, Milliseconds limit);
     boost::asio::awaitable<bool> readHead(Parser& parser);
-    boost::asio::awaitable<bool> readBody(Parser& parser);
+    boost::asio::awaitable<bool> readBody(Parser& parser, std::size_t maximumBytes);
     boost::asio::awaitable<AttemptOutcome> readAnswer(std::string_view requestId, StreamTarget* stream);
     boost::asio::awaitable<AttemptOutcome> forwardStream(Parser& parser, StreamTarget& stream);
     boost::asio::awaitable<bool> receive(TimePoint until);
@@ -110,6 +113,7 @@
     bool hasNotRunGuarantee(const Parser& parser) const;
     std::optional<ReportedLoad> readLoad(const Parser& parser) const;
     AttemptOutcome fail(AttemptEnd end, std::string detail) const;
+    bool exceed(std::string_view bound);
     void release(const Parser& parser);
 
     UpstreamPool& pool;
@@ -117,6 +121,8 @@
     ActiveRequest& request;
     std::unique_ptr<UpstreamConnection> connection;
     AttemptTimeouts timeouts;
+    AnswerMemory::Reservation reservation;
+    std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
     bool hasEnded = false; /**< Whether the upstream closed its side of the connection cleanly. */
 };
 
--- a/tests/gateway/EventSplitterTest.cpp
+++ b/tests/gateway/EventSplitterTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(testEventsThatTheCallerHasAreDropped);
     CPPUNIT_TEST(testCrLfLineEndings);
     CPPUNIT_TEST(testEventWithoutIdPreventsResuming);
+    CPPUNIT_TEST(testEventWithoutEndIsDiscarded);
+    CPPUNIT_TEST(testLongEventInSmallPiecesIsForwarded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +39,36 @@
         }
     }
 
+    void testEventWithoutEndIsDiscarded()
+    {
+        EventSplitter splitter(std::nullopt);
+        CPPUNIT_ASSERT_EQUAL(event(1), splitter.push(event(1)));
+        const std::string lines(16'384, '\n' - 1);
+        std::size_t pushed = 0;
+        while (!splitter.isOverlong() && pushed < 4U << 20U) {
+            CPPUNIT_ASSERT_EQUAL(std::string(), splitter.push(lines));
+            pushed += lines.size();
+            CPPUNIT_ASSERT(splitter.countPendingBytes() <= EventSplitter::maximumEventBytes);
+        }
+        CPPUNIT_ASSERT(splitter.isOverlong() && pushed <= EventSplitter::maximumEventBytes + lines.size());
+        splitter.discardPartialEvent();
+        CPPUNIT_ASSERT_EQUAL(event(2), splitter.push(event(2)));
+    }
+
+    void testLongEventInSmallPiecesIsForwarded()
+    {
+        // Each line feed could be the end of the event, so a search from the beginning would grow with the square.
+        std::string longEvent = "id: 1\r\n";
+        while (longEvent.size() < EventSplitter::maximumEventBytes - 100)
+            longEvent += "data: x\n";
+        longEvent += "\r\n";
+        EventSplitter splitter(std::nullopt);
+        std::string out;
+        for (std::size_t offset = 0; offset < longEvent.size(); offset += 7)
+            out += splitter.push(std::string_view(longEvent).substr(offset, 7));
+        CPPUNIT_ASSERT(out == longEvent);
+    }
+
     void testPartialEventIsHeldBack()
     {
         EventSplitter splitter(std::nullopt);
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(testAnswerToAnotherRequestIsDropped);
     CPPUNIT_TEST(testAnswerDelimitedByConnectionCloseIsForwarded);
     CPPUNIT_TEST(testConnectionWithTrailingBytesIsNotReused);
+    CPPUNIT_TEST(testAnswersWithoutEndAreCutOff);
+    CPPUNIT_TEST(testAnswersWithoutEndFailBeforeTheDeadline);
     CPPUNIT_TEST(testCompleteStreamIsForwarded);
     CPPUNIT_TEST(testBrokenStreamIsResumedWithoutGapOrDuplicate);
     CPPUNIT_TEST(testBrokenNonResumableStreamStaysIncomplete);
@@ -180,6 +182,40 @@
         }
     }
 
+    // A server in trouble may send bytes without end until its caller closes the connection.
+    void testAnswersWithoutEndAreCutOff()
+    {
+        // The 8 MiB that a plain answer may have, and what the sockets of one connection hold besides.
+        constexpr std::size_t maximumBytesPerAnswer = 24U << 20U;
+        const std::vector<std::pair<AnswerKind, const char*>> cases { { AnswerKind::EndlessHead, "/once/x" },
+            { AnswerKind::EndlessInterim, "/once/x" }, { AnswerKind::EndlessUnsealedBody, "/once/x" },
+            { AnswerKind::EndlessBody, "/once/x" }, { AnswerKind::EndlessChunkExtension, "/once/x" },
+            { AnswerKind::EndlessHead, "/stream/once/x" }, { AnswerKind::EndlessInterim, "/stream/once/x" },
+            { AnswerKind::EndlessUnsealedBody, "/stream/once/x" }, { AnswerKind::EndlessEvent, "/stream/once/x" },
+            { AnswerKind::EndlessChunkExtension, "/stream/once/x" } };
+        std::size_t before = 0;
+        for (const auto& [kind, path] : cases) {
+            this->queueAnswersOnBoth({ kind });
+            CPPUNIT_ASSERT_EQUAL(502, this->get(path, "id-1").getStatus());
+            const std::size_t sent
+                = this->harness->first().countEndlessBytes() + this->harness->second().countEndlessBytes();
+            CPPUNIT_ASSERT(sent - before <= maximumBytesPerAnswer);
+            before = sent;
+        }
+        CPPUNIT_ASSERT_EQUAL(200, this->get("/once/x", "id-2").getStatus());
+    }
+
+    // A 504 would mean that the process read on until the deadline. The other upstream answers the repeated request.
+    void testAnswersWithoutEndFailBeforeTheDeadline()
+    {
+        for (const AnswerKind kind : { AnswerKind::EndlessInterim, AnswerKind::EndlessChunkExtension }) {
+            this->queueAnswersOnBoth({});
+            this->harness->first().queueAnswers({ kind });
+            for (const char* id : { "id-1", "id-2", "id-3" })
+                CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", id).getStatus());
+        }
+    }
+
     void testCompleteStreamIsForwarded()
     {
         const RawAnswer answer = this->get("/stream/once/x", "id-1");
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -86,6 +86,33 @@
     }
 }
 
+/** The beginning of an answer without end, and what follows it again and again. */
+struct EndlessAnswer {
+    std::string begin;
+    std::string repeated;
+};
+
+std::optional<EndlessAnswer> makeEndlessAnswer(AnswerKind kind, const std::string& id)
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string line = std::string(1'000, 'x') + "\n";
+    switch (kind) {
+    case AnswerKind::EndlessHead:
+        return EndlessAnswer { formatResponseHead("200 OK", id, true), "X-More: " + std::string(1'000, 'x') + "\r\n" };
+    case AnswerKind::EndlessInterim:
+        return EndlessAnswer { "", "HTTP/1.1 102 Processing\r\n\r\n" };
+    case AnswerKind::EndlessUnsealedBody:
+        return EndlessAnswer { formatResponseHead("200 OK", id, false) + chunked, chunk(line) };
+    case AnswerKind::EndlessBody:
+    case AnswerKind::EndlessEvent:
+        return EndlessAnswer { formatResponseHead("200 OK", id, true) + chunked, chunk(line) };
+    case AnswerKind::EndlessChunkExtension:
+        return EndlessAnswer { formatResponseHead("200 OK", id, true) + chunked + "10;name=", std::string(1'000, 'x') };
+    default:
+        return std::nullopt;
+    }
+}
+
 bool closesConnection(AnswerKind kind)
 {
     return kind == AnswerKind::Truncated || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Reset
@@ -129,6 +156,22 @@
     return std::set<unsigned short>(this->ports.begin(), this->ports.end()).size();
 }
 
+asio::awaitable<bool> SealedUpstream::sendEndlessly(
+    std::string begin, std::string repeated, StandinHttp::Stream& stream)
+{
+    constexpr std::size_t pieceBytes = 64 * 1024;
+    std::string piece;
+    while (piece.size() < pieceBytes)
+        piece += repeated;
+    co_await asio::async_write(stream, asio::buffer(begin), standinResult);
+    while (true) {
+        const auto [failure, count] = co_await asio::async_write(stream, asio::buffer(piece), standinResult);
+        this->endlessBytes += count;
+        if (failure)
+            co_return false;
+    }
+}
+
 asio::awaitable<bool> SealedUpstream::handle(const StandinHttp::Request& request, StandinHttp::Stream& stream)
 {
     {
@@ -140,6 +183,8 @@
         co_return true;
     if (kind == AnswerKind::Reset)
         co_return false;
+    if (const auto endless = makeEndlessAnswer(kind, getHeader(request, "Attempt-Id")))
+        co_return co_await this->sendEndlessly(endless->begin, endless->repeated, stream);
     const auto target = request.target();
     const bool isStream = std::string_view(target.data(), target.size()).starts_with("/stream/");
     const bool isStreamKind
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "standins/engine/StandinHttp.h"
+#include <atomic>
 #include <deque>
 
 namespace papayashelf {
@@ -17,6 +18,12 @@
     NoResponse, /**< No answer; the connection stays open. */
     Reset, /**< The connection is closed without an answer. */
     WithoutLength, /**< The end of the connection delimits the body. */
+    EndlessHead, /**< A status line and header fields without end. */
+    EndlessInterim, /**< Interim answers without end. */
+    EndlessUnsealedBody, /**< A body without end that no seal announces. */
+    EndlessBody, /**< A sealed chunked body without end. */
+    EndlessEvent, /**< A sealed stream whose first event has no end. */
+    EndlessChunkExtension, /**< A sealed body whose first chunk size has an extension without end. */
     TrailingBytes, /**< A complete answer followed by bytes that are no HTTP answer. */
 };
 
@@ -43,15 +50,20 @@
     /** Returns the requests received so far. */
     std::vector<StandinRequest> getRequests() const { return this->http.getRequests(); }
 
+    /** Returns the bytes of endless answers that were sent so far. */
+    std::size_t countEndlessBytes() const { return this->endlessBytes; }
+
     /** Returns the number of connections over which requests arrived. */
     std::size_t countConnectionsUsed() const;
 
 private:
     boost::asio::awaitable<bool> handle(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     AnswerKind takeNextAnswer();
+    boost::asio::awaitable<bool> sendEndlessly(std::string begin, std::string repeated, StandinHttp::Stream& stream);
 
     mutable std::mutex mutex;
     std::deque<AnswerKind> queuedAnswers;
+    std::atomic<std::size_t> endlessBytes = 0;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
     StandinHttp http;
