Let long prompts yield until they are placed half as often as all

The users' bound is half as often as all.

Change: the share is 0.5. Also mends what the linter found in the tests.

--- a/modules/gateway/limits/PromptSizeFairness.cpp
+++ b/modules/gateway/limits/PromptSizeFairness.cpp
@@ -9,7 +9,7 @@
 
 constexpr double longPromptFactor = 2; /**< A prompt is long from this multiple of the mean length on. */
 /** Minimum ratio between the placed shares of long and of all prompts. Long ones also fail more often once placed. */
-constexpr double minimumRelativeShare = 0.6;
+constexpr double minimumRelativeShare = 0.5;
 constexpr double averagingSeconds = 8;
 constexpr double minimumSample = 2; /**< Long prompts within the averaging time; fewer say nothing about their share. */
 
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -291,11 +291,11 @@
             core->getUpstreams().put(now, makeUpstream("u" + std::to_string(number), "north"));
         core->getPlacement().noteFirstEvent(ServiceId("engine"), speed * 1000, Milliseconds(1000));
         PrefillRun run;
-        run.prefillableTokens = speed * 1000 * 4 * countedSeconds;
+        run.prefillableTokens = static_cast<double>(speed * 1000 * 4 * countedSeconds);
         run.offeredTokens.resize(prompts.size());
         run.grantedTokens.resize(prompts.size());
         std::size_t promptIndex = 0;
-        for (double elapsed = 0; elapsed < 4000.0 + 1000.0 * countedSeconds;
+        for (double elapsed = 0; elapsed < 4000.0 + 1000.0 * static_cast<double>(countedSeconds);
              promptIndex = (promptIndex + 1) % prompts.size()) {
             const OfferedPrompt& prompt = prompts[promptIndex];
             const Milliseconds moment = now + Milliseconds(static_cast<std::int64_t>(elapsed));
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -159,7 +159,7 @@
 asio::awaitable<bool> SealedUpstream::sendEndlessly(
     std::string begin, std::string repeated, StandinHttp::Stream& stream)
 {
-    constexpr std::size_t pieceBytes = 64 * 1024;
+    constexpr std::size_t pieceBytes = 65'536;
     std::string piece;
     while (piece.size() < pieceBytes)
         piece += repeated;
