Weigh a missing shared prompt part six times its prefill time

Cause: with the load of each upstream known, placement left the upstream that holds a shared part for any that was a little less loaded, and 46 % of the shared tokens were read again.

--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -11,7 +11,7 @@
 constexpr double fullLoad = 1.0; /**< Requests per slot; further requests queue inside the engine. */
 constexpr double fullLoadCost = 200; /**< Milliseconds by which a full upstream is slower than an idle one. */
 /** Weights the prefill time of a missing shared part, as repeating it also evicts cached parts of other prompts. */
-constexpr double cacheMissFactor = 3;
+constexpr double cacheMissFactor = 6;
 /** By the upstream's position in the rendezvous order of a shared part. */
 constexpr std::array<double, 3> cacheHitProbability { 1, 0.6, 0.3 };
 constexpr std::int64_t minimumFetchTokens = 512; /**< Reading fewer takes about as long as setting up a fetch. */
