Relay to a busy region if the own region has no upstream

The caller's region had no usable upstream (its only failure domain was evacuated), and the other regions were passed over because their totals of up to a second ago showed every slot, or nine tenths of the prefill capacity, in use. Requests were refused after 0 ms and 0 attempts, also those of a service with six slots and 20 ms of work.

Change: without own upstreams, those two limits do not apply; the VMs of the other region know its load and refuse what does not fit. testRegionWithoutUpstreamsRelaysToBusyRegion failed before.

--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -56,7 +56,8 @@
     }
     if (query.mayRelay) {
         const double ownCost = best ? best->cost : std::numeric_limits<double>::infinity();
-        if (const auto relay = this->findRelay(now, query, ownCost))
+        const bool hasOwnUpstreams = best || cause != PlacementFailureCause::NoUpstream;
+        if (const auto relay = this->findRelay(now, query, ownCost, hasOwnUpstreams))
             return *relay;
     }
     if (!best)
@@ -164,14 +165,15 @@
     return equalCandidates[std::uniform_int_distribution<std::size_t>(0, equalCandidates.size() - 1)(this->random)];
 }
 
-std::optional<UseRelay> Placement::findRelay(Milliseconds now, const PlacementQuery& query, double ownCost)
+std::optional<UseRelay> Placement::findRelay(
+    Milliseconds now, const PlacementQuery& query, double ownCost, bool hasOwnUpstreams)
 {
     const VmAnnouncement* chosen = nullptr;
     double lowestCost = ownCost;
     for (const RegionId& other : this->vms.getRegions()) {
         if (other == this->region || query.triedRegions.contains(other) || !isHome(query.homes, other))
             continue;
-        const double cost = this->estimateRegionCost(query, other);
+        const double cost = this->estimateRegionCost(query, other, hasOwnUpstreams);
         const VmAnnouncement* vm = cost < lowestCost ? this->chooseRelayVm(now, other) : nullptr;
         if (vm) {
             chosen = vm;
@@ -190,7 +192,7 @@
     return this->prefillSpeed.get(service) * perSecond * upstreams * maximumPrefillShare;
 }
 
-double Placement::estimateRegionCost(const PlacementQuery& query, const RegionId& other) const
+double Placement::estimateRegionCost(const PlacementQuery& query, const RegionId& other, bool needsFreeCapacity) const
 {
     const std::vector<const KnownUpstream*> upstreams = this->table.getUsableUpstreams(query.service, other);
     const int slots = this->table.countSlots(query.service, other);
@@ -198,10 +200,10 @@
         return std::numeric_limits<double>::infinity();
     const ServiceLoad load = this->loadExchange.getLoad(other, query.service);
     const double regionLoad = static_cast<double>(load.running) / slots;
-    if (regionLoad >= fullLoad)
+    if (needsFreeCapacity && regionLoad >= fullLoad)
         return std::numeric_limits<double>::infinity();
     const double prefillCapacity = this->getPrefillCapacity(query.service, other);
-    if (query.promptTokens > 0
+    if (needsFreeCapacity && query.promptTokens > 0
         && static_cast<double>(load.requestedTokensPerSecond) > prefillCapacity * maximumRelayLoad)
         return std::numeric_limits<double>::infinity();
     // The other VMs of this region receive the same figures and relay as much as this one.
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -136,8 +136,10 @@
     std::optional<Endpoint> findCacheSource(
         Milliseconds now, const PlacementQuery& query, const KnownUpstream& chosen) const;
     const Candidate* chooseCheapest(const std::vector<Candidate>& candidates);
-    std::optional<UseRelay> findRelay(Milliseconds now, const PlacementQuery& query, double ownCost);
-    double estimateRegionCost(const PlacementQuery& query, const RegionId& other) const;
+    /** Without own upstreams a busy region is used too: its VMs know its load best, and refuse what does not fit. */
+    std::optional<UseRelay> findRelay(
+        Milliseconds now, const PlacementQuery& query, double ownCost, bool hasOwnUpstreams);
+    double estimateRegionCost(const PlacementQuery& query, const RegionId& other, bool needsFreeCapacity) const;
     const VmAnnouncement* chooseRelayVm(Milliseconds now, const RegionId& region);
     std::vector<VmId> getOwnRegionVms() const;
 
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(testShortSharedPartIsNotFetched);
     CPPUNIT_TEST(testFullRegionRelaysRequests);
     CPPUNIT_TEST(testRegionWithPendingPrefillRelaysRequests);
+    CPPUNIT_TEST(testRegionWithoutUpstreamsRelaysToBusyRegion);
+    CPPUNIT_TEST(testRegionWithUpstreamsDoesNotRelayToBusyRegion);
     CPPUNIT_TEST(testRelaysAreDividedAmongVms);
     CPPUNIT_TEST(testRelaysStayWithinHomes);
     CPPUNIT_TEST(testRelayedRequestIsNotRelayedAgain);
@@ -131,6 +133,30 @@
         CPPUNIT_ASSERT(std::holds_alternative<UseRelay>(this->placement->choose(now, this->makeQuery(), {})));
     }
 
+    void testRegionWithoutUpstreamsRelaysToBusyRegion()
+    {
+        // Load pattern: a region's only failure domain is evacuated, so its callers add to the peak of the other
+        // region. A total of half a second ago must not refuse them all; the VMs there decide request by request.
+        this->reportBusySouth();
+        this->table->setEvacuated({ FailureDomainId("north-a") });
+        for (const std::int64_t promptTokens : { 0, 1'000 }) {
+            PlacementQuery query = this->makeQuery();
+            query.promptTokens = promptTokens;
+            const PlacementDecision decision = this->placement->choose(now, query, {});
+            const UseRelay* relay = std::get_if<UseRelay>(&decision);
+            CPPUNIT_ASSERT(relay && relay->region == RegionId("south"));
+        }
+    }
+
+    void testRegionWithUpstreamsDoesNotRelayToBusyRegion()
+    {
+        this->reportBusySouth();
+        for (int number = 0; number < 4; ++number)
+            this->table->noteLoad(now, UpstreamId("north" + std::to_string(number)), { 64, 10, 64 });
+        const PlacementDecision decision = this->placement->choose(now, this->makeQuery(), {});
+        CPPUNIT_ASSERT(PlacementFailureCause::AllFull == std::get<PlacementFailure>(decision).cause);
+    }
+
     void testRelaysAreDividedAmongVms()
     {
         for (int number = 0; number < 4; ++number)
@@ -293,6 +319,14 @@
     }
 
 private:
+    /** Reports that the other region's requests take all of its slots and all of its prefill capacity. */
+    void reportBusySouth()
+    {
+        DigestReport report { VmId("vm-south"), RegionId("south"), true, {}, now.count() };
+        report.figures.services[engine] = { 4 * 64, 0, 10'000'000 };
+        this->loadExchange.noteReport(now, report);
+    }
+
     PlacementQuery makeQuery() const
     {
         PlacementQuery query;
--- a/tests/peers/RelayTest.cpp
+++ b/tests/peers/RelayTest.cpp
@@ -249,14 +249,20 @@
     {
         this->start();
         const auto answer = this->receivedRequests.wait().second;
-        std::promise<void> cancelled;
-        std::once_flag once;
-        answer->setProducerWake([&] {
-            if (answer->isCancelled())
-                std::call_once(once, [&] { cancelled.set_value(); });
+        // A wake runs on a gRPC thread, which still uses this state after it has released the waiting test.
+        struct Cancellation {
+            std::promise<void> arrived;
+            std::once_flag once;
+        };
+        const auto cancellation = std::make_shared<Cancellation>();
+        const std::weak_ptr<RelayExchange> weakAnswer = answer;
+        answer->setProducerWake([cancellation, weakAnswer] {
+            const auto woken = weakAnswer.lock();
+            if (woken && woken->isCancelled())
+                std::call_once(cancellation->once, [&] { cancellation->arrived.set_value(); });
         });
         this->exchange->cancel();
-        CPPUNIT_ASSERT(cancelled.get_future().wait_for(failureDeadline) == std::future_status::ready);
+        CPPUNIT_ASSERT(cancellation->arrived.get_future().wait_for(failureDeadline) == std::future_status::ready);
         answer->setProducerWake({});
     }
 
