--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -31,8 +31,8 @@
 struct UseUpstream {
     UpstreamRecord upstream;
     bool isTrial = false; /**< True if the upstream is suspect and the request is a trial. */
-    std::optional<Endpoint>
-        cacheSource; /**< Upstream that probably holds the shared prompt parts if this one does not. */
+    /** Upstream that probably holds the shared prompt parts if this one does not. */
+    std::optional<Endpoint> cacheSource;
 };
 
 /** Decision to relay the request to a VM of another region. */
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -65,12 +65,12 @@
 
     GatewaySettings settings;
     HeaderNames names;
+    AnswerMemory answerMemory; /**< Outlives the answers of requests that end with the context. */
     boost::asio::io_context context { 1 };
     DecisionLog log;
     GatewayCore core;
     EntranceSettings poolSettings;
     UpstreamPool pool;
-    AnswerMemory answerMemory;
     ServingMetrics metrics;
     ServingContext serving;
     ProcessHooks hooks;
