Do not cut off a slow attempt that could not be retried

Change: the limit on the first byte applies only while the retry budget has a retry, and an answer does not begin once its connection has been closed. testSlowAttemptIsNotCutOffWithoutRetryBudget failed before (502 instead of 200).

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -281,6 +281,11 @@
     this->getRetryBudget(service).noteRequest(now);
 }
 
+bool GatewayCore::hasRetry(Milliseconds now, const ServiceId& service)
+{
+    return this->getRetryBudget(service).hasRetry(now, this->getExtraRetryShare(now));
+}
+
 bool GatewayCore::tryRetry(Milliseconds now, const ServiceId& service)
 {
     return this->getRetryBudget(service).tryTake(now, this->getExtraRetryShare(now));
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -140,6 +140,9 @@
     /** Counts a caller's request for a service, which adds to its retry budget. */
     void noteRequest(Milliseconds now, const ServiceId& service);
 
+    /** Returns true if the service's budget has a retry left. */
+    bool hasRetry(Milliseconds now, const ServiceId& service);
+
     /** Takes one retry from the service's budget. Returns false if none is left. */
     bool tryRetry(Milliseconds now, const ServiceId& service);
 
--- a/modules/gateway/limits/SharedRetryBudget.cpp
+++ b/modules/gateway/limits/SharedRetryBudget.cpp
@@ -18,11 +18,16 @@
 {
 }
 
-bool SharedRetryBudget::tryTake(Milliseconds now, double extraShare)
+bool SharedRetryBudget::hasRetry(Milliseconds now, double extraShare)
 {
     const double allowed = static_cast<double>(this->requests.count(now)) * this->bound.perRequest * ratioFactor
         + this->bound.extra * extraShare;
-    if (static_cast<double>(this->retries.count(now) + 1) > allowed)
+    return static_cast<double>(this->retries.count(now) + 1) <= allowed;
+}
+
+bool SharedRetryBudget::tryTake(Milliseconds now, double extraShare)
+{
+    if (!this->hasRetry(now, extraShare))
         return false;
     this->retries.add(now);
     return true;
--- a/modules/gateway/limits/SharedRetryBudget.h
+++ b/modules/gateway/limits/SharedRetryBudget.h
@@ -31,6 +31,9 @@
     /** Counts a caller's request. */
     void noteRequest(Milliseconds now) { this->requests.add(now); }
 
+    /** Returns true if the window has a retry left. @param extraShare  as for tryTake() */
+    bool hasRetry(Milliseconds now, double extraShare);
+
     /**
         Takes one retry. Returns false if the window has none left.
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -366,7 +366,9 @@
     timeouts.end = toTimePoint(this->getRemaining());
     timeouts.firstByte = timeouts.end;
     timeouts.maximumSilence = this->getRemaining();
-    const bool mayTryAgain = route.isRetryable && this->possibleRuns + 1 < route.maximumAttempts;
+    // Without a retry left, cutting a slow attempt off would only turn a late answer into a failure.
+    const bool mayTryAgain = route.isRetryable && this->possibleRuns + 1 < route.maximumAttempts
+        && this->context.core.hasRetry(this->now(), this->admitted->service);
     if (mayTryAgain) {
         const Milliseconds waitLimit = std::max(
             minimumFirstByteTimeout, route.isStream ? route.latencyTarget * 2 : route.latencyTarget * 9 / 10);
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -298,6 +298,10 @@
         }
         const std::string completeEvents = stream.splitter->push(parser.get().body());
         parser.get().body().clear();
+        // The first event may arrive at the moment at which the connection is closed for its silence. To begin an
+        // answer then would only break it off.
+        if (!hasFirstEvent && this->connection->deadline.hasPassed())
+            break;
         if (!completeEvents.empty()) {
             if (!hasFirstEvent)
                 stream.onFirstByte();
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(testRelayWithWrongKeyIsRefused);
     CPPUNIT_TEST(testRefusedRelayStatesWhetherUpstreamWasReached);
     CPPUNIT_TEST(testRefusalOfRelayedRequestUsesRetryBudget);
+    CPPUNIT_TEST(testSlowAttemptIsNotCutOffWithoutRetryBudget);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -319,6 +320,18 @@
         }
     }
 
+    // Load pattern: engines are slow and the retry budget is used up.
+    void testSlowAttemptIsNotCutOffWithoutRetryBudget()
+    {
+        this->harness = std::make_unique<ServingHarness>(0);
+        for (const char* path : { "/again/x", "/stream/again/x" }) {
+            this->queueAnswersOnBoth({ AnswerKind::Late });
+            const RawAnswer answer = this->get(path, "id-1");
+            CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+            CPPUNIT_ASSERT(answer.isComplete());
+        }
+    }
+
 private:
     /** Sends a request to the process as another VM would relay it. */
     RawAnswer relay(const std::string& key, const std::string& service)
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -1,5 +1,7 @@
 #include "serving/SealedUpstream.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
 #include <set>
 
@@ -183,12 +185,16 @@
         co_return true;
     if (kind == AnswerKind::Reset)
         co_return false;
+    if (kind == AnswerKind::Late) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, lateness);
+        co_await timer.async_wait(standinResult);
+    }
     if (const auto endless = makeEndlessAnswer(kind, getHeader(request, "Attempt-Id")))
         co_return co_await this->sendEndlessly(endless->begin, endless->repeated, stream);
     const auto target = request.target();
     const bool isStream = std::string_view(target.data(), target.size()).starts_with("/stream/");
-    const bool isStreamKind
-        = kind == AnswerKind::Complete || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Unsealed;
+    const bool isStreamKind = kind == AnswerKind::Complete || kind == AnswerKind::Late
+        || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Unsealed;
     const std::string text
         = isStream && isStreamKind ? makeStreamAnswer(request, kind) : makePlainAnswer(request, kind);
     co_await asio::async_write(stream, asio::buffer(text), standinResult);
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -2,6 +2,7 @@
 
 #include "standins/engine/StandinHttp.h"
 #include <atomic>
+#include <chrono>
 #include <deque>
 
 namespace papayashelf {
@@ -16,6 +17,7 @@
     Truncated, /**< The body is shorter than its Content-Length. */
     TruncatedEvent, /**< A stream that ends in the middle of its third event. */
     NoResponse, /**< No answer; the connection stays open. */
+    Late, /**< Complete, after SealedUpstream::lateness. */
     Reset, /**< The connection is closed without an answer. */
     WithoutLength, /**< The end of the connection delimits the body. */
     EndlessHead, /**< A status line and header fields without end. */
@@ -34,6 +36,9 @@
 */
 class SealedUpstream {
 public:
+    /** Longer than a repeatable request waits for its first upstream in ServingHarness, shorter than its deadline. */
+    static constexpr std::chrono::milliseconds lateness { 900 };
+
     /** Creates the server without starting it. */
     SealedUpstream();
     ~SealedUpstream() { this->http.stop(); }
