Log the prompt parts and the progress of failed attempts

When upstreams crashed one after the other, the log could not tell whether a kind of request, the load or a version of the service did it: it had neither the parts of a failed request's prompt nor how much of its answer had arrived. Both are now fields of attempt_failed, with whether the upstream ended the connection; a metric counts connections lost by progress. No decision changes.

--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -32,6 +32,7 @@
 /** Interval of checks whether an upstream has free capacity. */
 constexpr std::chrono::milliseconds capacityPollInterval { 40 };
 constexpr std::uint64_t lowestPriority = 9;
+constexpr std::size_t maximumLoggedPartBytes = 200; /**< About ten parts, far more than prompts usually have. */
 constexpr int misdirectedRequestStatus = 421; /**< The upstream at the address is not the expected one. */
 constexpr std::string_view bearerPrefix = "Bearer ";
 
@@ -56,6 +57,12 @@
     return comma == std::string_view::npos ? std::string_view() : parts.substr(0, comma);
 }
 
+/** Returns the ids of the shared prompt parts for the log, at most maximumLoggedPartBytes long. */
+std::string_view describeSharedParts(std::string_view parts)
+{
+    return extractSharedParts(parts).substr(0, maximumLoggedPartBytes);
+}
+
 /** Sums the tokens of parts in the format ID:TOKENS,ID:TOKENS. */
 std::int64_t sumTokens(std::string_view parts)
 {
@@ -279,11 +286,17 @@
     table.noteEnded(id);
     this->hasReachedUpstream = this->hasReachedUpstream || outcome.end != AttemptEnd::NotSent;
     this->reportAttemptEnd(id, outcome);
+    if (outcome.isConnectionLost)
+        this->context.metrics.noteConnectionLost(toString(outcome.progress));
     if (outcome.end != AttemptEnd::Complete) {
         this->context.log.write(this->now(), LogWeight::Notable, "attempt_failed",
             { { "request", this->requestId }, { "upstream", id.string() }, { "end", toString(outcome.end) },
                 { "detail", outcome.detail }, { "attempt", boost::json::value(this->attempts) },
                 { "reused_connection", boost::json::value(outcome.isReused) },
+                { "progress", toString(outcome.progress) },
+                { "connection_lost", boost::json::value(outcome.isConnectionLost) },
+                { "prompt_parts",
+                    describeSharedParts(findHeader(this->request.headers, this->context.names.promptParts)) },
                 { "candidates", boost::json::value(inputs.candidates) }, { "load", boost::json::value(inputs.load) },
                 { "cost_ms", boost::json::value(inputs.cost) },
                 { "load_age_ms", boost::json::value(inputs.loadAge.count()) },
--- a/modules/serving/request/ServingMetrics.h
+++ b/modules/serving/request/ServingMetrics.h
@@ -23,6 +23,9 @@
     /** Counts an attempt at an upstream or another VM that ended. @param end  the stable name of its end */
     void noteAttempt(std::string_view end) { ++this->attempts[std::string(end)]; }
 
+    /** Counts an upstream's connection that ended within a request. @param progress  stable name of what had arrived */
+    void noteConnectionLost(std::string_view progress) { ++this->lostConnections[std::string(progress)]; }
+
     /** Records the time from the arrival of a request to the first event of its answer. */
     void noteFirstByteTime(Milliseconds time) { this->firstByte.note(time); }
 
@@ -55,6 +58,7 @@
 
     std::map<std::string, std::uint64_t> requests;
     std::map<std::string, std::uint64_t> attempts;
+    std::map<std::string, std::uint64_t> lostConnections; /**< By how much of the answer had arrived. */
     Histogram firstByte;
     Histogram completeAnswer;
     std::int64_t openRequests = 0;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -72,6 +72,19 @@
     return "unknown";
 }
 
+std::string_view toString(AnswerProgress progress)
+{
+    switch (progress) {
+    case AnswerProgress::Nothing:
+        return "nothing";
+    case AnswerProgress::Head:
+        return "head";
+    case AnswerProgress::Events:
+        return "events";
+    }
+    return "unknown";
+}
+
 void ActiveRequest::noteCallerGone()
 {
     this->callerGone = true;
@@ -96,6 +109,8 @@
     result.isOverLimit = !this->exceededBound.empty();
     result.detail = result.isOverLimit ? "exceeded " + std::string(this->exceededBound) : std::move(detail);
     result.isReused = this->connection && this->connection->isReused;
+    result.progress = this->progress;
+    result.isConnectionLost = this->isConnectionLost;
     return result;
 }
 
@@ -156,6 +171,7 @@
     const auto space = this->connection->buffer.prepare(receiveBytes);
     const auto [failure, count] = co_await this->connection->socket.async_read_some(space, useResult);
     this->hasEnded = failure == asio::error::eof;
+    this->isConnectionLost = failure && !this->connection->deadline.hasPassed() && !this->request.isCallerGone();
     if (failure)
         co_return false;
     this->connection->buffer.commit(count);
@@ -234,6 +250,8 @@
         const bool isForThisRequest = std::string_view(echoed.data(), echoed.size()) == requestId;
         const bool isSealed = parser->get().find(this->names.seal) != parser->get().end();
         const bool isContentEncoded = parser->get().find(http::field::content_encoding) != parser->get().end();
+        if (isForThisRequest && isSealed)
+            this->progress = AnswerProgress::Head;
         if (isForThisRequest && stream && status == 200 && isSealed && !isContentEncoded)
             co_return co_await this->forwardStream(*parser, *stream);
         const bool isUsable = isForThisRequest && isSealed && !isContentEncoded;
@@ -271,6 +289,7 @@
         return result;
     }
     result.end = isNotRun ? AttemptEnd::NotRun : AttemptEnd::Complete;
+    result.progress = isNotRun ? AnswerProgress::Nothing : AnswerProgress::Events;
     result.isNotSentGuaranteed = isNotRun
         && message.find(boost::beast::string_view(relayheaders::notSent.data(), relayheaders::notSent.size()))
             != message.end();
@@ -306,6 +325,7 @@
             if (!hasFirstEvent)
                 stream.onFirstByte();
             hasFirstEvent = true;
+            this->progress = AnswerProgress::Events;
             bool isSent = true;
             if (!stream.answer->hasBegun())
                 isSent = co_await stream.answer->begin(head);
@@ -325,6 +345,7 @@
             break;
         if (parser.is_done()) {
             result.end = AttemptEnd::Complete;
+            result.progress = this->progress;
             result.head = head;
             this->release(parser);
             co_return result;
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -26,6 +26,16 @@
 /** Returns the stable name of an end, for logs and metrics. */
 std::string_view toString(AttemptEnd end);
 
+/** How much of the answer had arrived when an attempt ended. */
+enum class AnswerProgress {
+    Nothing, /**< No head of an answer to this request. */
+    Head, /**< The head, but no complete event or body. */
+    Events, /**< At least one complete event of a stream, or a complete body. */
+};
+
+/** Returns the stable name of a progress, for logs and metrics. */
+std::string_view toString(AnswerProgress progress);
+
 /** Result of an attempt. */
 struct AttemptOutcome {
     AttemptEnd end = AttemptEnd::NotSent;
@@ -37,6 +47,8 @@
     bool isOverLimit = false; /**< Whether the answer exceeded a bound on its size. */
     AnswerMemory::Reservation memory; /**< For the body. */
     bool isReused = false; /**< Whether the connection had served an earlier request. */
+    AnswerProgress progress = AnswerProgress::Nothing;
+    bool isConnectionLost = false; /**< Whether the upstream closed or reset the connection before the answer's end. */
 };
 
 /** Time limits of an attempt. */
@@ -123,6 +135,8 @@
     AttemptTimeouts timeouts;
     AnswerMemory::Reservation reservation;
     std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
+    AnswerProgress progress = AnswerProgress::Nothing;
+    bool isConnectionLost = false; /**< Whether the connection ended other than by a time limit of this VM. */
     bool hasEnded = false; /**< Whether the upstream closed its side of the connection cleanly. */
 };
 
