--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(testRefusedRelayStatesWhetherUpstreamWasReached);
     CPPUNIT_TEST(testRefusalOfRelayedRequestUsesRetryBudget);
     CPPUNIT_TEST(testSlowAttemptIsNotCutOffWithoutRetryBudget);
+    CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -217,6 +218,26 @@
         }
     }
 
+    // One shared part of the prompt crashes each upstream; the other parts occur in sound prompts too.
+    void testPromptPartDoesNotCrashOneUpstreamAfterTheOther()
+    {
+        constexpr int upstreamCount = 12;
+        constexpr std::size_t crashesUntilKnown = 5;
+        constexpr std::size_t arrivalsAfterwards = 3;
+        this->harness = std::make_unique<ServingHarness>(ServingHarness::ampleRetryRatio, upstreamCount);
+        const auto ask = [this](const std::string& id, const std::string& parts) {
+            return this->get("/stream/again/x", id, "Prompt-Prefix: " + parts + "\r\n");
+        };
+        CPPUNIT_ASSERT_EQUAL(200, ask("sound-0", "c0:100,d1:50,own0:9").getStatus());
+        for (int number = 1; number <= upstreamCount; ++number)
+            ask("deadly-" + std::to_string(number), "c0:100,d1:50,dead:10,own" + std::to_string(number) + ":9");
+        std::size_t deadlyArrivals = 0;
+        for (const StandinRequest& arrival : this->harness->getArrivals())
+            deadlyArrivals += arrival.contains("dead:") ? 1 : 0;
+        CPPUNIT_ASSERT(deadlyArrivals <= crashesUntilKnown + arrivalsAfterwards);
+        CPPUNIT_ASSERT_EQUAL(200, ask("sound-1", "c0:100,d1:50,own1:9").getStatus());
+    }
+
     void testCompleteStreamIsForwarded()
     {
         const RawAnswer answer = this->get("/stream/once/x", "id-1");
@@ -346,9 +367,9 @@
         return answer;
     }
 
-    RawAnswer get(const std::string& path, const std::string& id)
+    RawAnswer get(const std::string& path, const std::string& id, const std::string& more = {})
     {
-        return this->harness->call(ServingHarness::makeHead("GET", path, id));
+        return this->harness->call(ServingHarness::makeHead("GET", path, id, more));
     }
 
     void queueAnswersOnBoth(const std::deque<AnswerKind>& kinds)
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -174,12 +174,23 @@
     }
 }
 
+asio::awaitable<bool> SealedUpstream::crash(const StandinHttp::Request& request, StandinHttp::Stream& stream)
+{
+    this->http.stopListening();
+    const std::string text = formatResponseHead("200 OK", getHeader(request, "Attempt-Id"), true)
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1";
+    co_await asio::async_write(stream, asio::buffer(text), standinResult);
+    co_return false;
+}
+
 asio::awaitable<bool> SealedUpstream::handle(const StandinHttp::Request& request, StandinHttp::Stream& stream)
 {
     {
         const std::scoped_lock lock(this->mutex);
         this->ports.push_back(stream.socket().remote_endpoint().port());
     }
+    if (getHeader(request, "Prompt-Prefix").find(std::string(deadlyPart) + ':') != std::string::npos)
+        co_return co_await this->crash(request, stream);
     const AnswerKind kind = this->takeNextAnswer();
     if (kind == AnswerKind::NoResponse)
         co_return true;
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -39,6 +39,9 @@
     /** Longer than a repeatable request waits for its first upstream in ServingHarness, shorter than its deadline. */
     static constexpr std::chrono::milliseconds lateness { 900 };
 
+    /** Prompt part that crashes the upstream as soon as it begins to answer. */
+    static constexpr std::string_view deadlyPart = "dead";
+
     /** Creates the server without starting it. */
     SealedUpstream();
     ~SealedUpstream() { this->http.stop(); }
@@ -64,6 +67,8 @@
 private:
     boost::asio::awaitable<bool> handle(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     AnswerKind takeNextAnswer();
+    /** Sends the head and a part of the first event, and refuses all connections from then on. */
+    boost::asio::awaitable<bool> crash(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendEndlessly(std::string begin, std::string repeated, StandinHttp::Stream& stream);
 
     mutable std::mutex mutex;
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -77,15 +77,15 @@
     return document;
 }
 
-ServingHarness::ServingHarness(double retryRatio)
+ServingHarness::ServingHarness(double retryRatio, int upstreamCount)
     : process(std::make_unique<GatewayProcess>(makeSettings(retryRatio), wire::makeHeaderNames()))
 {
     const auto nothing = [](std::string_view) { return SimpleHttpResponse {}; };
     CPPUNIT_ASSERT(this->process->open({ nothing, nothing, [] {}, [] {} }));
     this->process->getCore().applyConfiguration(makeDocument());
     this->process->getCore().noteConfigurationConfirmation(this->process->getClock().now());
-    this->addUpstream("u-1", this->upstreams[0].start());
-    this->addUpstream("u-2", this->upstreams[1].start());
+    for (int number = 1; number <= upstreamCount; ++number)
+        this->addUpstream("u-" + std::to_string(number), this->upstreams.emplace_back().start());
     this->addVmOfOtherRegion("south", this->upstreams[0].getEndpoint());
     this->addVmOfOtherRegion("west", this->upstreams[1].getEndpoint());
     this->thread = std::thread([this] { this->process->run(); });
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -22,14 +22,18 @@
     bool isComplete() const;
 };
 
-/** Runs a gateway process on a thread of the test, with two sealed upstreams of one service. */
+/** Runs a gateway process on a thread of the test, with sealed upstreams of one service. */
 class ServingHarness {
 public:
     /** Retries per request that no test uses up. */
     static constexpr double ampleRetryRatio = 10;
 
-    /** Starts the upstreams and the process. */
-    explicit ServingHarness(double retryRatio = ampleRetryRatio);
+    /**
+        Starts the upstreams and the process.
+
+        @param upstreamCount  number of upstreams of the service; two or more
+    */
+    explicit ServingHarness(double retryRatio = ampleRetryRatio, int upstreamCount = 2);
     ~ServingHarness();
 
     /** Sends a request with "Connection: close" and reads until the connection ends. */
@@ -42,10 +46,10 @@
     /** Opens a connection to the endpoint. */
     boost::asio::ip::tcp::socket connect(const Endpoint& to) const;
 
-    /** Returns the first of the two upstreams. */
+    /** Returns the first upstream. */
     SealedUpstream& first() { return this->upstreams[0]; }
 
-    /** Returns the second of the two upstreams. */
+    /** Returns the second upstream. */
     SealedUpstream& second() { return this->upstreams[1]; }
 
     /** Returns the gateway process under test. */
@@ -60,7 +64,7 @@
     void addVmOfOtherRegion(const std::string& otherRegion, const Endpoint& relays);
 
     mutable boost::asio::io_context clients;
-    std::array<SealedUpstream, 2> upstreams;
+    std::deque<SealedUpstream> upstreams;
     std::unique_ptr<GatewayProcess> process;
     std::thread thread;
 };
--- a/tests/standins/engine/StandinHttp.cpp
+++ b/tests/standins/engine/StandinHttp.cpp
@@ -97,6 +97,12 @@
     this->thread.join();
 }
 
+void StandinHttp::stopListening()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
 void StandinHttp::setFault(StandinFaultOrder order)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/standins/engine/StandinHttp.h
+++ b/tests/standins/engine/StandinHttp.h
@@ -82,6 +82,9 @@
     Endpoint start(Handler handler);
     void stop();
 
+    /** Refuses new connections from now on. Only for the handler. */
+    void stopListening();
+
     boost::asio::any_io_executor getExecutor() { return this->context.get_executor(); }
 
     /** Sets the fault for the next requests. */
