--- a/modules/gateway/quarantine/PromptQuarantine.cpp
+++ b/modules/gateway/quarantine/PromptQuarantine.cpp
@@ -72,8 +72,8 @@
             narrowed.emplace_back(prompt, beganAt);
     }
     for (const auto& [prompt, beganAt] : narrowed) {
-        this->end(prompt, prompt.parts.size() == 1 ? "answered" : "narrowed");
-        this->start(beganAt, prompt, "narrowed");
+        this->end(prompt, prompt.parts.size() == 1 ? quarantinecauses::answered : quarantinecauses::narrowed);
+        this->start(beganAt, prompt, quarantinecauses::narrowed);
     }
 }
 
@@ -147,7 +147,7 @@
             cause = std::move(evidence.commonParts);
     }
     if (!cause.empty())
-        this->start(now, { latest.service, cause }, "crashes");
+        this->start(now, { latest.service, cause }, quarantinecauses::crashes);
 }
 
 void PromptQuarantine::start(Milliseconds beganAt, const PromptSignature& prompt, std::string_view cause)
@@ -218,14 +218,14 @@
     for (const AnsweredPart& answered : evidence.answered)
         this->mergeAnswered(now - answered.age, answered.service, answered.part);
     for (const QuarantinedPrompt& quarantined : evidence.quarantined)
-        this->start(now - quarantined.age, quarantined.prompt, "other_vm");
+        this->start(now - quarantined.age, quarantined.prompt, quarantinecauses::otherVm);
     for (const CrashSuspect& suspect : evidence.suspects)
         this->addSuspect(now, { suspect.incarnation, suspect.prompt, suspect.hasBegunAnswer, now - suspect.age });
 }
 
 void PromptQuarantine::begin(Milliseconds now, const PromptSignature& prompt)
 {
-    this->start(now, prompt, "store");
+    this->start(now, prompt, quarantinecauses::store);
 }
 
 void PromptQuarantine::end(const PromptSignature& prompt, std::string_view cause)
@@ -239,7 +239,7 @@
     std::erase_if(this->quarantines, [&](const auto& entry) {
         const bool isOver = now - entry.second >= duration;
         if (isOver)
-            this->changes.push_back({ entry.first, false, "expired" });
+            this->changes.push_back({ entry.first, false, quarantinecauses::expired });
         return isOver;
     });
     std::erase_if(this->suspects, [now](const Suspect& suspect) { return now - suspect.crashedAt > suspectLifetime; });
--- a/modules/gateway/quarantine/PromptQuarantine.h
+++ b/modules/gateway/quarantine/PromptQuarantine.h
@@ -10,11 +10,21 @@
 
 namespace papayashelf {
 
-/** A quarantine that began or ended at this VM, for the log. */
+/** Stable names of why a quarantine began or ended. */
+namespace quarantinecauses {
+constexpr std::string_view crashes = "crashes"; /**< Upstreams crashed under such prompts. */
+constexpr std::string_view otherVm = "other_vm"; /**< Another VM reported it. */
+constexpr std::string_view store = "store"; /**< It was read in the store, or was removed there. */
+constexpr std::string_view narrowed = "narrowed"; /**< Fewer parts took the place of more. */
+constexpr std::string_view answered = "answered"; /**< Each of its parts turned out to be harmless. */
+constexpr std::string_view expired = "expired";
+} // namespace quarantinecauses
+
+/** A quarantine that began or ended at this VM. */
 struct QuarantineChange {
     PromptSignature prompt;
     bool hasBegun = false; /**< False if it ended. */
-    std::string_view cause; /**< Stable name. */
+    std::string_view cause; /**< One of quarantinecauses. */
 
     bool operator==(const QuarantineChange&) const = default;
 };
--- a/tests/adapter/DecodingTest.cpp
+++ b/tests/adapter/DecodingTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(testConfigurationIsDecoded);
     CPPUNIT_TEST(testDamagedConfigurationIsRejected);
     CPPUNIT_TEST(testStoreItemsAreDecoded);
+    CPPUNIT_TEST(testQuarantinedPromptRoundTrips);
     CPPUNIT_TEST(testBase64RoundTrip);
     CPPUNIT_TEST_SUITE_END();
 
@@ -95,6 +96,18 @@
         CPPUNIT_ASSERT(!decodeItem(boost::json::parse(R"({"key":7})").as_object()));
     }
 
+    void testQuarantinedPromptRoundTrips()
+    {
+        const PromptSignature prompt { ServiceId("s"), { PromptPartId("1f"), PromptPartId("2e") } };
+        const std::string text = encodePromptSignature(prompt);
+        CPPUNIT_ASSERT(prompt == decodePromptSignature(text).value());
+        // An entry without parts would quarantine every prompt.
+        for (const std::string& invalid : { std::string(), std::string("[]"), replaceFirst(text, R"("1f","2e")", ""),
+                 replaceFirst(text, R"("1f")", R"("")"), replaceFirst(text, R"("1f")", "7"),
+                 replaceFirst(text, R"("service":"s")", R"("service":"")") })
+            CPPUNIT_ASSERT_MESSAGE(invalid, !decodePromptSignature(invalid));
+    }
+
     void testBase64RoundTrip()
     {
         for (const char* text : { "", "a", "ab", "abc", "abcd", "\x01\xff{}" }) {
