Timeline and hypotheses of stated limits; read and log what upstreams state

What an upstream says of itself in the head of an answer is decoded in one place into one value, as soon as the head arrives. A change of its limit is logged with the requests that this VM sent under the limit before; a gauge counts limited upstreams. No decision uses it yet, so that the log can tell the hypotheses apart.

--- a/modules/gateway/upstreams/UpstreamRecord.h
+++ b/modules/gateway/upstreams/UpstreamRecord.h
@@ -3,6 +3,7 @@
 #include "foundation/identity/Identifier.h"
 #include "foundation/time/Clock.h"
 #include <cstdint>
+#include <optional>
 
 namespace papayashelf {
 
@@ -30,4 +31,13 @@
     bool operator==(const ReportedLoad&) const = default;
 };
 
+/** What an upstream says of itself in the head of a response. */
+struct UpstreamStatement {
+    std::optional<ReportedLoad> load;
+    /** Requests per second that it accepts from all VMs together; empty if it states no limit. */
+    std::optional<double> requestsPerSecond;
+
+    bool operator==(const UpstreamStatement&) const = default;
+};
+
 } // namespace papayashelf
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -53,6 +53,7 @@
 {
     if (KnownUpstream* upstream = this->get(id)) {
         ++upstream->running;
+        upstream->sentSinceLimited += upstream->requestsPerSecond ? 1 : 0;
         upstream->pendingPrefillTokens += promptTokens;
     }
 }
@@ -81,6 +82,19 @@
         upstream->health.noteTrial(now);
 }
 
+bool UpstreamTable::noteStatement(Milliseconds now, const UpstreamId& id, const UpstreamStatement& statement)
+{
+    KnownUpstream* upstream = this->get(id);
+    if (!upstream || upstream->requestsPerSecond == statement.requestsPerSecond)
+        return false;
+    if (!upstream->requestsPerSecond)
+        upstream->limitedSince = now;
+    else if (!statement.requestsPerSecond)
+        upstream->sentSinceLimited = 0;
+    upstream->requestsPerSecond = statement.requestsPerSecond;
+    return true;
+}
+
 void UpstreamTable::noteLoad(Milliseconds now, const UpstreamId& id, const ReportedLoad& load)
 {
     KnownUpstream* upstream = this->get(id);
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -53,6 +53,10 @@
     ReportedLoad reported; /**< Last load that it reported. */
     int runningAtReport = 0; /**< Running requests from this VM when the load was reported. */
     Milliseconds reportedAt;
+    /** Requests per second that it accepts from all VMs together, by its last statement; empty for no limit. */
+    std::optional<double> requestsPerSecond;
+    std::optional<Milliseconds> limitedSince;
+    int sentSinceLimited = 0; /**< Requests from this VM since its limit began. */
     std::optional<Milliseconds> goneAt; /**< Set when it disappears from the list: time at which it is removed. */
 
     /** Returns true while the upstream accepts only few requests after its start. */
@@ -97,6 +101,9 @@
     /** Records that a trial request is sent to a suspect upstream. */
     void noteTrial(Milliseconds now, const UpstreamId& id);
 
+    /** Records what an upstream states of itself. Returns true if its limit has begun, changed or ended by that. */
+    bool noteStatement(Milliseconds now, const UpstreamId& id, const UpstreamStatement& statement);
+
     /** Records the load that an upstream reported in a response. */
     void noteLoad(Milliseconds now, const UpstreamId& id, const ReportedLoad& load);
 
--- a/modules/serving/http/HeaderNames.h
+++ b/modules/serving/http/HeaderNames.h
@@ -17,6 +17,7 @@
     std::string expectedUpstream; /**< Id of the intended upstream; any other upstream refuses the request. */
     std::string priority; /**< 0 is the most urgent; engines run urgent requests first. */
     std::string load; /**< Running requests, waiting requests and slots, separated by commas. */
+    std::string limit; /**< Requests per second that the upstream accepts from all VMs together, as a decimal number. */
     std::string notRun; /**< An upstream's guarantee that the request has not run. */
     std::string cacheSource; /**< Address of an upstream from which the receiver fetches cached prompt parts. */
     std::string retryAfter; /**< Seconds, as a decimal fraction. */
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -1,6 +1,7 @@
 #include "serving/process/GatewayProcess.h"
 
 #include "foundation/hashing/Sha256.h"
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <csignal>
@@ -190,6 +191,10 @@
         text.append(std::to_string(load.pendingPrefillTokens)).append("\n");
     }
     gauge("papayashelf_upstreams", static_cast<std::int64_t>(this->core.getUpstreams().getAll().size()));
+    const auto& upstreams = this->core.getUpstreams().getAll();
+    gauge("papayashelf_limited_upstreams", std::count_if(upstreams.begin(), upstreams.end(), [](const auto& entry) {
+        return entry.second.requestsPerSecond.has_value();
+    }));
     gauge("papayashelf_quarantined_prompts", static_cast<std::int64_t>(this->core.getQuarantine().getAll(now).size()));
     gauge("papayashelf_vms", static_cast<std::int64_t>(this->core.getVms().getAll().size()));
     gauge("papayashelf_log_lines_left_out", static_cast<std::int64_t>(this->log.countDropped()));
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -289,7 +289,9 @@
         this->context.core.getPlacement().noteFirstEvent(
             this->admitted->service, this->promptTokens - this->sharedTokens, this->now() - sentAt);
     };
+    this->onStatement = [this, id](const UpstreamStatement& statement) { this->noteStatement(id, statement); };
     AttemptOutcome outcome = co_await this->attempt(choice.upstream.endpoint, this->formatUpstreamRequest(choice));
+    this->onStatement = {};
     if (std::exchange(this->onFirstEvent, {}))
         table.notePrefillDone(id, this->promptTokens);
     table.noteEnded(id);
@@ -370,6 +372,7 @@
 asio::awaitable<AttemptOutcome> RequestServer::attempt(const Endpoint& endpoint, const std::string& bytes)
 {
     UpstreamAttempt attempt(this->context.pool, this->context.answerMemory, this->context.names, this->activeRequest);
+    attempt.setStatementHandler(this->onStatement);
     if (!this->splitter)
         co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimeouts(), nullptr);
     StreamTarget target { &this->answer, &*this->splitter, [this] {
@@ -380,6 +383,20 @@
     co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimeouts(), &target);
 }
 
+void RequestServer::noteStatement(const UpstreamId& upstream, const UpstreamStatement& statement)
+{
+    UpstreamTable& table = this->context.core.getUpstreams();
+    const KnownUpstream* known = table.find(upstream);
+    const int sentBefore = known ? known->sentSinceLimited : 0;
+    if (!table.noteStatement(this->now(), upstream, statement))
+        return;
+    this->context.log.write(this->now(), LogWeight::Notable,
+        statement.requestsPerSecond ? "upstream_limited" : "upstream_unlimited",
+        { { "request", this->requestId }, { "upstream", upstream.string() },
+            { "per_second", boost::json::value(statement.requestsPerSecond.value_or(0)) },
+            { "sent_while_limited", boost::json::value(sentBefore) } });
+}
+
 void RequestServer::reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome)
 {
     UpstreamTable& table = this->context.core.getUpstreams();
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -68,6 +68,7 @@
     /** Checks whether an upstream that ended the connection has crashed, and reports it if so. */
     boost::asio::awaitable<void> investigateLostConnection(
         const UpstreamRecord& upstream, const AttemptOutcome& outcome);
+    void noteStatement(const UpstreamId& upstream, const UpstreamStatement& statement);
     void reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome);
     bool mayForward(const AttemptOutcome& outcome) const;
     Milliseconds getRemaining() const;
@@ -89,6 +90,8 @@
     std::optional<std::int64_t> totalTokens; /**< Prompt tokens and maximum answer tokens, if stated. */
     PromptParts promptParts; /**< Shared parts of the prompt. */
     std::uint64_t cacheKey = 0;
+    /** Processes what the upstream of the current attempt states of itself; empty for a relay. */
+    std::function<void(const UpstreamStatement&)> onStatement;
     std::function<void()> onFirstEvent; /**< Reports the end of prefill of the current attempt; empty once called. */
     std::set<UpstreamId> tried;
     std::set<RegionId> triedRegions;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
+#include <cmath>
 #include <netinet/tcp.h>
 #include <tuple>
 
@@ -264,6 +265,10 @@
         const bool isContentEncoded = parser->get().find(http::field::content_encoding) != parser->get().end();
         if (isForThisRequest && isSealed)
             this->progress = AnswerProgress::Head;
+        // Anybody may have sent an answer without a seal, and other requests' answers may be old.
+        const auto statement = isForThisRequest && isSealed ? this->readStatement(*parser) : std::nullopt;
+        if (statement && this->onStatement)
+            this->onStatement(*statement);
         if (isForThisRequest && stream && status == 200 && isSealed && !isContentEncoded)
             co_return co_await this->forwardStream(*parser, *stream);
         const bool isUsable = isForThisRequest && isSealed && !isContentEncoded;
@@ -393,6 +398,24 @@
     return ReportedLoad { numbers[0], numbers[1], numbers[2] };
 }
 
+std::optional<UpstreamStatement> UpstreamAttempt::readStatement(const Parser& parser) const
+{
+    UpstreamStatement statement { this->readLoad(parser), std::nullopt };
+    const auto [first, last] = parser.get().equal_range(this->names.limit);
+    if (first == last)
+        return statement;
+    const auto text = first->value();
+    double perSecond = 0;
+    const auto [end, error]
+        = std::from_chars(text.data(), text.data() + text.size(), perSecond, std::chars_format::fixed);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size() && std::isfinite(perSecond);
+    // A statement that cannot be understood neither begins nor ends a limit.
+    if (std::next(first) != last || !isNumber || perSecond < 0)
+        return std::nullopt;
+    statement.requestsPerSecond = perSecond;
+    return statement;
+}
+
 void UpstreamAttempt::release(const Parser& parser)
 {
     const bool isReusable = parser.keep_alive() && parser.is_done() && this->connection->buffer.size() == 0
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -103,6 +103,12 @@
     /** All references must outlive the attempt. */
     UpstreamAttempt(UpstreamPool& pool, AnswerMemory& memory, const HeaderNames& names, ActiveRequest& request);
 
+    /** Sets a function that is called with each statement of the upstream, as soon as the head of an answer arrives. */
+    void setStatementHandler(std::function<void(const UpstreamStatement&)> handler)
+    {
+        this->onStatement = std::move(handler);
+    }
+
     /**
         Runs the attempt.
 
@@ -125,6 +131,7 @@
     AttemptOutcome evaluateAnswer(Parser& parser);
     bool hasNotRunGuarantee(const Parser& parser) const;
     std::optional<ReportedLoad> readLoad(const Parser& parser) const;
+    std::optional<UpstreamStatement> readStatement(const Parser& parser) const;
     AttemptOutcome fail(AttemptEnd end, std::string detail) const;
     bool exceed(std::string_view bound);
     void release(const Parser& parser);
@@ -135,6 +142,7 @@
     std::unique_ptr<UpstreamConnection> connection;
     AttemptTimeouts timeouts;
     AnswerMemory::Reservation reservation;
+    std::function<void(const UpstreamStatement&)> onStatement;
     std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the connection ended other than by a time limit of this VM. */
