--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(testRefusalOfRelayedRequestUsesRetryBudget);
     CPPUNIT_TEST(testSlowAttemptIsNotCutOffWithoutRetryBudget);
     CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
+    CPPUNIT_TEST(testUpstreamGetsNoMoreRequestsThanItStates);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -241,6 +242,28 @@
         CPPUNIT_ASSERT_EQUAL(200, ask("sound-1", "c0:100,d1:50,own1:9").getStatus());
     }
 
+    // The upstream with a limit is otherwise as good as the other one.
+    void testUpstreamGetsNoMoreRequestsThanItStates()
+    {
+        constexpr std::size_t allowedInWindow = 17; // 1.5 x 2 requests a second x 4 s + 5.
+        constexpr std::chrono::seconds window { 4 };
+        constexpr std::chrono::milliseconds betweenRequests { 40 };
+        this->harness->first().setStatedLimit("2.0");
+        int number = 0;
+        const auto ask = [&] { return this->get("/again/x", "id-" + std::to_string(++number)).getStatus(); };
+        while (number < 20)
+            CPPUNIT_ASSERT_EQUAL(200, ask());
+        const std::size_t before = this->harness->first().getRequests().size();
+        const auto end = std::chrono::steady_clock::now() + window;
+        while (std::chrono::steady_clock::now() < end) {
+            CPPUNIT_ASSERT_EQUAL(200, ask());
+            std::this_thread::sleep_for(betweenRequests);
+        }
+        const std::size_t arrived = this->harness->first().getRequests().size() - before;
+        CPPUNIT_ASSERT(arrived <= allowedInWindow);
+        CPPUNIT_ASSERT(arrived > 0);
+    }
+
     void testCompleteStreamIsForwarded()
     {
         const RawAnswer answer = this->get("/stream/once/x", "id-1");
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -142,6 +142,21 @@
     this->queuedAnswers = std::move(kinds);
 }
 
+void SealedUpstream::setStatedLimit(const std::string& limit)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->statedLimit = limit;
+}
+
+std::string SealedUpstream::stateLimit(std::string answer) const
+{
+    const std::scoped_lock lock(this->mutex);
+    const std::size_t sealed = answer.find("Response-Seal");
+    return this->statedLimit.empty() || sealed == std::string::npos
+        ? answer
+        : answer.insert(sealed, "Server-Limit: " + this->statedLimit + "\r\n");
+}
+
 AnswerKind SealedUpstream::takeNextAnswer()
 {
     const std::scoped_lock lock(this->mutex);
@@ -207,7 +222,7 @@
     const bool isStreamKind = kind == AnswerKind::Complete || kind == AnswerKind::Late
         || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Unsealed;
     const std::string text
-        = isStream && isStreamKind ? makeStreamAnswer(request, kind) : makePlainAnswer(request, kind);
+        = this->stateLimit(isStream && isStreamKind ? makeStreamAnswer(request, kind) : makePlainAnswer(request, kind));
     co_await asio::async_write(stream, asio::buffer(text), standinResult);
     co_return !closesConnection(kind);
 }
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -55,6 +55,9 @@
     /** Replaces the kinds of the next answers; all later answers are complete. */
     void queueAnswers(std::deque<AnswerKind> kinds);
 
+    /** Sets the limit that sealed answers state from now on; empty for none. */
+    void setStatedLimit(const std::string& limit);
+
     /** Returns the requests received so far. */
     std::vector<StandinRequest> getRequests() const { return this->http.getRequests(); }
 
@@ -67,12 +70,14 @@
 private:
     boost::asio::awaitable<bool> handle(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     AnswerKind takeNextAnswer();
+    std::string stateLimit(std::string answer) const;
     /** Sends the head and a part of the first event, and refuses all connections from then on. */
     boost::asio::awaitable<bool> crash(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendEndlessly(std::string begin, std::string repeated, StandinHttp::Stream& stream);
 
     mutable std::mutex mutex;
     std::deque<AnswerKind> queuedAnswers;
+    std::string statedLimit;
     std::atomic<std::size_t> endlessBytes = 0;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
