Send upstreams no more requests than they state

Cause: no decision knew what an upstream states; placement went by load alone, which stays low at an upstream that only wants fewer requests. The class of fault: what an upstream says of itself in an answer was read in one place for one purpose, and anything new it says is lost.

Fix: at most one VM of the region for each request per second may use a limited upstream, chosen alike by all VMs, and they share its rate; so the sum does not depend on the number of VMs, and no messages are needed for the bound. A statement passes to the other VMs of the region with the digests, so that VMs that are not chosen learn its end too. Placement asks the limit for every path: first attempts, waiting requests, retries, trials of suspect upstreams, relayed requests.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -111,7 +111,8 @@
 {
     if (!std::exchange(this->hasTicked, true))
         this->placement.noteStart(now);
-    this->upstreams.expire(now);
+    for (const UpstreamId& upstream : this->upstreams.expire(now))
+        this->placement.forget(upstream);
     this->vms.expire(now);
     this->quarantine.expire(now);
     this->recentVmCount.note(now, this->vms.countVms());
@@ -154,6 +155,8 @@
     for (const VmAnnouncement* receiver : this->loadExchange.chooseReceivers(now, this->vms)) {
         DigestReport report = this->loadExchange.makeReport(now, receiver->region);
         report.crashes = this->quarantine.makeEvidence(now);
+        if (receiver->region == this->settings.region)
+            report.limits = this->upstreams.getLimitStatements(now, this->settings.region);
         reports.emplace_back(receiver, std::move(report));
     }
     return reports;
@@ -163,14 +166,20 @@
 {
     this->loadExchange.noteReport(now, report);
     this->quarantine.noteEvidence(now, report.crashes);
+    for (const LimitStatement& statement : report.limits)
+        this->upstreams.noteStatement(now, statement);
     DigestReply reply = this->loadExchange.makeReply(now, report, this->freshness.getAge(now), this->knownRevision);
     reply.crashes = this->quarantine.makeEvidence(now);
+    if (report.region == this->settings.region)
+        reply.limits = this->upstreams.getLimitStatements(now, this->settings.region);
     return reply;
 }
 
 void GatewayCore::noteReply(Milliseconds now, const DigestReply& reply)
 {
     this->quarantine.noteEvidence(now, reply.crashes);
+    for (const LimitStatement& statement : reply.limits)
+        this->upstreams.noteStatement(now, statement);
     const std::optional<FreshnessConfirmation> confirmation = this->loadExchange.noteReply(now, reply);
     if (!confirmation)
         return;
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -131,6 +131,35 @@
     return crashes;
 }
 
+void encodeLimits(json::object& message, const std::vector<LimitStatement>& limits)
+{
+    if (limits.empty())
+        return;
+    json::array encoded;
+    for (const LimitStatement& statement : limits) {
+        encoded.push_back(json::array { statement.upstream.string(), statement.age.count(),
+            statement.requestsPerSecond ? json::value(*statement.requestsPerSecond) : json::value() });
+    }
+    message["limits"] = std::move(encoded);
+}
+
+std::vector<LimitStatement> decodeLimits(const json::object& message)
+{
+    std::vector<LimitStatement> limits;
+    const json::value* found = message.if_contains("limits");
+    if (!found)
+        return limits;
+    for (const json::value& value : found->as_array()) {
+        const json::array& fields = value.as_array();
+        LimitStatement statement { UpstreamId(json::value_to<std::string>(fields.at(0))), std::nullopt,
+            decodeAge(fields.at(1)) };
+        if (!fields.at(2).is_null())
+            statement.requestsPerSecond = std::max(0.0, fields.at(2).to_number<double>());
+        limits.push_back(std::move(statement));
+    }
+    return limits;
+}
+
 DigestReport decodeReport(const json::object& object)
 {
     DigestReport report;
@@ -140,6 +169,7 @@
     report.figures = decodeFigures(object.at("load").as_object());
     report.sentAt = object.at("sent").to_number<std::int64_t>();
     report.crashes = decodeCrashes(object);
+    report.limits = decodeLimits(object);
     return report;
 }
 
@@ -153,6 +183,7 @@
     for (const auto& region : object.at("regions").as_object())
         reply.regions[RegionId(std::string(region.key()))] = decodeFigures(region.value().as_object());
     reply.crashes = decodeCrashes(object);
+    reply.limits = decodeLimits(object);
     return reply;
 }
 
@@ -180,6 +211,7 @@
         { "vm", report.from.string() }, { "region", report.region.string() }, { "whole", report.isWholeRegion },
         { "load", encodeFigures(report.figures) }, { "sent", report.sentAt } };
     encodeCrashes(message, report.crashes);
+    encodeLimits(message, report.limits);
     return json::serialize(message);
 }
 
@@ -192,6 +224,7 @@
         { "vm", reply.from.string() }, { "sent", reply.sentAt }, { "age", reply.confirmationAge },
         { "change", reply.knownRevision }, { "regions", regions } };
     encodeCrashes(message, reply.crashes);
+    encodeLimits(message, reply.limits);
     return json::serialize(message);
 }
 
--- a/modules/gateway/digest/Digest.h
+++ b/modules/gateway/digest/Digest.h
@@ -36,6 +36,8 @@
     LoadFigures figures;
     std::int64_t sentAt = 0; /**< Sender's clock in milliseconds; the reply returns it. */
     CrashEvidence crashes = {}; /**< What the sender knows of upstreams that crashed under requests. */
+    /** Statements of the upstreams of the sender's region. Exchanged within a region only. */
+    std::vector<LimitStatement> limits = {};
 
     bool operator==(const DigestReport&) const = default;
 };
@@ -49,6 +51,8 @@
     std::int64_t knownRevision = 0; /**< Store revision of the last change that the replier has received. */
     std::map<RegionId, LoadFigures> regions; /**< Recent figures of each region that the replier knows. */
     CrashEvidence crashes = {}; /**< What the sender knows of upstreams that crashed under requests. */
+    /** Statements of the upstreams of the sender's region. Exchanged within a region only. */
+    std::vector<LimitStatement> limits = {};
 
     bool operator==(const DigestReply&) const = default;
 };
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -18,6 +18,8 @@
 #include "gateway/limits/RecentMaximum.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
+#include "gateway/limits/StatedRateLimit.h"
+#include "gateway/limits/VmSelection.h"
 #include "gateway/limits/WindowCounter.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/placement/Placement.h"
--- a/modules/gateway/limits/ColdStartLimit.cpp
+++ b/modules/gateway/limits/ColdStartLimit.cpp
@@ -1,5 +1,6 @@
 #include "gateway/limits/ColdStartLimit.h"
 
+#include "gateway/limits/VmSelection.h"
 #include <algorithm>
 
 namespace papayashelf {
@@ -17,13 +18,8 @@
     const auto last = this->lastUse.find(upstream);
     if (last != this->lastUse.end() && now - last->second < requestSpacing)
         return false;
-    std::vector<std::uint64_t> candidates;
-    candidates.reserve(vmsInRegion.size());
-    for (const VmId& candidate : vmsInRegion)
-        candidates.push_back(stableHash(candidate.string()));
     const auto maximumVms = static_cast<std::size_t>(std::max(1.0, perSecond));
-    const std::vector<std::size_t> chosen = rendezvousOrder(stableHash(upstream.string()), candidates, maximumVms);
-    return std::any_of(chosen.begin(), chosen.end(), [&](std::size_t index) { return vmsInRegion[index] == this->vm; });
+    return isSelected(this->vm, upstream, vmsInRegion, maximumVms);
 }
 
 } // namespace papayashelf
--- a/modules/gateway/limits/ColdStartLimit.h
+++ b/modules/gateway/limits/ColdStartLimit.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "foundation/hashing/StableHash.h"
 #include "foundation/identity/Identifier.h"
 #include "foundation/time/Clock.h"
 #include <map>
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -1,5 +1,6 @@
 #include "gateway/placement/Placement.h"
 
+#include "foundation/hashing/StableHash.h"
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -33,7 +34,8 @@
     , vms(vms)
     , loadExchange(loadExchange)
     , random(seed)
-    , coldLimit(std::move(vm))
+    , coldLimit(vm)
+    , statedLimit(std::move(vm))
 {
 }
 
@@ -103,6 +105,9 @@
         const bool isColdBound = upstream->isCold(now) && service.coldRequestsPerSecond > 0;
         if (candidate.load >= fullLoad) {
             cause = PlacementFailureCause::AllFull;
+        } else if (upstream->requestsPerSecond
+            && !this->statedLimit.mayUse(now, upstream->record.id, *upstream->requestsPerSecond, regionVms)) {
+            cause = PlacementFailureCause::AllFull;
         } else if (isColdBound
             && (now < this->vmsKnownAt
                 || !this->coldLimit.mayUse(now, upstream->record.id, service.coldRequestsPerSecond, regionVms))) {
@@ -246,6 +251,10 @@
     const KnownUpstream* found = this->table.find(upstream);
     if (found && found->isCold(now))
         this->coldLimit.noteUse(now, upstream);
+    if (found && found->requestsPerSecond)
+        this->statedLimit.noteUse(upstream);
+    else
+        this->statedLimit.forget(upstream);
 }
 
 } // namespace papayashelf
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -2,6 +2,7 @@
 
 #include "gateway/digest/LoadExchange.h"
 #include "gateway/limits/ColdStartLimit.h"
+#include "gateway/limits/StatedRateLimit.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/placement/PrefillSpeed.h"
 #include "gateway/quarantine/PromptParts.h"
@@ -123,6 +124,13 @@
     /** Records that a relayed prompt's prefill ended or was abandoned. Precondition: noteRelayStarted() was called. */
     void noteRelayPrefillDone(const RegionId& to, std::int64_t tokens) { this->pendingRelayedTokens[to] -= tokens; }
 
+    /** Removes the state of an upstream that no longer exists. */
+    void forget(const UpstreamId& upstream)
+    {
+        this->coldLimit.forget(upstream);
+        this->statedLimit.forget(upstream);
+    }
+
     /** Records that a VM refused a relayed request or was unreachable. It gets no relayed requests for a while. */
     void noteRelayFailed(Milliseconds now, const VmId& vm) { this->avoidedVmsUntil[vm] = now + relayRetryDelay; }
 
@@ -158,6 +166,7 @@
     const LoadExchange& loadExchange;
     std::mt19937_64 random;
     ColdStartLimit coldLimit;
+    StatedRateLimit statedLimit;
     Milliseconds vmsKnownAt;
     PrefillSpeed prefillSpeed;
     std::map<VmId, Milliseconds> avoidedVmsUntil;
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -8,6 +8,8 @@
 
 /** Responses of a busy upstream arrive more often than this; an upstream without responses has no load. */
 constexpr Milliseconds reportLifetime { 1500 };
+/** Time in which a statement reaches all VMs of a region, also if some messages are lost. */
+constexpr Milliseconds statementExchangeTime { 5'000 };
 constexpr Milliseconds coldMargin { 300 }; /**< Covers the upstream's clock error and the delay of the list. */
 
 } // namespace
@@ -85,16 +87,39 @@
 bool UpstreamTable::noteStatement(Milliseconds now, const UpstreamId& id, const UpstreamStatement& statement)
 {
     KnownUpstream* upstream = this->get(id);
-    if (!upstream || upstream->requestsPerSecond == statement.requestsPerSecond)
+    if (!upstream)
+        return false;
+    upstream->statedAt = now;
+    if (upstream->requestsPerSecond == statement.requestsPerSecond)
         return false;
-    if (!upstream->requestsPerSecond)
-        upstream->limitedSince = now;
-    else if (!statement.requestsPerSecond)
+    if (!statement.requestsPerSecond) {
+        upstream->limitEndedAt = now;
         upstream->sentSinceLimited = 0;
+    }
     upstream->requestsPerSecond = statement.requestsPerSecond;
     return true;
 }
 
+void UpstreamTable::noteStatement(Milliseconds now, const LimitStatement& statement)
+{
+    const KnownUpstream* upstream = this->find(statement.upstream);
+    if (upstream && now - statement.age > upstream->statedAt)
+        this->noteStatement(now - statement.age, statement.upstream, { std::nullopt, statement.requestsPerSecond });
+}
+
+std::vector<LimitStatement> UpstreamTable::getLimitStatements(Milliseconds now, const RegionId& region) const
+{
+    std::vector<LimitStatement> statements;
+    for (const auto& [id, upstream] : this->upstreams) {
+        const bool wasLimited
+            = upstream.limitEndedAt > Milliseconds(0) && now - upstream.limitEndedAt <= statementExchangeTime;
+        if (upstream.record.region == region && now - upstream.statedAt <= statementExchangeTime
+            && (upstream.requestsPerSecond || wasLimited))
+            statements.push_back({ id, upstream.requestsPerSecond, now - upstream.statedAt });
+    }
+    return statements;
+}
+
 void UpstreamTable::noteLoad(Milliseconds now, const UpstreamId& id, const ReportedLoad& load)
 {
     KnownUpstream* upstream = this->get(id);
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -55,7 +55,8 @@
     Milliseconds reportedAt;
     /** Requests per second that it accepts from all VMs together, by its last statement; empty for no limit. */
     std::optional<double> requestsPerSecond;
-    std::optional<Milliseconds> limitedSince;
+    Milliseconds statedAt; /**< Time of its last statement, to this or another VM. */
+    Milliseconds limitEndedAt; /**< Time at which its last limit ended; 0 if it had none. */
     int sentSinceLimited = 0; /**< Requests from this VM since its limit began. */
     std::optional<Milliseconds> goneAt; /**< Set when it disappears from the list: time at which it is removed. */
 
@@ -63,6 +64,15 @@
     bool isCold(Milliseconds now) const { return now < this->coldUntil; }
 };
 
+/** The last statement of an upstream on its limit, for other VMs. */
+struct LimitStatement {
+    UpstreamId upstream;
+    std::optional<double> requestsPerSecond; /**< Empty if it states no limit any more. */
+    Milliseconds age; /**< Time since the statement. */
+
+    bool operator==(const LimitStatement&) const = default;
+};
+
 /**
     The upstreams of all regions in the platform's list, with the load and health that this VM has observed.
 
@@ -104,6 +114,12 @@
     /** Records what an upstream states of itself. Returns true if its limit has begun, changed or ended by that. */
     bool noteStatement(Milliseconds now, const UpstreamId& id, const UpstreamStatement& statement);
 
+    /** Records a statement that another VM received. Does nothing if this VM knows a later one. */
+    void noteStatement(Milliseconds now, const LimitStatement& statement);
+
+    /** Returns the recent statements of a region's upstreams that state a limit or have just ended one. */
+    std::vector<LimitStatement> getLimitStatements(Milliseconds now, const RegionId& region) const;
+
     /** Records the load that an upstream reported in a response. */
     void noteLoad(Milliseconds now, const UpstreamId& id, const ReportedLoad& load);
 
