--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(testSlowAttemptIsNotCutOffWithoutRetryBudget);
     CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
     CPPUNIT_TEST(testUpstreamGetsNoMoreRequestsThanItStates);
+    CPPUNIT_TEST(testEarlierRefusalOnKeptConnectionIsNotTakenForThisRequest);
+    CPPUNIT_TEST(testErrorOfResumingUpstreamDoesNotEnterTheStream);
+    CPPUNIT_TEST(testHeadThatBreaksOffIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -264,6 +267,55 @@
         CPPUNIT_ASSERT(arrived > 0);
     }
 
+    void testEarlierRefusalOnKeptConnectionIsNotTakenForThisRequest()
+    {
+        for (int request = 0; request < 8; ++request)
+            CPPUNIT_ASSERT_EQUAL(200, this->get("/once/x", "warm-" + std::to_string(request)).getStatus());
+        const std::size_t before = this->harness->getArrivals().size();
+        this->queueAnswersOnBoth({ AnswerKind::EarlierNotRun });
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        // The upstream runs the request, so it may neither be refused as not run nor be sent to the other upstream.
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+        CPPUNIT_ASSERT(answer.has("body of id-1"));
+        CPPUNIT_ASSERT_EQUAL(before + 1, this->harness->getArrivals().size());
+    }
+
+    void testErrorOfResumingUpstreamDoesNotEnterTheStream()
+    {
+        for (const AnswerKind second : { AnswerKind::Failure, AnswerKind::NotRun, AnswerKind::Unsealed,
+                 AnswerKind::TruncatedHead, AnswerKind::WithoutLength }) {
+            this->harness = std::make_unique<ServingHarness>();
+            // Whichever upstream is asked first breaks the stream, and the other one answers wrongly.
+            this->queueAnswersOnBoth({ AnswerKind::TruncatedEvent, second });
+            this->get("/stream/again/x", "id-1");
+            this->harness = std::make_unique<ServingHarness>();
+            this->harness->first().queueAnswers({ AnswerKind::TruncatedEvent });
+            this->harness->second().queueAnswers({ second });
+            for (const char* id : { "id-1", "id-2" }) {
+                const RawAnswer answer = this->get("/stream/again/x", id);
+                CPPUNIT_ASSERT(!answer.has("failed") && !answer.has("full") && !answer.has("body of"));
+                CPPUNIT_ASSERT(answer.text.find("HTTP/1.1", 1) == std::string::npos);
+                if (answer.isComplete() && answer.getStatus() == 200)
+                    CPPUNIT_ASSERT(answer.has("piece 5"));
+            }
+        }
+    }
+
+    void testHeadThatBreaksOffIsNoAnswer()
+    {
+        for (const AnswerKind kind : { AnswerKind::TruncatedHead, AnswerKind::TruncatedHeadLine }) {
+            for (const char* path : { "/once/x", "/stream/once/x" }) {
+                this->queueAnswersOnBoth({ kind });
+                const RawAnswer answer = this->get(path, "id-1");
+                CPPUNIT_ASSERT_EQUAL(502, answer.getStatus());
+                this->queueAnswersOnBoth({});
+            }
+            this->harness->first().queueAnswers({ kind });
+            for (const char* id : { "id-2", "id-3", "id-4" })
+                CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", id).getStatus());
+        }
+    }
+
     void testCompleteStreamIsForwarded()
     {
         const RawAnswer answer = this->get("/stream/once/x", "id-1");
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -73,6 +73,14 @@
     case AnswerKind::NotRun:
         return formatWithLength(
             formatResponseHead("503 Service Unavailable", "", false) + "Not-Executed: 1\r\n", "full");
+    case AnswerKind::EarlierNotRun:
+        return formatWithLength(
+                   formatResponseHead("503 Service Unavailable", "", false) + "Not-Executed: 1\r\n", "full")
+            + completeAnswer;
+    case AnswerKind::TruncatedHead:
+        return formatResponseHead("200 OK", id, true);
+    case AnswerKind::TruncatedHeadLine:
+        return formatResponseHead("200 OK", id, true) + "Content-Le";
     case AnswerKind::Unsealed:
         return formatWithLength(formatResponseHead("200 OK", id, false), body);
     case AnswerKind::OtherId:
@@ -118,7 +126,8 @@
 bool closesConnection(AnswerKind kind)
 {
     return kind == AnswerKind::Truncated || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Reset
-        || kind == AnswerKind::WithoutLength;
+        || kind == AnswerKind::WithoutLength || kind == AnswerKind::TruncatedHead
+        || kind == AnswerKind::TruncatedHeadLine;
 }
 
 } // namespace
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -12,6 +12,9 @@
     Complete, /**< Sealed and complete. */
     Failure, /**< A sealed 500. */
     NotRun, /**< A refusal with the guarantee that the request has not run. */
+    EarlierNotRun, /**< A refusal with that guarantee that names no request, followed by the complete answer. */
+    TruncatedHead, /**< The connection ends within the head, after the seal. */
+    TruncatedHeadLine, /**< The connection ends within a header line, after the seal. */
     Unsealed, /**< A success without the seal. */
     OtherId, /**< An answer to another request, followed by the right one. */
     Truncated, /**< The body is shorter than its Content-Length. */
