Take a refusal without a request id only for the first answer of a connection

What callers saw (other operators; shown here by RequestServerTest::testEarlierRefusalOnKeptConnectionIsNotTakenForThisRequest): 503, "not run", for a request that the upstream ran, or a second run at another upstream.

Cause: an answer without a request id that guarantees "not run" was taken for the request in hand on any connection. On a kept one it can be an earlier refusal, written once more. Upstreams echo the id of every request that has one, so such an answer is ours only if nothing came before it on the connection; otherwise it is now dropped like any answer to an earlier request, and the next one is read. The test failed before (503 where 200 was expected) and passes now.

--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -281,7 +281,9 @@
             co_return this->fail(AttemptEnd::Unanswered, "answer broke off");
         if (isForThisRequest)
             co_return this->evaluateAnswer(*parser);
-        if (echoed.empty() && this->hasNotRunGuarantee(*parser))
+        // On a kept connection it may be an earlier refusal that the upstream has written once more.
+        const bool isFirstAnswer = strayAnswers == 0 && !this->connection->isReused;
+        if (echoed.empty() && isFirstAnswer && this->hasNotRunGuarantee(*parser))
             co_return this->evaluateAnswer(*parser);
     }
     co_return this->fail(AttemptEnd::Unanswered, "answers of other requests");
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -94,7 +94,8 @@
     Sends a request to one upstream or another VM and reads the answer.
 
     An answer is valid only if it echoes the request id and carries the upstream's seal; a guarantee that the request
-    has not run may lack both. Answers to earlier requests on the connection are read and dropped.
+    has not run may lack both if it is the first answer on its connection. Other answers are read and dropped, as they
+    belong to earlier requests.
 
     Thread safety: none; owned by one I/O thread.
 */
