--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(testSlowAttemptIsNotCutOffWithoutRetryBudget);
     CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
     CPPUNIT_TEST(testUpstreamGetsNoMoreRequestsThanItStates);
+    CPPUNIT_TEST(testUnreadableLimitNeitherBeginsNorEndsOne);
     CPPUNIT_TEST(testEarlierRefusalOnKeptConnectionIsNotTakenForThisRequest);
     CPPUNIT_TEST(testErrorOfResumingUpstreamDoesNotEnterTheStream);
     CPPUNIT_TEST(testHeadThatBreaksOffIsNoAnswer);
@@ -316,6 +317,29 @@
         }
     }
 
+    void testUnreadableLimitNeitherBeginsNorEndsOne()
+    {
+        int number = 0;
+        const auto countArrivals = [&](int requests) {
+            const std::size_t before = this->harness->first().getRequests().size();
+            for (int request = 0; request < requests; ++request)
+                CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", "id-" + std::to_string(++number)).getStatus());
+            return this->harness->first().getRequests().size() - before;
+        };
+        const std::vector<std::string> unreadable { "many", "-1", "nan", "inf", "1e300", "2,0",
+            "2.0\r\nServer-Limit: 3.0" };
+        for (const std::string& value : unreadable) {
+            this->harness->first().setStatedLimit(value);
+            CPPUNIT_ASSERT_MESSAGE(value, countArrivals(40) > 5);
+        }
+        this->harness->first().setStatedLimit("0");
+        countArrivals(20);
+        for (const std::string& value : unreadable) {
+            this->harness->first().setStatedLimit(value);
+            CPPUNIT_ASSERT_MESSAGE(value, countArrivals(40) <= 1);
+        }
+    }
+
     void testCompleteStreamIsForwarded()
     {
         const RawAnswer answer = this->get("/stream/once/x", "id-1");
