--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -103,10 +103,9 @@
         const Candidate candidate { upstream, estimateLoad(*upstream, running, now) / slots,
             upstream->pendingPrefillTokens + (others ? others->pendingPrefillTokens : 0), 0 };
         const bool isColdBound = upstream->isCold(now) && service.coldRequestsPerSecond > 0;
-        if (candidate.load >= fullLoad) {
-            cause = PlacementFailureCause::AllFull;
-        } else if (upstream->requestsPerSecond
-            && !this->statedLimit.mayUse(now, upstream->record.id, *upstream->requestsPerSecond, regionVms)) {
+        const bool isAtStatedLimit = upstream->requestsPerSecond
+            && !this->statedLimit.mayUse(now, upstream->record.id, *upstream->requestsPerSecond, regionVms);
+        if (candidate.load >= fullLoad || isAtStatedLimit) {
             cause = PlacementFailureCause::AllFull;
         } else if (isColdBound
             && (now < this->vmsKnownAt
--- a/modules/gateway/quarantine/PromptQuarantine.cpp
+++ b/modules/gateway/quarantine/PromptQuarantine.cpp
@@ -191,14 +191,17 @@
         for (const PromptPartId& part : prompt.parts)
             parts.emplace(prompt.service, part);
     };
-    for (auto suspect = this->suspects.rbegin(); suspect != this->suspects.rend(); ++suspect) {
-        const bool isRecent = now - suspect->crashedAt <= exchangeTime;
-        if (!isRecent || evidence.suspects.size() >= maximumExchangedSuspects || this->isExplained(*suspect))
+    for (const Suspect& suspect : this->suspects) {
+        if (now - suspect.crashedAt > exchangeTime || this->isExplained(suspect))
             continue;
         evidence.suspects.push_back(
-            { suspect->incarnation, suspect->prompt, suspect->hasBegunAnswer, now - suspect->crashedAt });
-        addParts(suspect->prompt);
+            { suspect.incarnation, suspect.prompt, suspect.hasBegunAnswer, now - suspect.crashedAt });
     }
+    if (evidence.suspects.size() > maximumExchangedSuspects)
+        evidence.suspects.erase(
+            evidence.suspects.begin(), evidence.suspects.end() - static_cast<std::ptrdiff_t>(maximumExchangedSuspects));
+    for (const CrashSuspect& suspect : evidence.suspects)
+        addParts(suspect.prompt);
     for (const auto& [prompt, beganAt] : this->quarantines) {
         if (now - beganAt > exchangeTime)
             continue;
--- a/tests/gateway/PromptQuarantineTest.cpp
+++ b/tests/gateway/PromptQuarantineTest.cpp
@@ -137,7 +137,7 @@
         // Load pattern: a sixth of 60 engines loses power at once, while many requests share a document.
         PromptQuarantine quarantine;
         for (int crash = 0; crash < 10; ++crash)
-            quarantine.noteSuspect(start + Milliseconds(crash * 5), makeSuspect(crash, makeParts({ "popular" })));
+            quarantine.noteSuspect(start + Milliseconds(5) * crash, makeSuspect(crash, makeParts({ "popular" })));
         CPPUNIT_ASSERT(!isQuarantined(quarantine, start, makeParts({ "popular" })));
     }
 
--- a/tests/gateway/StatedRateLimitTest.cpp
+++ b/tests/gateway/StatedRateLimitTest.cpp
@@ -64,7 +64,8 @@
         for (const int count : { 1, 2, 3, 32, 320 }) {
             for (const double perSecond : { 0.3, 1.6, 7.9, 100.0 }) {
                 const std::vector<VmId> vms = makeVms(count);
-                const auto [maximum, total] = this->play(vms, perSecond, 20'000, [&](std::int64_t) { return vms; });
+                const auto [maximum, total]
+                    = this->play(vms, perSecond, 20'000, [&](std::int64_t) -> const std::vector<VmId>& { return vms; });
                 CPPUNIT_ASSERT(static_cast<double>(maximum) <= getAllowed(perSecond));
                 CPPUNIT_ASSERT(static_cast<double>(total) >= 0.8 * perSecond * 20 - 1);
             }
@@ -86,7 +87,8 @@
     void testLimitOfZeroStillGetsARequestNowAndThen()
     {
         const std::vector<VmId> vms = makeVms(3);
-        const auto [maximum, total] = this->play(vms, 0, 20'000, [&](std::int64_t) { return vms; });
+        const auto [maximum, total]
+            = this->play(vms, 0, 20'000, [&](std::int64_t) -> const std::vector<VmId>& { return vms; });
         CPPUNIT_ASSERT(maximum <= 2);
         CPPUNIT_ASSERT(total >= 2);
     }
@@ -171,7 +173,7 @@
         WindowMaximum maximum;
         std::size_t total = 0;
         for (std::int64_t now = 10'000; now < 10'000 + duration; now += step) {
-            const std::vector<VmId> listed = listVms(now);
+            const std::vector<VmId>& listed = listVms(now);
             for (const VmId& vm : listed) {
                 StatedRateLimit& limit = limits.at(vm);
                 if (!limit.mayUse(Milliseconds(now), limitedUpstream, perSecond, listed))
