Let a quarantine last only if the service answers other prompts

Callers of a service with a faulty version saw 503 for up to ten minutes after it was mended: while all of its upstreams crash, whatever they answer, a part that all prompts have is among all suspects, and no answer takes it off. Cause: the evidence held crashes only and had nothing to compare them with.

A quarantine is now unconfirmed, and lasts for 30 s, until any VM sees the service answer another prompt. VMs tell each other of such answers with their digests. Only confirmed quarantines are stored. Prompts that do crash upstreams are confirmed by the next answer to any other prompt.

--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -104,7 +104,11 @@
     json::array quarantined;
     for (const QuarantinedPrompt& prompt : crashes.quarantined)
         quarantined.push_back(json::array { prompt.age.count(), encodePrompt(prompt.prompt) });
-    message["crashes"] = json::object { { "s", suspects }, { "a", answered }, { "q", quarantined } };
+    json::array answering;
+    for (const AnsweringService& service : crashes.answering)
+        answering.push_back(json::array { service.service.string(), service.age.count() });
+    message["crashes"]
+        = json::object { { "s", suspects }, { "a", answered }, { "q", quarantined }, { "v", answering } };
 }
 
 CrashEvidence decodeCrashes(const json::object& message)
@@ -128,6 +132,10 @@
         const json::array& fields = value.as_array();
         crashes.quarantined.push_back({ decodePrompt(fields.at(1).as_array()), decodeAge(fields.at(0)) });
     }
+    for (const json::value& value : object.at("v").as_array()) {
+        const json::array& fields = value.as_array();
+        crashes.answering.push_back({ ServiceId(json::value_to<std::string>(fields.at(0))), decodeAge(fields.at(1)) });
+    }
     return crashes;
 }
 
--- a/modules/gateway/quarantine/CrashEvidence.h
+++ b/modules/gateway/quarantine/CrashEvidence.h
@@ -26,6 +26,14 @@
     bool operator==(const AnsweredPart&) const = default;
 };
 
+/** A service that has a quarantined prompt and completed an answer to another one. */
+struct AnsweringService {
+    ServiceId service;
+    Milliseconds age; /**< Time since its last answer. */
+
+    bool operator==(const AnsweringService&) const = default;
+};
+
 /** Prompts that receive no upstream: those that contain all parts of the signature. */
 struct QuarantinedPrompt {
     PromptSignature prompt;
@@ -39,8 +47,13 @@
     std::vector<CrashSuspect> suspects;
     std::vector<AnsweredPart> answered; /**< Only of parts of the suspects and quarantined prompts. */
     std::vector<QuarantinedPrompt> quarantined;
+    std::vector<AnsweringService> answering;
+
+    bool isEmpty() const
+    {
+        return this->suspects.empty() && this->answered.empty() && this->quarantined.empty() && this->answering.empty();
+    }
 
-    bool isEmpty() const { return this->suspects.empty() && this->answered.empty() && this->quarantined.empty(); }
     bool operator==(const CrashEvidence&) const = default;
 };
 
--- a/modules/gateway/quarantine/PromptQuarantine.cpp
+++ b/modules/gateway/quarantine/PromptQuarantine.cpp
@@ -1,7 +1,6 @@
 #include "gateway/quarantine/PromptQuarantine.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace papayashelf {
@@ -47,6 +46,23 @@
 {
     for (const PromptPartId& part : parts)
         this->mergeAnswered(now, service, part);
+    this->mergeServiceAnswer(now, service);
+}
+
+void PromptQuarantine::mergeServiceAnswer(Milliseconds at, const ServiceId& service)
+{
+    Milliseconds& last = this->serviceAnsweredAt.try_emplace(service, at).first->second;
+    last = std::max(last, at);
+    for (auto& [prompt, quarantine] : this->quarantines) {
+        if (prompt.service == service && at >= quarantine.beganAt)
+            this->confirm(prompt, quarantine);
+    }
+}
+
+void PromptQuarantine::confirm(const PromptSignature& prompt, Quarantine& quarantine)
+{
+    if (!std::exchange(quarantine.isConfirmed, true) && quarantine.isOwn)
+        this->changes.push_back({ prompt, QuarantineStep::Confirmed, quarantinecauses::answersToOthers });
 }
 
 void PromptQuarantine::mergeAnswered(Milliseconds at, const ServiceId& service, const PromptPartId& part)
@@ -65,15 +81,15 @@
 
 void PromptQuarantine::acquit(Milliseconds at, const ServiceId& service, const PromptPartId& part)
 {
-    std::vector<std::pair<PromptSignature, Milliseconds>> narrowed;
-    for (const auto& [prompt, beganAt] : this->quarantines) {
+    std::vector<std::pair<PromptSignature, Quarantine>> narrowed;
+    for (const auto& [prompt, quarantine] : this->quarantines) {
         const bool hasPart = std::binary_search(prompt.parts.begin(), prompt.parts.end(), part);
-        if (prompt.service == service && at >= beganAt && hasPart)
-            narrowed.emplace_back(prompt, beganAt);
+        if (prompt.service == service && at >= quarantine.beganAt && hasPart)
+            narrowed.emplace_back(prompt, quarantine);
     }
-    for (const auto& [prompt, beganAt] : narrowed) {
+    for (const auto& [prompt, quarantine] : narrowed) {
         this->end(prompt, prompt.parts.size() == 1 ? quarantinecauses::answered : quarantinecauses::narrowed);
-        this->start(beganAt, prompt, quarantinecauses::narrowed);
+        this->start(quarantine.beganAt, prompt, quarantinecauses::narrowed);
     }
 }
 
@@ -159,17 +175,25 @@
     });
     if (unanswered.parts.empty() || this->quarantines.size() >= maximumQuarantines)
         return;
-    if (this->quarantines.try_emplace(unanswered, beganAt).second)
-        this->changes.push_back({ unanswered, true, cause });
+    const bool isStored = cause == quarantinecauses::store;
+    const bool isOwn = !isStored && cause != quarantinecauses::otherVm;
+    const auto [entry, isNew] = this->quarantines.try_emplace(unanswered, Quarantine { beganAt, isStored, isOwn });
+    entry->second.isConfirmed = entry->second.isConfirmed || isStored;
+    if (!isNew)
+        return;
+    this->changes.push_back({ unanswered, QuarantineStep::Began, cause });
+    const auto answered = this->serviceAnsweredAt.find(prompt.service);
+    if (answered != this->serviceAnsweredAt.end() && answered->second >= beganAt)
+        this->confirm(entry->first, entry->second);
 }
 
 Milliseconds PromptQuarantine::getRemaining(
     Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts) const
 {
     Milliseconds remaining;
-    for (const auto& [prompt, beganAt] : this->quarantines) {
+    for (const auto& [prompt, quarantine] : this->quarantines) {
         if (prompt.service == service && containsAll(parts, prompt.parts))
-            remaining = std::max(remaining, beganAt + duration - now);
+            remaining = std::max(remaining, quarantine.getEnd() - now);
     }
     return remaining;
 }
@@ -183,6 +207,14 @@
     });
 }
 
+std::set<ServiceId> PromptQuarantine::getQuarantinedServices() const
+{
+    std::set<ServiceId> services;
+    for (const auto& [prompt, quarantine] : this->quarantines)
+        services.insert(prompt.service);
+    return services;
+}
+
 CrashEvidence PromptQuarantine::makeEvidence(Milliseconds now) const
 {
     CrashEvidence evidence;
@@ -202,12 +234,17 @@
             evidence.suspects.begin(), evidence.suspects.end() - static_cast<std::ptrdiff_t>(maximumExchangedSuspects));
     for (const CrashSuspect& suspect : evidence.suspects)
         addParts(suspect.prompt);
-    for (const auto& [prompt, beganAt] : this->quarantines) {
-        if (now - beganAt > exchangeTime)
+    for (const auto& [prompt, quarantine] : this->quarantines) {
+        if (now - quarantine.beganAt > exchangeTime)
             continue;
-        evidence.quarantined.push_back({ prompt, now - beganAt });
+        evidence.quarantined.push_back({ prompt, now - quarantine.beganAt });
         addParts(prompt);
     }
+    for (const ServiceId& service : this->getQuarantinedServices()) {
+        const auto answered = this->serviceAnsweredAt.find(service);
+        if (answered != this->serviceAnsweredAt.end() && now - answered->second <= exchangeTime)
+            evidence.answering.push_back({ service, now - answered->second });
+    }
     for (const auto& [service, part] : parts) {
         const std::optional<Milliseconds> answered = this->findAnswered(service, part);
         if (answered && now - *answered <= harmlessMemory)
@@ -222,6 +259,8 @@
         this->mergeAnswered(now - answered.age, answered.service, answered.part);
     for (const QuarantinedPrompt& quarantined : evidence.quarantined)
         this->start(now - quarantined.age, quarantined.prompt, quarantinecauses::otherVm);
+    for (const AnsweringService& answering : evidence.answering)
+        this->mergeServiceAnswer(now - answering.age, answering.service);
     for (const CrashSuspect& suspect : evidence.suspects)
         this->addSuspect(now, { suspect.incarnation, suspect.prompt, suspect.hasBegunAnswer, now - suspect.age });
 }
@@ -234,15 +273,16 @@
 void PromptQuarantine::end(const PromptSignature& prompt, std::string_view cause)
 {
     if (this->quarantines.erase(prompt) > 0)
-        this->changes.push_back({ prompt, false, cause });
+        this->changes.push_back({ prompt, QuarantineStep::Ended, cause });
 }
 
 void PromptQuarantine::expire(Milliseconds now)
 {
     std::erase_if(this->quarantines, [&](const auto& entry) {
-        const bool isOver = now - entry.second >= duration;
+        const bool isOver = now >= entry.second.getEnd();
+        const auto cause = entry.second.isConfirmed ? quarantinecauses::expired : quarantinecauses::unconfirmed;
         if (isOver)
-            this->changes.push_back({ entry.first, false, quarantinecauses::expired });
+            this->changes.push_back({ entry.first, QuarantineStep::Ended, cause });
         return isOver;
     });
     std::erase_if(this->suspects, [now](const Suspect& suspect) { return now - suspect.crashedAt > suspectLifetime; });
@@ -251,8 +291,8 @@
 std::vector<QuarantinedPrompt> PromptQuarantine::getAll(Milliseconds now) const
 {
     std::vector<QuarantinedPrompt> all;
-    for (const auto& [prompt, beganAt] : this->quarantines)
-        all.push_back({ prompt, now - beganAt });
+    for (const auto& [prompt, quarantine] : this->quarantines)
+        all.push_back({ prompt, now - quarantine.beganAt });
     return all;
 }
 
--- a/modules/gateway/quarantine/PromptQuarantine.h
+++ b/modules/gateway/quarantine/PromptQuarantine.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -17,13 +18,22 @@
 constexpr std::string_view store = "store"; /**< It was read in the store, or was removed there. */
 constexpr std::string_view narrowed = "narrowed"; /**< Fewer parts took the place of more. */
 constexpr std::string_view answered = "answered"; /**< Each of its parts turned out to be harmless. */
+constexpr std::string_view answersToOthers = "answers_to_others"; /**< The service answers other prompts. */
 constexpr std::string_view expired = "expired";
+constexpr std::string_view unconfirmed = "unconfirmed"; /**< The service answered no prompt at all. */
 } // namespace quarantinecauses
 
-/** A quarantine that began or ended at this VM. */
+/** What happened to a quarantine. */
+enum class QuarantineStep {
+    Began,
+    Confirmed, /**< The service answers other prompts, so its upstreams crash because of this one. */
+    Ended,
+};
+
+/** A step of a quarantine at this VM. */
 struct QuarantineChange {
     PromptSignature prompt;
-    bool hasBegun = false; /**< False if it ended. */
+    QuarantineStep step = QuarantineStep::Began;
     std::string_view cause; /**< One of quarantinecauses. */
 
     bool operator==(const QuarantineChange&) const = default;
@@ -37,6 +47,9 @@
     Which of the parts that those requests have in common it is may stay open, so prompts with all of these parts are
     quarantined. Prompts with only some of them go on being served, and show which parts are harmless.
 
+    A service that answers no prompt at all may be faulty itself, and then all its prompts may have the part. Until it
+    answers another prompt, a quarantine is unconfirmed and lasts only for unconfirmedDuration.
+
     Each VM sees few crashes, so VMs exchange suspects, completed answers and quarantines. Merging the same evidence
     again, late or in another order changes nothing.
 
@@ -47,6 +60,8 @@
 class PromptQuarantine {
 public:
     static constexpr Milliseconds duration { 600'000 }; /**< After this a prompt is tried again: engines get mended. */
+    /** Several restarts of an upstream, so that crashes stay rare if the prompt is the cause after all. */
+    static constexpr Milliseconds unconfirmedDuration { 30'000 };
 
     /** Records that an upstream completed an answer to a prompt. @param parts  sorted; may be empty */
     void noteAnswered(Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts);
@@ -67,7 +82,7 @@
     /** Merges the evidence of another VM. */
     void noteEvidence(Milliseconds now, const CrashEvidence& evidence);
 
-    /** Begins a quarantine that another VM stored. */
+    /** Begins a quarantine that another VM stored, which is a confirmed one. */
     void begin(Milliseconds now, const PromptSignature& prompt);
 
     /** Ends a quarantine. @param cause  stable name for the log */
@@ -90,6 +105,14 @@
         Milliseconds crashedAt;
     };
 
+    struct Quarantine {
+        Milliseconds beganAt;
+        bool isConfirmed = false;
+        bool isOwn = false; /**< Whether this VM found it, and neither another VM nor the store. */
+
+        Milliseconds getEnd() const { return this->beganAt + (this->isConfirmed ? duration : unconfirmedDuration); }
+    };
+
     struct Evidence {
         double weight = 0;
         PromptParts commonParts;
@@ -99,13 +122,18 @@
     void mergeAnswered(Milliseconds at, const ServiceId& service, const PromptPartId& part);
     void judge(Milliseconds now, const PromptSignature& latest);
     Evidence weigh(const ServiceId& service, const PromptPartId& part) const;
+    std::set<ServiceId> getQuarantinedServices() const;
     bool isExplained(const Suspect& suspect) const;
     std::optional<Milliseconds> findAnswered(const ServiceId& service, const PromptPartId& part) const;
     void start(Milliseconds beganAt, const PromptSignature& prompt, std::string_view cause);
+    /** Records an answer of the service to any prompt. */
+    void mergeServiceAnswer(Milliseconds at, const ServiceId& service);
+    void confirm(const PromptSignature& prompt, Quarantine& quarantine);
     void acquit(Milliseconds at, const ServiceId& service, const PromptPartId& part);
 
     std::deque<Suspect> suspects; /**< In the order in which this VM learned of them. */
-    std::map<PromptSignature, Milliseconds> quarantines; /**< With their beginning. */
+    std::map<PromptSignature, Quarantine> quarantines;
+    std::unordered_map<ServiceId, Milliseconds> serviceAnsweredAt; /**< Time of each service's last answer. */
     std::unordered_map<ServiceId, std::unordered_map<PromptPartId, Milliseconds>> answeredAt;
     std::vector<QuarantineChange> changes;
 };
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -160,14 +160,26 @@
     }
 }
 
+std::string_view GatewayProcess::nameQuarantineStep(QuarantineStep step)
+{
+    switch (step) {
+    case QuarantineStep::Began:
+        return "quarantine_began";
+    case QuarantineStep::Confirmed:
+        return "quarantine_confirmed";
+    case QuarantineStep::Ended:
+        return "quarantine_ended";
+    }
+    return "unknown";
+}
+
 void GatewayProcess::reportQuarantineChanges()
 {
     for (const QuarantineChange& change : this->core.getQuarantine().takeChanges()) {
         boost::json::array parts;
         for (const PromptPartId& part : change.prompt.parts)
             parts.emplace_back(part.string());
-        this->log.write(this->serving.clock.now(), LogWeight::Notable,
-            change.hasBegun ? "quarantine_began" : "quarantine_ended",
+        this->log.write(this->serving.clock.now(), LogWeight::Notable, nameQuarantineStep(change.step),
             { { "service", change.prompt.service.string() }, { "prompt_parts", parts }, { "cause", change.cause } });
         this->hooks.onQuarantineChange(change);
     }
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -15,7 +15,7 @@
     SimpleHttpHandler entries; /**< Answers callers that ask which VMs to connect to. */
     std::function<void()> onStopping; /**< Called once when the process begins to stop. */
     std::function<void()> onReload; /**< Called on SIGHUP, when the settings may have changed. */
-    /** Called when the quarantine of a prompt begins or ends. */
+    /** Called when the quarantine of a prompt begins, is confirmed or ends. */
     std::function<void(const QuarantineChange&)> onQuarantineChange;
 };
 
@@ -63,6 +63,7 @@
     boost::asio::awaitable<void> watchSignals();
     boost::asio::awaitable<void> runPeriodicTasks();
     boost::asio::awaitable<void> stopGracefully();
+    static std::string_view nameQuarantineStep(QuarantineStep step);
     void reportQuarantineChanges();
     std::string formatMetrics() const;
 
--- a/tests/adapter/QuarantinePublisherTest.cpp
+++ b/tests/adapter/QuarantinePublisherTest.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(testQuarantineOutlivesItsVmUnderALease);
     CPPUNIT_TEST(testStoredQuarantineHoldsUntilItIsRemoved);
     CPPUNIT_TEST(testQuarantineOfAnotherVmIsNotStoredAgain);
+    CPPUNIT_TEST(testUnconfirmedQuarantineIsNotStored);
     CPPUNIT_TEST(testDisprovedQuarantineIsRemovedFromTheStore);
     CPPUNIT_TEST_SUITE_END();
 
@@ -77,7 +78,7 @@
     void testQuarantineOutlivesItsVmUnderALease()
     {
         PublisherRun run;
-        run.publisher.noteChange({ prompt, true, quarantinecauses::crashes });
+        run.publisher.noteChange({ prompt, QuarantineStep::Confirmed, quarantinecauses::answersToOthers });
         const std::vector<StandinRequest> calls = run.runUntilCalls(2);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, calls.size());
         CPPUNIT_ASSERT(calls[0].contains("600000"));
@@ -98,8 +99,16 @@
     void testQuarantineOfAnotherVmIsNotStoredAgain()
     {
         PublisherRun run;
-        run.publisher.noteChange({ prompt, true, quarantinecauses::otherVm });
-        run.publisher.noteChange({ prompt, true, quarantinecauses::store });
+        run.publisher.noteChange({ prompt, QuarantineStep::Began, quarantinecauses::otherVm });
+        run.publisher.noteChange({ prompt, QuarantineStep::Began, quarantinecauses::store });
+        run.context.run_for(std::chrono::milliseconds(1'800));
+        CPPUNIT_ASSERT(run.store.http.getRequests().empty());
+    }
+
+    void testUnconfirmedQuarantineIsNotStored()
+    {
+        PublisherRun run;
+        run.publisher.noteChange({ prompt, QuarantineStep::Began, quarantinecauses::crashes });
         run.context.run_for(std::chrono::milliseconds(1'800));
         CPPUNIT_ASSERT(run.store.http.getRequests().empty());
     }
@@ -107,12 +116,12 @@
     void testDisprovedQuarantineIsRemovedFromTheStore()
     {
         PublisherRun run;
-        run.publisher.noteChange({ prompt, true, quarantinecauses::crashes });
+        run.publisher.noteChange({ prompt, QuarantineStep::Confirmed, quarantinecauses::answersToOthers });
         const std::vector<StandinRequest> writes = run.runUntilCalls(2);
         const std::size_t keyBegin = writes.at(1).body.find("quarantine/");
         const std::string key = writes.at(1).body.substr(keyBegin, writes.at(1).body.find('"', keyBegin) - keyBegin);
         run.publisher.applyItem(makeStoredItem(key, false));
-        run.publisher.noteChange({ prompt, false, quarantinecauses::answered });
+        run.publisher.noteChange({ prompt, QuarantineStep::Ended, quarantinecauses::answered });
         const std::vector<StandinRequest> calls = run.runUntilCalls(3);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, calls.size());
         CPPUNIT_ASSERT(calls[2].contains("\"remove\":[\"" + key + "\"]"));
--- a/tests/gateway/PromptQuarantineTest.cpp
+++ b/tests/gateway/PromptQuarantineTest.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(testRepeatedEvidenceDoesNotCountTwice);
     CPPUNIT_TEST(testVmWithoutExperienceBlamesNoCommonPart);
     CPPUNIT_TEST(testOneCrashAfterItsEndRenewsTheQuarantine);
+    CPPUNIT_TEST(testMendedServiceIsNotBlockedByPartOfAllItsPrompts);
+    CPPUNIT_TEST(testAnswerSeenByOneVmConfirmsTheQuarantineAtAll);
     CPPUNIT_TEST(testPartIsHarmfulToOneServiceOnly);
     CPPUNIT_TEST(testQuarantinedRequestsUseNothingOfTheLimit);
     CPPUNIT_TEST(testEvidenceRoundTrips);
@@ -206,6 +208,43 @@
         CPPUNIT_ASSERT(isQuarantined(quarantine, now, makeParts({ "deadly" })));
     }
 
+    void testMendedServiceIsNotBlockedByPartOfAllItsPrompts()
+    {
+        // A faulty version crashes on each request. All prompts have a part in common, which therefore is a suspect.
+        constexpr Milliseconds tolerableBlock { 60'000 };
+        PromptQuarantine quarantine;
+        const PromptParts parts = makeParts({ "common" });
+        Milliseconds now = crashUpstreams(quarantine, start, 3, parts);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, now, parts));
+        now = now + tolerableBlock;
+        quarantine.expire(now);
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, now, parts));
+        // The service is still faulty: one crash is enough.
+        now = crashUpstreams(quarantine, now, 1, parts);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, now, parts));
+    }
+
+    void testAnswerSeenByOneVmConfirmsTheQuarantineAtAll()
+    {
+        DigestFleet fleet({ "a", "b" }, 8);
+        fleet.setLossShare(0.33);
+        fleet.runUntil(fleet.now + 4 * DigestFleet::interval);
+        const PromptParts parts = makeParts({ "deadly" });
+        for (int crash = 0; crash < 3; ++crash) {
+            fleet.at("a-1").getQuarantine().noteSuspect(Milliseconds(fleet.now), makeSuspect(crash, parts));
+            fleet.runUntil(fleet.now + 500);
+        }
+        for (int answer = 0; answer < 10; ++answer) {
+            fleet.at("b-7").getQuarantine().noteAnswered(Milliseconds(fleet.now), engine, makeParts({ "sound" }));
+            fleet.runUntil(fleet.now + 1'000);
+        }
+        const Milliseconds later = Milliseconds(fleet.now) + PromptQuarantine::duration / 2;
+        for (const auto& [vm, core] : fleet.cores) {
+            core->getQuarantine().expire(later);
+            CPPUNIT_ASSERT(isQuarantined(core->getQuarantine(), later, parts));
+        }
+    }
+
     void testPartIsHarmfulToOneServiceOnly()
     {
         PromptQuarantine quarantine;
@@ -224,6 +263,7 @@
         core.applyConfiguration(document);
         const PromptParts parts = makeParts({ "deadly" });
         const Milliseconds now = crashUpstreams(core.getQuarantine(), start, 3, parts);
+        core.getQuarantine().noteAnswered(now, engine, makeParts({ "sound" }));
         core.noteConfigurationConfirmation(now);
         AdmissionQuery query { "h.example", "/a/x", "first-key", 60, parts };
         for (int request = 0; request < 20; ++request) {
@@ -241,6 +281,7 @@
         report.crashes.suspects = { makeSuspect(1, makeParts({ "a", "b" })) };
         report.crashes.suspects.front().age = Milliseconds(70);
         report.crashes.answered = { { engine, PromptPartId("a"), Milliseconds(30) } };
+        report.crashes.answering = { { engine, Milliseconds(20) } };
         report.crashes.quarantined = { { { engine, makeParts({ "b" }) }, Milliseconds(10) } };
         CPPUNIT_ASSERT(report == *decodeDigest(encodeDigest(report, "key")).value().report);
         const std::string text = encodeDigest(report, "key");
