Obey upstreams that state that they leave or reject requests for a time

Callers' requests went on to upstreams that had said in their answers that they leave, until the store's list said so too, and to upstreams that had refused with a time. Cause: of what an upstream says of itself only load and limit were read. Leaving, and the time of a 503, are now part of the same statement, decoded in one place, kept for the incarnation that the request was sent to, and asked by placement, which every path goes through. Leaving and limits pass to the VMs of the region with digests; the time of a refusal concerns one VM only and is not passed on. VMs return spread after its end. Where all upstreams reject, callers are refused at once as all_rejecting with the earliest time. Statements of a 421, which another upstream sends, are ignored.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+constexpr std::int64_t rejectionSpreadDivisor = 5; /**< VMs return within a fifth of the time after its end. */
+constexpr Milliseconds longestRejectionSpread { 1'000 };
+
 /** VMs that the store no longer lists may still use the other half, while the listed ones share this one. */
 constexpr double extraRetriesFactor = 0.5;
 /** The rest of the slack covers demand that moves between VMs before the other VMs receive the new figures. */
@@ -74,6 +77,8 @@
         return "all_full";
     case RefusalCause::AllCold:
         return "all_cold";
+    case RefusalCause::AllRejecting:
+        return "all_rejecting";
     case RefusalCause::QuarantinedPrompt:
         return "quarantined_prompt";
     case RefusalCause::NoRetryLeft:
@@ -156,7 +161,7 @@
         DigestReport report = this->loadExchange.makeReport(now, receiver->region);
         report.crashes = this->quarantine.makeEvidence(now);
         if (receiver->region == this->settings.region)
-            report.limits = this->upstreams.getLimitStatements(now, this->settings.region);
+            report.statements = this->upstreams.getSharedStatements(now, this->settings.region);
         reports.emplace_back(receiver, std::move(report));
     }
     return reports;
@@ -166,19 +171,19 @@
 {
     this->loadExchange.noteReport(now, report);
     this->quarantine.noteEvidence(now, report.crashes);
-    for (const LimitStatement& statement : report.limits)
+    for (const SharedStatement& statement : report.statements)
         this->upstreams.noteStatement(now, statement);
     DigestReply reply = this->loadExchange.makeReply(now, report, this->freshness.getAge(now), this->knownRevision);
     reply.crashes = this->quarantine.makeEvidence(now);
     if (report.region == this->settings.region)
-        reply.limits = this->upstreams.getLimitStatements(now, this->settings.region);
+        reply.statements = this->upstreams.getSharedStatements(now, this->settings.region);
     return reply;
 }
 
 void GatewayCore::noteReply(Milliseconds now, const DigestReply& reply)
 {
     this->quarantine.noteEvidence(now, reply.crashes);
-    for (const LimitStatement& statement : reply.limits)
+    for (const SharedStatement& statement : reply.statements)
         this->upstreams.noteStatement(now, statement);
     const std::optional<FreshnessConfirmation> confirmation = this->loadExchange.noteReply(now, reply);
     if (!confirmation)
@@ -281,6 +286,17 @@
     return decision;
 }
 
+StatementChange GatewayCore::noteStatement(
+    Milliseconds now, const UpstreamRecord& upstream, UpstreamStatement statement)
+{
+    const Milliseconds rejectsFor = std::min(statement.rejectsFor, this->settings.bounds.longestRejection);
+    // An upstream in need tells many VMs the same time, and they must not all return at its end.
+    const Milliseconds latest = std::min(rejectsFor / rejectionSpreadDivisor, longestRejectionSpread);
+    std::uniform_int_distribution<std::int64_t> spread(0, latest.count());
+    statement.rejectsFor = rejectsFor + Milliseconds(spread(this->random));
+    return this->upstreams.noteStatement(now, upstream, statement);
+}
+
 Milliseconds GatewayCore::getPrefillWait(Milliseconds now, const ServiceId& service)
 {
     const auto found = this->prefillAllowances.find(service);
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -47,6 +47,7 @@
     NoUpstream, /**< No upstream of the service is listed in a region that may serve the request. */
     AllFull, /**< No upstream has free capacity. */
     AllCold, /**< The upstreams with free capacity have just started and accept few requests. */
+    AllRejecting, /**< The upstreams want no requests from this VM for a known time. */
     QuarantinedPrompt, /**< Upstreams crashed under prompts with the same parts. */
     NoRetryLeft, /**< An upstream refused the request, and the retry budget is used up. */
     NoTimeLeft, /**< The time allowed for the request has passed. */
@@ -190,6 +191,13 @@
     /** Returns the component that chooses upstreams. */
     Placement& getPlacement() { return this->placement; }
 
+    /**
+        Records what an upstream states of itself in an answer to this VM.
+
+        @param upstream  the record by which the request was sent
+    */
+    StatementChange noteStatement(Milliseconds now, const UpstreamRecord& upstream, UpstreamStatement statement);
+
     /** Returns the prompts that are kept from upstreams. */
     PromptQuarantine& getQuarantine() { return this->quarantine; }
     const PromptQuarantine& getQuarantine() const { return this->quarantine; }
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -139,33 +139,35 @@
     return crashes;
 }
 
-void encodeLimits(json::object& message, const std::vector<LimitStatement>& limits)
+void encodeStatements(json::object& message, const std::vector<SharedStatement>& statements)
 {
-    if (limits.empty())
+    if (statements.empty())
         return;
     json::array encoded;
-    for (const LimitStatement& statement : limits) {
-        encoded.push_back(json::array { statement.upstream.string(), statement.age.count(),
+    for (const SharedStatement& statement : statements) {
+        encoded.push_back(json::array { statement.upstream.string(), statement.startedAt, statement.age.count(),
+            statement.isLeaving ? 1 : 0,
             statement.requestsPerSecond ? json::value(*statement.requestsPerSecond) : json::value() });
     }
-    message["limits"] = std::move(encoded);
+    message["statements"] = std::move(encoded);
 }
 
-std::vector<LimitStatement> decodeLimits(const json::object& message)
+std::vector<SharedStatement> decodeStatements(const json::object& message)
 {
-    std::vector<LimitStatement> limits;
-    const json::value* found = message.if_contains("limits");
+    std::vector<SharedStatement> statements;
+    const json::value* found = message.if_contains("statements");
     if (!found)
-        return limits;
+        return statements;
     for (const json::value& value : found->as_array()) {
         const json::array& fields = value.as_array();
-        LimitStatement statement { UpstreamId(json::value_to<std::string>(fields.at(0))), std::nullopt,
-            decodeAge(fields.at(1)) };
-        if (!fields.at(2).is_null())
-            statement.requestsPerSecond = std::max(0.0, fields.at(2).to_number<double>());
-        limits.push_back(std::move(statement));
+        SharedStatement statement { UpstreamId(json::value_to<std::string>(fields.at(0))),
+            fields.at(1).to_number<std::int64_t>(), std::nullopt, fields.at(3).to_number<int>() != 0,
+            decodeAge(fields.at(2)) };
+        if (!fields.at(4).is_null())
+            statement.requestsPerSecond = std::max(0.0, fields.at(4).to_number<double>());
+        statements.push_back(std::move(statement));
     }
-    return limits;
+    return statements;
 }
 
 DigestReport decodeReport(const json::object& object)
@@ -177,7 +179,7 @@
     report.figures = decodeFigures(object.at("load").as_object());
     report.sentAt = object.at("sent").to_number<std::int64_t>();
     report.crashes = decodeCrashes(object);
-    report.limits = decodeLimits(object);
+    report.statements = decodeStatements(object);
     return report;
 }
 
@@ -191,7 +193,7 @@
     for (const auto& region : object.at("regions").as_object())
         reply.regions[RegionId(std::string(region.key()))] = decodeFigures(region.value().as_object());
     reply.crashes = decodeCrashes(object);
-    reply.limits = decodeLimits(object);
+    reply.statements = decodeStatements(object);
     return reply;
 }
 
@@ -219,7 +221,7 @@
         { "vm", report.from.string() }, { "region", report.region.string() }, { "whole", report.isWholeRegion },
         { "load", encodeFigures(report.figures) }, { "sent", report.sentAt } };
     encodeCrashes(message, report.crashes);
-    encodeLimits(message, report.limits);
+    encodeStatements(message, report.statements);
     return json::serialize(message);
 }
 
@@ -232,7 +234,7 @@
         { "vm", reply.from.string() }, { "sent", reply.sentAt }, { "age", reply.confirmationAge },
         { "change", reply.knownRevision }, { "regions", regions } };
     encodeCrashes(message, reply.crashes);
-    encodeLimits(message, reply.limits);
+    encodeStatements(message, reply.statements);
     return json::serialize(message);
 }
 
--- a/modules/gateway/digest/Digest.h
+++ b/modules/gateway/digest/Digest.h
@@ -37,7 +37,7 @@
     std::int64_t sentAt = 0; /**< Sender's clock in milliseconds; the reply returns it. */
     CrashEvidence crashes = {}; /**< What the sender knows of upstreams that crashed under requests. */
     /** Statements of the upstreams of the sender's region. Exchanged within a region only. */
-    std::vector<LimitStatement> limits = {};
+    std::vector<SharedStatement> statements = {};
 
     bool operator==(const DigestReport&) const = default;
 };
@@ -52,7 +52,7 @@
     std::map<RegionId, LoadFigures> regions; /**< Recent figures of each region that the replier knows. */
     CrashEvidence crashes = {}; /**< What the sender knows of upstreams that crashed under requests. */
     /** Statements of the upstreams of the sender's region. Exchanged within a region only. */
-    std::vector<LimitStatement> limits = {};
+    std::vector<SharedStatement> statements = {};
 
     bool operator==(const DigestReply&) const = default;
 };
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -62,6 +62,8 @@
         if (const auto relay = this->findRelay(now, query, ownCost, hasOwnUpstreams))
             return *relay;
     }
+    if (!best && cause == PlacementFailureCause::AllRejecting)
+        return PlacementFailure { cause, this->getRejectionTime(now, query.service) };
     if (!best)
         return PlacementFailure { cause, Milliseconds(0) };
     return UseUpstream { best->upstream->record, best->upstream->health.isSuspect(now),
@@ -74,8 +76,9 @@
     if (query.cacheKey == 0 || query.sharedTokens < minimumFetchTokens)
         return std::nullopt;
     std::vector<const KnownUpstream*> holders = this->table.getUsableUpstreams(query.service, this->region);
-    std::erase_if(holders,
-        [now](const KnownUpstream* upstream) { return upstream->isCold(now) || upstream->health.isSuspect(now); });
+    std::erase_if(holders, [now](const KnownUpstream* upstream) {
+        return upstream->isCold(now) || upstream->health.isSuspect(now) || upstream->isRejecting(now);
+    });
     std::vector<std::uint64_t> hashes;
     hashes.reserve(holders.size());
     for (const KnownUpstream* upstream : holders)
@@ -93,6 +96,10 @@
     std::vector<Candidate> healthyCandidates;
     std::vector<Candidate> suspectCandidates;
     for (const KnownUpstream* upstream : this->table.getUsableUpstreams(query.service, this->region)) {
+        if (upstream->isRejecting(now)) {
+            cause = cause == PlacementFailureCause::NoUpstream ? PlacementFailureCause::AllRejecting : cause;
+            continue;
+        }
         if (query.tried.contains(upstream->record.id))
             continue;
         const double slots = std::max(1, upstream->record.slots);
@@ -110,7 +117,7 @@
         } else if (isColdBound
             && (now < this->vmsKnownAt
                 || !this->coldLimit.mayUse(now, upstream->record.id, service.coldRequestsPerSecond, regionVms))) {
-            cause = cause == PlacementFailureCause::NoUpstream ? PlacementFailureCause::AllCold : cause;
+            cause = cause == PlacementFailureCause::AllFull ? cause : PlacementFailureCause::AllCold;
         } else if (!upstream->health.isSuspect(now)) {
             healthyCandidates.push_back(candidate);
         } else {
@@ -124,6 +131,16 @@
     return healthyCandidates;
 }
 
+Milliseconds Placement::getRejectionTime(Milliseconds now, const ServiceId& service) const
+{
+    std::optional<Milliseconds> earliest;
+    for (const KnownUpstream* upstream : this->table.getUsableUpstreams(service, this->region)) {
+        if (upstream->isRejecting(now))
+            earliest = std::min(earliest.value_or(upstream->rejectsUntil), upstream->rejectsUntil);
+    }
+    return earliest ? *earliest - now : Milliseconds(0);
+}
+
 void Placement::estimateCosts(const PlacementQuery& query, std::vector<Candidate>& candidates)
 {
     if (candidates.empty())
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -51,6 +51,7 @@
     NoUpstream, /**< No upstream is listed in a region that may serve the request. */
     AllFull, /**< All upstreams are at capacity. */
     AllCold, /**< The upstreams with free capacity have just started. */
+    AllRejecting, /**< The upstreams want no requests from this VM for a known time. */
     Quarantined, /**< Upstreams crashed under prompts with the same parts. */
 };
 
@@ -142,6 +143,8 @@
         double cost = 0; /**< Cost in milliseconds; see Placement. */
     };
 
+    /** Returns the time until the first of the service's upstreams accepts requests again; 0 if none rejects them. */
+    Milliseconds getRejectionTime(Milliseconds now, const ServiceId& service) const;
     std::vector<Candidate> findCandidates(
         Milliseconds now, const PlacementQuery& query, const ServingService& service, PlacementFailureCause& cause);
     void estimateCosts(const PlacementQuery& query, std::vector<Candidate>& candidates);
--- a/modules/gateway/settings/GatewaySettings.cpp
+++ b/modules/gateway/settings/GatewaySettings.cpp
@@ -32,6 +32,7 @@
     double retryWindowSeconds = bounds.retryWindow.seconds();
     reader.optional("retry_window_s", retryWindowSeconds, NumberRule { 1, maximumBound.seconds() });
     bounds.retryWindow = Milliseconds(static_cast<std::int64_t>(retryWindowSeconds * 1000));
+    reader.optional("longest_rejection_ms", bounds.longestRejection, DurationRule { Milliseconds(0), maximumBound });
     reader.optional("token_slack", bounds.tokenSlack, number);
     reader.finish();
 }
--- a/modules/gateway/settings/GatewaySettings.h
+++ b/modules/gateway/settings/GatewaySettings.h
@@ -29,6 +29,8 @@
     double retryRatio = 0.2; /**< Maximum retries per request of a service. */
     Milliseconds retryWindow { 10'000 }; /**< Length of the window in which retries count. */
     double extraRetries = 0; /**< Retries allowed beyond the ratio in one window, over all VMs. */
+    /** Longest time for which an upstream can keep this VM's requests away by a refusal. */
+    Milliseconds longestRejection { 600'000 };
     double tokenSlack = 0; /**< Tokens by which a workspace may exceed its limit in one window, over all VMs. */
 
     bool operator==(const GatewayBounds&) const = default;
--- a/modules/gateway/upstreams/UpstreamRecord.h
+++ b/modules/gateway/upstreams/UpstreamRecord.h
@@ -36,6 +36,9 @@
     std::optional<ReportedLoad> load;
     /** Requests per second that it accepts from all VMs together; empty if it states no limit. */
     std::optional<double> requestsPerSecond;
+    bool isLimitKnown = true; /**< False if the response tells neither a limit nor that there is none. */
+    bool isLeaving = false; /**< Whether it is about to end. */
+    Milliseconds rejectsFor; /**< Time for which it wants no request from the VM that it answers; 0 for none. */
 
     bool operator==(const UpstreamStatement&) const = default;
 };
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -84,38 +84,63 @@
         upstream->health.noteTrial(now);
 }
 
-bool UpstreamTable::noteStatement(Milliseconds now, const UpstreamId& id, const UpstreamStatement& statement)
-{
-    KnownUpstream* upstream = this->get(id);
-    if (!upstream)
+StatementChange UpstreamTable::noteStatement(
+    Milliseconds now, const UpstreamRecord& upstream, const UpstreamStatement& statement)
+{
+    KnownUpstream* known = this->get(upstream.id);
+    if (!known || known->record.startedAt != upstream.startedAt || known->record.endpoint != upstream.endpoint)
+        return {};
+    StatementChange change;
+    change.leaving = statement.isLeaving && !known->leavingSince;
+    if (change.leaving)
+        known->leavingSince = now;
+    const Milliseconds rejectsUntil = now + statement.rejectsFor;
+    change.rejecting = statement.rejectsFor > Milliseconds(0) && rejectsUntil > known->rejectsUntil;
+    if (change.rejecting)
+        known->rejectsUntil = rejectsUntil;
+    change.limit = statement.isLimitKnown && noteLimit(now, *known, statement.requestsPerSecond);
+    return change;
+}
+
+bool UpstreamTable::noteLimit(Milliseconds at, KnownUpstream& upstream, std::optional<double> requestsPerSecond)
+{
+    upstream.statedAt = at;
+    if (upstream.requestsPerSecond == requestsPerSecond)
         return false;
-    upstream->statedAt = now;
-    if (upstream->requestsPerSecond == statement.requestsPerSecond)
-        return false;
-    if (!statement.requestsPerSecond) {
-        upstream->limitEndedAt = now;
-        upstream->sentSinceLimited = 0;
+    if (!requestsPerSecond) {
+        upstream.limitEndedAt = at;
+        upstream.sentSinceLimited = 0;
     }
-    upstream->requestsPerSecond = statement.requestsPerSecond;
+    upstream.requestsPerSecond = requestsPerSecond;
     return true;
 }
 
-void UpstreamTable::noteStatement(Milliseconds now, const LimitStatement& statement)
+void UpstreamTable::noteStatement(Milliseconds now, const SharedStatement& statement)
 {
-    const KnownUpstream* upstream = this->find(statement.upstream);
-    if (upstream && now - statement.age > upstream->statedAt)
-        this->noteStatement(now - statement.age, statement.upstream, { std::nullopt, statement.requestsPerSecond });
+    KnownUpstream* upstream = this->get(statement.upstream);
+    if (!upstream || upstream->record.startedAt != statement.startedAt)
+        return;
+    const Milliseconds statedAt = now - statement.age;
+    if (statement.isLeaving && !upstream->leavingSince)
+        upstream->leavingSince = statedAt;
+    if (statedAt > upstream->statedAt)
+        noteLimit(statedAt, *upstream, statement.requestsPerSecond);
 }
 
-std::vector<LimitStatement> UpstreamTable::getLimitStatements(Milliseconds now, const RegionId& region) const
+std::vector<SharedStatement> UpstreamTable::getSharedStatements(Milliseconds now, const RegionId& region) const
 {
-    std::vector<LimitStatement> statements;
+    std::vector<SharedStatement> statements;
     for (const auto& [id, upstream] : this->upstreams) {
+        if (upstream.record.region != region)
+            continue;
         const bool wasLimited
             = upstream.limitEndedAt > Milliseconds(0) && now - upstream.limitEndedAt <= statementExchangeTime;
-        if (upstream.record.region == region && now - upstream.statedAt <= statementExchangeTime
-            && (upstream.requestsPerSecond || wasLimited))
-            statements.push_back({ id, upstream.requestsPerSecond, now - upstream.statedAt });
+        const bool hasLimitNews
+            = now - upstream.statedAt <= statementExchangeTime && (upstream.requestsPerSecond || wasLimited);
+        const bool hasLeavingNews = upstream.leavingSince && now - *upstream.leavingSince <= statementExchangeTime;
+        if (hasLimitNews || hasLeavingNews)
+            statements.push_back({ id, upstream.record.startedAt, upstream.requestsPerSecond,
+                upstream.leavingSince.has_value(), now - upstream.statedAt });
     }
     return statements;
 }
@@ -144,7 +169,8 @@
 
 bool UpstreamTable::isUsable(const KnownUpstream& upstream) const
 {
-    return !upstream.record.isLeaving && !this->evacuated.contains(upstream.record.failureDomain);
+    return !upstream.record.isLeaving && !upstream.leavingSince
+        && !this->evacuated.contains(upstream.record.failureDomain);
 }
 
 std::vector<const KnownUpstream*> UpstreamTable::getUsableUpstreams(
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -58,19 +58,35 @@
     Milliseconds statedAt; /**< Time of its last statement, to this or another VM. */
     Milliseconds limitEndedAt; /**< Time at which its last limit ended; 0 if it had none. */
     int sentSinceLimited = 0; /**< Requests from this VM since its limit began. */
+    std::optional<Milliseconds> leavingSince; /**< Time at which it stated that it is about to end. */
+    Milliseconds rejectsUntil; /**< Until then it wants no requests from this VM. */
     std::optional<Milliseconds> goneAt; /**< Set when it disappears from the list: time at which it is removed. */
 
     /** Returns true while the upstream accepts only few requests after its start. */
     bool isCold(Milliseconds now) const { return now < this->coldUntil; }
+
+    /** Returns true while it wants no requests from this VM. */
+    bool isRejecting(Milliseconds now) const { return now < this->rejectsUntil; }
 };
 
-/** The last statement of an upstream on its limit, for other VMs. */
-struct LimitStatement {
+/** The last statement of an upstream that concerns all VMs of its region, for other VMs. */
+struct SharedStatement {
     UpstreamId upstream;
+    std::int64_t startedAt = 0; /**< Start of the incarnation that stated it; see UpstreamRecord::startedAt. */
     std::optional<double> requestsPerSecond; /**< Empty if it states no limit any more. */
+    bool isLeaving = false;
     Milliseconds age; /**< Time since the statement. */
 
-    bool operator==(const LimitStatement&) const = default;
+    bool operator==(const SharedStatement&) const = default;
+};
+
+/** What has changed by a statement. */
+struct StatementChange {
+    bool limit = false; /**< Its limit has begun, changed or ended. */
+    bool leaving = false; /**< It is known to leave from now on. */
+    bool rejecting = false; /**< It wants no requests from this VM for longer than was known. */
+
+    bool operator==(const StatementChange&) const = default;
 };
 
 /**
@@ -111,14 +127,19 @@
     /** Records that a trial request is sent to a suspect upstream. */
     void noteTrial(Milliseconds now, const UpstreamId& id);
 
-    /** Records what an upstream states of itself. Returns true if its limit has begun, changed or ended by that. */
-    bool noteStatement(Milliseconds now, const UpstreamId& id, const UpstreamStatement& statement);
+    /**
+        Records what an upstream states of itself. Does nothing if it has restarted, as what ended says nothing of what
+        began.
+
+        @param upstream  the record by which the request was sent
+    */
+    StatementChange noteStatement(Milliseconds now, const UpstreamRecord& upstream, const UpstreamStatement& statement);
 
-    /** Records a statement that another VM received. Does nothing if this VM knows a later one. */
-    void noteStatement(Milliseconds now, const LimitStatement& statement);
+    /** Records a statement that another VM received. A limit is ignored if this VM knows a later statement. */
+    void noteStatement(Milliseconds now, const SharedStatement& statement);
 
-    /** Returns the recent statements of a region's upstreams that state a limit or have just ended one. */
-    std::vector<LimitStatement> getLimitStatements(Milliseconds now, const RegionId& region) const;
+    /** Returns what a region's upstreams have recently stated of limits, their end, and leaving. */
+    std::vector<SharedStatement> getSharedStatements(Milliseconds now, const RegionId& region) const;
 
     /** Records the load that an upstream reported in a response. */
     void noteLoad(Milliseconds now, const UpstreamId& id, const ReportedLoad& load);
@@ -127,7 +148,8 @@
     /** Returns the upstream, or null. */
     const KnownUpstream* find(const UpstreamId& id) const;
 
-    /** Returns a service's upstreams in a region that may receive requests: listed, not leaving, not evacuated. */
+    /** Returns a service's upstreams in a region that may receive requests: listed, not leaving, not evacuated.
+        They may still reject this VM's requests. */
     std::vector<const KnownUpstream*> getUsableUpstreams(const ServiceId& service, const RegionId& region) const;
 
     /** Returns the number of slots of a service's usable upstreams in a region. */
@@ -144,6 +166,7 @@
 
 private:
     KnownUpstream* get(const UpstreamId& id);
+    static bool noteLimit(Milliseconds at, KnownUpstream& upstream, std::optional<double> requestsPerSecond);
     bool isUsable(const KnownUpstream& upstream) const;
 
     std::map<UpstreamId, KnownUpstream> upstreams;
--- a/modules/serving/http/HeaderNames.h
+++ b/modules/serving/http/HeaderNames.h
@@ -18,9 +18,10 @@
     std::string priority; /**< 0 is the most urgent; engines run urgent requests first. */
     std::string load; /**< Running requests, waiting requests and slots, separated by commas. */
     std::string limit; /**< Requests per second that the upstream accepts from all VMs together, as a decimal number. */
+    std::string leaving; /**< "1" if the upstream is about to end. */
     std::string notRun; /**< An upstream's guarantee that the request has not run. */
     std::string cacheSource; /**< Address of an upstream from which the receiver fetches cached prompt parts. */
-    std::string retryAfter; /**< Seconds, as a decimal fraction. */
+    std::string retryAfter; /**< Seconds, as a decimal fraction; in answers to callers and in upstreams' refusals. */
     std::vector<std::string> reserved; /**< Headers that only the gateway may send to upstreams. */
 
     bool operator==(const HeaderNames&) const = default;
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -207,6 +207,12 @@
     gauge("papayashelf_limited_upstreams", std::count_if(upstreams.begin(), upstreams.end(), [](const auto& entry) {
         return entry.second.requestsPerSecond.has_value();
     }));
+    gauge("papayashelf_leaving_upstreams", std::count_if(upstreams.begin(), upstreams.end(), [](const auto& entry) {
+        return entry.second.record.isLeaving || entry.second.leavingSince;
+    }));
+    gauge("papayashelf_rejecting_upstreams",
+        std::count_if(
+            upstreams.begin(), upstreams.end(), [now](const auto& entry) { return entry.second.isRejecting(now); }));
     gauge("papayashelf_quarantined_prompts", static_cast<std::int64_t>(this->core.getQuarantine().getAll(now).size()));
     gauge("papayashelf_vms", static_cast<std::int64_t>(this->core.getVms().getAll().size()));
     gauge("papayashelf_log_lines_left_out", static_cast<std::int64_t>(this->log.countDropped()));
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -34,7 +34,6 @@
 constexpr std::uint64_t lowestPriority = 9;
 constexpr std::size_t maximumLoggedPartBytes = 200; /**< About ten parts, far more than prompts usually have. */
 constexpr int successStatus = 200;
-constexpr int misdirectedRequestStatus = 421; /**< The upstream at the address is not the expected one. */
 constexpr std::string_view bearerPrefix = "Bearer ";
 
 int toHttpStatus(RefusalCause cause)
@@ -224,7 +223,9 @@
     if (const auto* relay = std::get_if<UseRelay>(&decision))
         co_return co_await this->tryRelay(*relay);
     const auto [cause, retryAfter] = std::get<PlacementFailure>(decision);
-    if (cause == PlacementFailureCause::AllFull && this->now() < this->getCapacityDeadline()) {
+    const bool mayEndInTime = cause == PlacementFailureCause::AllFull
+        || (cause == PlacementFailureCause::AllRejecting && this->now() + retryAfter < this->getCapacityDeadline());
+    if (mayEndInTime && this->now() < this->getCapacityDeadline()) {
         asio::steady_timer timer(co_await asio::this_coro::executor, capacityPollInterval);
         co_await timer.async_wait(useResult);
         co_return NextAction::TryAgain;
@@ -242,9 +243,11 @@
     }
     const RefusalCause refusal = cause == PlacementFailureCause::AllFull ? RefusalCause::AllFull
         : cause == PlacementFailureCause::AllCold                        ? RefusalCause::AllCold
+        : cause == PlacementFailureCause::AllRejecting                   ? RefusalCause::AllRejecting
                                                                          : RefusalCause::NoUpstream;
-    const Milliseconds wait = this->context.core.getPrefillWait(this->now(), this->admitted->service);
-    co_await this->refuse(Refusal { refusal, wait + drawRetryDelay(this->getRemaining()) });
+    const Milliseconds prefillWait = this->context.core.getPrefillWait(this->now(), this->admitted->service);
+    co_await this->refuse(
+        Refusal { refusal, std::max(prefillWait, retryAfter) + drawRetryDelay(this->getRemaining()) });
     co_return NextAction::Done;
 }
 
@@ -289,7 +292,8 @@
         this->context.core.getPlacement().noteFirstEvent(
             this->admitted->service, this->promptTokens - this->sharedTokens, this->now() - sentAt);
     };
-    this->onStatement = [this, id](const UpstreamStatement& statement) { this->noteStatement(id, statement); };
+    this->onStatement
+        = [this, &choice](const UpstreamStatement& statement) { this->noteStatement(choice.upstream, statement); };
     AttemptOutcome outcome = co_await this->attempt(choice.upstream.endpoint, this->formatUpstreamRequest(choice));
     this->onStatement = {};
     if (std::exchange(this->onFirstEvent, {}))
@@ -383,18 +387,23 @@
     co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimeouts(), &target);
 }
 
-void RequestServer::noteStatement(const UpstreamId& upstream, const UpstreamStatement& statement)
+void RequestServer::noteStatement(const UpstreamRecord& upstream, const UpstreamStatement& statement)
 {
-    UpstreamTable& table = this->context.core.getUpstreams();
-    const KnownUpstream* known = table.find(upstream);
+    const KnownUpstream* known = this->context.core.getUpstreams().find(upstream.id);
     const int sentBefore = known ? known->sentSinceLimited : 0;
-    if (!table.noteStatement(this->now(), upstream, statement))
-        return;
-    this->context.log.write(this->now(), LogWeight::Notable,
-        statement.requestsPerSecond ? "upstream_limited" : "upstream_unlimited",
-        { { "request", this->requestId }, { "upstream", upstream.string() },
-            { "per_second", boost::json::value(statement.requestsPerSecond.value_or(0)) },
-            { "sent_while_limited", boost::json::value(sentBefore) } });
+    const StatementChange change = this->context.core.noteStatement(this->now(), upstream, statement);
+    const auto log = [&](std::string_view event, std::string_view name, boost::json::value value) {
+        this->context.log.write(this->now(), LogWeight::Notable, event,
+            { { "request", this->requestId }, { "upstream", upstream.id.string() }, { name, std::move(value) },
+                { "sent_while_limited", sentBefore } });
+    };
+    if (change.limit)
+        log(statement.requestsPerSecond ? "upstream_limited" : "upstream_unlimited", "per_second",
+            statement.requestsPerSecond.value_or(0));
+    if (change.leaving)
+        log("upstream_leaving", "started_at", upstream.startedAt);
+    if (change.rejecting)
+        log("upstream_rejecting", "for_ms", statement.rejectsFor.count());
 }
 
 void RequestServer::reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome)
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -68,7 +68,7 @@
     /** Checks whether an upstream that ended the connection has crashed, and reports it if so. */
     boost::asio::awaitable<void> investigateLostConnection(
         const UpstreamRecord& upstream, const AttemptOutcome& outcome);
-    void noteStatement(const UpstreamId& upstream, const UpstreamStatement& statement);
+    void noteStatement(const UpstreamRecord& upstream, const UpstreamStatement& statement);
     void reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome);
     bool mayForward(const AttemptOutcome& outcome) const;
     Milliseconds getRemaining() const;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -30,6 +30,8 @@
 /** Milliseconds without a TCP acknowledgement until the connection is closed. */
 constexpr unsigned int unacknowledgedLimit = 2'000;
 
+constexpr double longestTimeSeconds = 86'400; /**< Keeps any stated time within the range of Milliseconds. */
+
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 /** Parses "timeout=N" of a Keep-Alive header, with N in seconds. */
@@ -50,6 +52,30 @@
     return parser.get().find(boost::beast::string_view(name.data(), name.size())) != parser.get().end();
 }
 
+/** The values of a header in an answer's head. */
+struct HeaderLookup {
+    std::size_t count = 0;
+    std::string_view value; /**< Empty unless the header comes once. */
+};
+
+HeaderLookup findHeader(const http::response_parser<http::string_body>& parser, std::string_view name)
+{
+    const auto [first, last] = parser.get().equal_range(boost::beast::string_view(name.data(), name.size()));
+    const auto count = static_cast<std::size_t>(std::distance(first, last));
+    if (count != 1)
+        return { count, {} };
+    return { count, std::string_view(first->value().data(), first->value().size()) };
+}
+
+/** Reads a finite, non-negative decimal number without an exponent. */
+std::optional<double> readDecimal(std::string_view text)
+{
+    double number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+    const bool isNumber = !text.empty() && error == std::errc() && end == text.data() + text.size();
+    return isNumber && std::isfinite(number) && number >= 0 ? std::optional(number) : std::nullopt;
+}
+
 void prepareSocket(asio::ip::tcp::socket& socket)
 {
     boost::system::error_code ignored;
@@ -265,10 +291,14 @@
         const bool isContentEncoded = parser->get().find(http::field::content_encoding) != parser->get().end();
         if (isForThisRequest && isSealed)
             this->progress = AnswerProgress::Head;
-        // Anybody may have sent an answer without a seal, and other requests' answers may be old.
-        const auto statement = isForThisRequest && isSealed ? this->readStatement(*parser) : std::nullopt;
-        if (statement && this->onStatement)
-            this->onStatement(*statement);
+        // On a kept connection it may be an earlier refusal that the upstream has written once more.
+        const bool isFirstAnswer = strayAnswers == 0 && !this->connection->isReused;
+        const bool isRefusal
+            = this->hasNotRunGuarantee(*parser) && (isForThisRequest || (echoed.empty() && isFirstAnswer));
+        // Anybody may have sent an answer without a seal, other requests' answers may be old, and an upstream that the
+        // request was not meant for says nothing of the one that it was meant for.
+        if (this->onStatement && status != misdirectedRequestStatus && ((isForThisRequest && isSealed) || isRefusal))
+            this->onStatement(this->readStatement(*parser));
         if (isForThisRequest && stream && status == 200 && isSealed && !isContentEncoded)
             co_return co_await this->forwardStream(*parser, *stream);
         const bool isUsable = isForThisRequest && isSealed && !isContentEncoded;
@@ -281,9 +311,7 @@
             co_return this->fail(AttemptEnd::Unanswered, "answer broke off");
         if (isForThisRequest)
             co_return this->evaluateAnswer(*parser);
-        // On a kept connection it may be an earlier refusal that the upstream has written once more.
-        const bool isFirstAnswer = strayAnswers == 0 && !this->connection->isReused;
-        if (echoed.empty() && isFirstAnswer && this->hasNotRunGuarantee(*parser))
+        if (isRefusal)
             co_return this->evaluateAnswer(*parser);
     }
     co_return this->fail(AttemptEnd::Unanswered, "answers of other requests");
@@ -292,7 +320,7 @@
 bool UpstreamAttempt::hasNotRunGuarantee(const Parser& parser) const
 {
     const auto& message = parser.get();
-    return message.result_int() == 421 || message.find(this->names.notRun) != message.end()
+    return message.result_int() == misdirectedRequestStatus || message.find(this->names.notRun) != message.end()
         || hasHeader(parser, relayheaders::notRun);
 }
 
@@ -400,21 +428,20 @@
     return ReportedLoad { numbers[0], numbers[1], numbers[2] };
 }
 
-std::optional<UpstreamStatement> UpstreamAttempt::readStatement(const Parser& parser) const
+UpstreamStatement UpstreamAttempt::readStatement(const Parser& parser) const
 {
-    UpstreamStatement statement { this->readLoad(parser), std::nullopt };
-    const auto [first, last] = parser.get().equal_range(this->names.limit);
-    if (first == last)
-        return statement;
-    const auto text = first->value();
-    double perSecond = 0;
-    const auto [end, error]
-        = std::from_chars(text.data(), text.data() + text.size(), perSecond, std::chars_format::fixed);
-    const bool isNumber = error == std::errc() && end == text.data() + text.size() && std::isfinite(perSecond);
-    // A statement that cannot be understood neither begins nor ends a limit.
-    if (std::next(first) != last || !isNumber || perSecond < 0)
-        return std::nullopt;
-    statement.requestsPerSecond = perSecond;
+    const HeaderLookup limit = findHeader(parser, this->names.limit);
+    UpstreamStatement statement;
+    statement.load = this->readLoad(parser);
+    statement.requestsPerSecond = readDecimal(limit.value);
+    // A limit that cannot be read, or a refusal without one, neither begins nor ends a limit.
+    const bool isSealed = hasHeader(parser, this->names.seal);
+    statement.isLimitKnown = limit.count == 0 ? isSealed : statement.requestsPerSecond.has_value();
+    statement.isLeaving = findHeader(parser, this->names.leaving).value == "1";
+    if (parser.get().result() == http::status::service_unavailable) {
+        const double seconds = readDecimal(findHeader(parser, this->names.retryAfter).value).value_or(0);
+        statement.rejectsFor = Milliseconds(static_cast<std::int64_t>(std::min(seconds, longestTimeSeconds) * 1000));
+    }
     return statement;
 }
 
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -13,6 +13,8 @@
 
 namespace papayashelf {
 
+constexpr int misdirectedRequestStatus = 421; /**< The upstream at the address is not the expected one. */
+
 /** How an attempt ended. */
 enum class AttemptEnd {
     Complete, /**< The complete answer was read, or its stream was forwarded to the caller. */
@@ -132,7 +134,7 @@
     AttemptOutcome evaluateAnswer(Parser& parser);
     bool hasNotRunGuarantee(const Parser& parser) const;
     std::optional<ReportedLoad> readLoad(const Parser& parser) const;
-    std::optional<UpstreamStatement> readStatement(const Parser& parser) const;
+    UpstreamStatement readStatement(const Parser& parser) const;
     AttemptOutcome fail(AttemptEnd end, std::string detail) const;
     bool exceed(std::string_view bound);
     void release(const Parser& parser);
--- a/tests/gateway/StatedRateLimitTest.cpp
+++ b/tests/gateway/StatedRateLimitTest.cpp
@@ -38,6 +38,13 @@
     return vms;
 }
 
+UpstreamStatement stateLimit(double perSecond)
+{
+    UpstreamStatement statement;
+    statement.requestsPerSecond = perSecond;
+    return statement;
+}
+
 /** Requests that an upstream may get in a window: one and a half times its limit, and five. */
 double getAllowed(double perSecond)
 {
@@ -99,7 +106,7 @@
         core.tick(Milliseconds(1'000));
         UpstreamTable& table = core.getUpstreams();
         table.put(Milliseconds(1'000), makeUpstream("engine-0", "north"));
-        table.noteStatement(Milliseconds(1'000), limitedUpstream, { std::nullopt, 1.0 });
+        table.noteStatement(Milliseconds(1'000), makeUpstream("engine-0", "north"), stateLimit(1.0));
         PlacementQuery first;
         first.service = ServiceId("engine");
         PlacementQuery waiting = first;
@@ -126,12 +133,13 @@
             core->getUpstreams().put(Milliseconds(fleet.now), makeUpstream("engine-0", "north"));
         fleet.runUntil(fleet.now + 3 * DigestFleet::interval);
         fleet.at("north-7").getUpstreams().noteStatement(
-            Milliseconds(fleet.now), limitedUpstream, { std::nullopt, 2.5 });
+            Milliseconds(fleet.now), makeUpstream("engine-0", "north"), stateLimit(2.5));
         fleet.runUntil(fleet.now + 4 * DigestFleet::interval);
         for (const auto& [vm, core] : fleet.cores)
             CPPUNIT_ASSERT(std::optional<double>(2.5) == core->getUpstreams().find(limitedUpstream)->requestsPerSecond);
         // VMs that may not use the upstream get no answer of it that could end the limit.
-        fleet.at("north-9").getUpstreams().noteStatement(Milliseconds(fleet.now), limitedUpstream, {});
+        fleet.at("north-9").getUpstreams().noteStatement(
+            Milliseconds(fleet.now), makeUpstream("engine-0", "north"), UpstreamStatement {});
         fleet.runUntil(fleet.now + 4 * DigestFleet::interval);
         for (const auto& [vm, core] : fleet.cores)
             CPPUNIT_ASSERT(!core->getUpstreams().find(limitedUpstream)->requestsPerSecond);
@@ -141,10 +149,10 @@
     {
         UpstreamTable table;
         table.put(Milliseconds(1'000), makeUpstream("engine-0", "north"));
-        table.noteStatement(Milliseconds(2'000), limitedUpstream, { std::nullopt, 3.0 });
-        table.noteStatement(Milliseconds(2'500), { limitedUpstream, std::nullopt, Milliseconds(900) });
+        table.noteStatement(Milliseconds(2'000), makeUpstream("engine-0", "north"), stateLimit(3.0));
+        table.noteStatement(Milliseconds(2'500), { limitedUpstream, 0, std::nullopt, false, Milliseconds(900) });
         CPPUNIT_ASSERT(std::optional<double>(3.0) == table.find(limitedUpstream)->requestsPerSecond);
-        table.noteStatement(Milliseconds(2'500), { limitedUpstream, std::nullopt, Milliseconds(100) });
+        table.noteStatement(Milliseconds(2'500), { limitedUpstream, 0, std::nullopt, false, Milliseconds(100) });
         CPPUNIT_ASSERT(!table.find(limitedUpstream)->requestsPerSecond);
     }
 
@@ -154,7 +162,7 @@
         UpstreamRecord record = makeUpstream("engine-0", "north");
         record.startedAt = 1;
         table.put(Milliseconds(1'000), record);
-        table.noteStatement(Milliseconds(2'000), limitedUpstream, { std::nullopt, 3.0 });
+        table.noteStatement(Milliseconds(2'000), record, stateLimit(3.0));
         record.startedAt = 2;
         table.put(Milliseconds(3'000), record);
         CPPUNIT_ASSERT(!table.find(limitedUpstream)->requestsPerSecond);
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -41,6 +41,11 @@
     CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
     CPPUNIT_TEST(testUpstreamGetsNoMoreRequestsThanItStates);
     CPPUNIT_TEST(testUnreadableLimitNeitherBeginsNorEndsOne);
+    CPPUNIT_TEST(testUpstreamGetsNoRequestsOnceItStatesThatItLeaves);
+    CPPUNIT_TEST(testUpstreamGetsNoRequestsWhileItRejects);
+    CPPUNIT_TEST(testCallersLearnWhenTheLastUpstreamAcceptsAgain);
+    CPPUNIT_TEST(testUnreadableStatementsTakeNoUpstreamOutOfService);
+    CPPUNIT_TEST(testOtherUpstreamAtTheAddressStatesNothing);
     CPPUNIT_TEST(testEarlierRefusalOnKeptConnectionIsNotTakenForThisRequest);
     CPPUNIT_TEST(testErrorOfResumingUpstreamDoesNotEnterTheStream);
     CPPUNIT_TEST(testHeadThatBreaksOffIsNoAnswer);
@@ -340,6 +345,80 @@
         }
     }
 
+    void testUpstreamGetsNoRequestsOnceItStatesThatItLeaves()
+    {
+        this->harness->first().setStatedHeaders("Server-Leaving: 1\r\n");
+        this->askUntilFirstHas(1, AnswerKind::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, this->countArrivalsAtFirst(60));
+        // Its running streams end as usual, and so does the last request.
+        this->harness->first().setStatedHeaders("");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, this->countArrivalsAtFirst(60));
+    }
+
+    void testUpstreamGetsNoRequestsWhileItRejects()
+    {
+        constexpr std::size_t allowed = 2; // Of one VM, from half a second after the refusal to the end of the time.
+        constexpr std::chrono::milliseconds grace { 500 };
+        constexpr std::chrono::milliseconds stated { 2'000 };
+        constexpr std::chrono::milliseconds longestSpread { 1'000 };
+        this->harness->first().setStatedHeaders("Retry-After: 2\r\n");
+        this->askUntilFirstHas(1, AnswerKind::Rejected);
+        const auto refusedAt = std::chrono::steady_clock::now();
+        this->askUntil(refusedAt + grace);
+        const std::size_t before = this->harness->first().getRequests().size();
+        this->askUntil(refusedAt + stated);
+        CPPUNIT_ASSERT(this->harness->first().getRequests().size() - before <= allowed);
+        this->askUntil(refusedAt + stated + longestSpread);
+        CPPUNIT_ASSERT(this->countArrivalsAtFirst(40) > 5);
+    }
+
+    void testCallersLearnWhenTheLastUpstreamAcceptsAgain()
+    {
+        for (SealedUpstream* upstream : { &this->harness->first(), &this->harness->second() }) {
+            upstream->setStatedHeaders("Retry-After: 30\r\n");
+            upstream->queueAnswers(std::deque<AnswerKind>(8, AnswerKind::Rejected));
+        }
+        for (int request = 0; request < 4; ++request)
+            this->get("/once/x", this->nextId());
+        const std::size_t arrived = this->harness->getArrivals().size();
+        const auto start = std::chrono::steady_clock::now();
+        const RawAnswer answer = this->get("/once/x", this->nextId());
+        CPPUNIT_ASSERT_EQUAL(503, answer.getStatus());
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(200));
+        const std::size_t value = answer.text.find("Retry-After: ");
+        CPPUNIT_ASSERT(value != std::string::npos);
+        CPPUNIT_ASSERT(std::stod(answer.text.substr(value + 13)) > 20);
+        CPPUNIT_ASSERT(answer.has("all_rejecting"));
+        CPPUNIT_ASSERT_EQUAL(arrived, this->harness->getArrivals().size());
+    }
+
+    void testUnreadableStatementsTakeNoUpstreamOutOfService()
+    {
+        for (const char* lines : { "Retry-After: -1\r\n", "Retry-After: 0\r\n", "Retry-After: soon\r\n",
+                 "Retry-After: nan\r\n", "Retry-After: inf\r\n", "Retry-After: 1e300\r\n",
+                 "Retry-After: Fri, 04 Dec 2026 10:00:00 GMT\r\n", "Retry-After: 3\r\nRetry-After: 4\r\n",
+                 "Server-Leaving: 0\r\n", "Server-Leaving: yes\r\n", "Server-Leaving: 1\r\nServer-Leaving: 1\r\n" }) {
+            this->harness->first().setStatedHeaders(lines);
+            this->askUntilFirstHas(1, AnswerKind::Rejected);
+            CPPUNIT_ASSERT_MESSAGE(lines, this->countArrivalsAtFirst(60) > 5);
+        }
+        // A success states no time, and an interim answer and one to another request state nothing at all.
+        this->harness->first().setStatedHeaders("Retry-After: 30\r\n");
+        CPPUNIT_ASSERT(this->countArrivalsAtFirst(60) > 5);
+    }
+
+    void testOtherUpstreamAtTheAddressStatesNothing()
+    {
+        this->harness->first().setStatedHeaders("Server-Leaving: 1\r\nRetry-After: 30\r\n");
+        this->askUntilFirstHas(1, AnswerKind::Misdirected);
+        this->harness->first().setStatedHeaders("");
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(8);
+        const std::size_t before = this->harness->first().getRequests().size();
+        while (this->harness->first().getRequests().size() == before && std::chrono::steady_clock::now() < end)
+            this->get("/again/x", this->nextId());
+        CPPUNIT_ASSERT(this->harness->first().getRequests().size() > before);
+    }
+
     void testCompleteStreamIsForwarded()
     {
         const RawAnswer answer = this->get("/stream/once/x", "id-1");
@@ -456,6 +535,40 @@
     }
 
 private:
+    std::string nextId() { return "request-" + std::to_string(++this->lastNumber); }
+
+    /** Sends requests that may be repeated, one after the other, until the time. */
+    void askUntil(std::chrono::steady_clock::time_point end)
+    {
+        while (std::chrono::steady_clock::now() < end) {
+            CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", this->nextId()).getStatus());
+            std::this_thread::sleep_for(std::chrono::milliseconds(10)); // Leaves the budget of retries for later.
+        }
+    }
+
+    /** Sends requests until the first upstream has had one more, which it answers in that way. */
+    void askUntilFirstHas(std::size_t more, AnswerKind kind)
+    {
+        constexpr int maximumRequests = 400;
+        this->harness->first().queueAnswers({ kind });
+        const std::size_t before = this->harness->first().getRequests().size();
+        for (int request = 0; request < maximumRequests; ++request) {
+            if (this->harness->first().getRequests().size() >= before + more)
+                return;
+            CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", this->nextId()).getStatus());
+        }
+        CPPUNIT_FAIL("The first upstream received no request");
+    }
+
+    /** Sends so many requests and returns how many of them the first upstream received. */
+    std::size_t countArrivalsAtFirst(int requests)
+    {
+        const std::size_t before = this->harness->first().getRequests().size();
+        for (int request = 0; request < requests; ++request)
+            CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", this->nextId()).getStatus());
+        return this->harness->first().getRequests().size() - before;
+    }
+
     /** Sends a request to the process as another VM would relay it. */
     RawAnswer relay(const std::string& key, const std::string& service)
     {
@@ -480,6 +593,7 @@
         this->harness->second().queueAnswers(kinds);
     }
 
+    int lastNumber = 0;
     std::unique_ptr<ServingHarness> harness;
 };
 
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -73,6 +73,11 @@
     case AnswerKind::NotRun:
         return formatWithLength(
             formatResponseHead("503 Service Unavailable", "", false) + "Not-Executed: 1\r\n", "full");
+    case AnswerKind::Rejected:
+        return formatWithLength(
+            formatResponseHead("503 Service Unavailable", id, false) + "Not-Executed: 1\r\n", "full");
+    case AnswerKind::Misdirected:
+        return formatWithLength(formatResponseHead("421 Misdirected Request", id, false), "another");
     case AnswerKind::EarlierNotRun:
         return formatWithLength(
                    formatResponseHead("503 Service Unavailable", "", false) + "Not-Executed: 1\r\n", "full")
@@ -157,13 +162,21 @@
     this->statedLimit = limit;
 }
 
-std::string SealedUpstream::stateLimit(std::string answer) const
+void SealedUpstream::setStatedHeaders(const std::string& lines)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->statedHeaders = lines;
+}
+
+std::string SealedUpstream::addStatements(std::string answer) const
 {
     const std::scoped_lock lock(this->mutex);
+    const std::string limit = this->statedLimit.empty() ? "" : "Server-Limit: " + this->statedLimit + "\r\n";
+    const std::size_t named = answer.find("Attempt-Id");
+    if (named != std::string::npos)
+        answer.insert(named, this->statedHeaders);
     const std::size_t sealed = answer.find("Response-Seal");
-    return this->statedLimit.empty() || sealed == std::string::npos
-        ? answer
-        : answer.insert(sealed, "Server-Limit: " + this->statedLimit + "\r\n");
+    return sealed == std::string::npos ? answer : answer.insert(sealed, limit);
 }
 
 AnswerKind SealedUpstream::takeNextAnswer()
@@ -230,8 +243,8 @@
     const bool isStream = std::string_view(target.data(), target.size()).starts_with("/stream/");
     const bool isStreamKind = kind == AnswerKind::Complete || kind == AnswerKind::Late
         || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Unsealed;
-    const std::string text
-        = this->stateLimit(isStream && isStreamKind ? makeStreamAnswer(request, kind) : makePlainAnswer(request, kind));
+    const std::string text = this->addStatements(
+        isStream && isStreamKind ? makeStreamAnswer(request, kind) : makePlainAnswer(request, kind));
     co_await asio::async_write(stream, asio::buffer(text), standinResult);
     co_return !closesConnection(kind);
 }
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -12,6 +12,8 @@
     Complete, /**< Sealed and complete. */
     Failure, /**< A sealed 500. */
     NotRun, /**< A refusal with the guarantee that the request has not run. */
+    Rejected, /**< As NotRun, and names the request. */
+    Misdirected, /**< A refusal of another upstream that uses the address now. */
     EarlierNotRun, /**< A refusal with that guarantee that names no request, followed by the complete answer. */
     TruncatedHead, /**< The connection ends within the head, after the seal. */
     TruncatedHeadLine, /**< The connection ends within a header line, after the seal. */
@@ -61,6 +63,9 @@
     /** Sets the limit that sealed answers state from now on; empty for none. */
     void setStatedLimit(const std::string& limit);
 
+    /** Sets header lines, each with its end, that answers to the request carry from now on; empty for none. */
+    void setStatedHeaders(const std::string& lines);
+
     /** Returns the requests received so far. */
     std::vector<StandinRequest> getRequests() const { return this->http.getRequests(); }
 
@@ -73,7 +78,7 @@
 private:
     boost::asio::awaitable<bool> handle(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     AnswerKind takeNextAnswer();
-    std::string stateLimit(std::string answer) const;
+    std::string addStatements(std::string answer) const;
     /** Sends the head and a part of the first event, and refuses all connections from then on. */
     boost::asio::awaitable<bool> crash(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendEndlessly(std::string begin, std::string repeated, StandinHttp::Stream& stream);
@@ -81,6 +86,7 @@
     mutable std::mutex mutex;
     std::deque<AnswerKind> queuedAnswers;
     std::string statedLimit;
+    std::string statedHeaders;
     std::atomic<std::size_t> endlessBytes = 0;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
