--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -401,7 +401,7 @@
         log(statement.requestsPerSecond ? "upstream_limited" : "upstream_unlimited", "per_second",
             statement.requestsPerSecond.value_or(0));
     if (change.leaving)
-        log("upstream_leaving", "started_at", upstream.startedAt);
+        log("upstream_stated_leaving", "started_at", upstream.startedAt);
     if (change.rejecting)
         log("upstream_rejecting", "for_ms", statement.rejectsFor.count());
 }
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -350,7 +350,7 @@
         this->harness->first().setStatedHeaders("Server-Leaving: 1\r\n");
         this->askUntilFirstHas(1, AnswerKind::Complete);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, this->countArrivalsAtFirst(60));
-        // Its running streams end as usual, and so does the last request.
+        // A later answer without the statement would not bring it back.
         this->harness->first().setStatedHeaders("");
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, this->countArrivalsAtFirst(60));
     }
@@ -402,7 +402,7 @@
             this->askUntilFirstHas(1, AnswerKind::Rejected);
             CPPUNIT_ASSERT_MESSAGE(lines, this->countArrivalsAtFirst(60) > 5);
         }
-        // A success states no time, and an interim answer and one to another request state nothing at all.
+        // A success states no time.
         this->harness->first().setStatedHeaders("Retry-After: 30\r\n");
         CPPUNIT_ASSERT(this->countArrivalsAtFirst(60) > 5);
     }
