Log who ended an attempt, and each answer that is broken off

Callers saw answers that ended in the middle (LOST); the log said "stream broke off" for a silent upstream, for the end of the time, for a closed connection and for a bound alike, not why no other attempt followed, and not which configuration the request began under.

attempt_failed and relay_failed name who ended the attempt (upstream, silence, deadline, bound, caller) and how long the upstream had been silent. answer_broken_off is written once for each answer that this VM ends after its head, with what forbade another attempt and the versions of the configuration at its start and end with their ages. The line of a process's end tells how many requests were open. The conditions for another attempt are the same as before; they now say which of them was not met.

--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -108,7 +108,8 @@
     this->log.write(this->serving.clock.now(), LogWeight::Notable, "started",
         { { "region", this->settings.region.string() }, { "callers", this->settings.listeners.callers.string() } });
     this->context.run();
-    this->log.write(this->serving.clock.now(), LogWeight::Notable, "stopped", {});
+    this->log.write(this->serving.clock.now(), LogWeight::Notable, "stopped",
+        { { "open_requests", boost::json::value(this->metrics.countOpenRequests()) } });
     this->log.flush();
 }
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -124,6 +124,7 @@
     const auto stated = this->parseNumberHeader(context.names.deadline);
     const Milliseconds waitLimit = stated ? Milliseconds(static_cast<std::int64_t>(*stated)) : defaultDeadline;
     this->answerDeadline = this->arrivedAt + waitLimit - answerMargin;
+    this->configurationAgeAtStart = context.core.getConfigurationAge(this->now());
     if (const auto counts = parseTokenCounts(findHeader(request.headers, context.names.tokenCounts))) {
         this->promptTokens = counts->first;
         this->totalTokens = counts->first + counts->second;
@@ -213,7 +214,7 @@
     if (this->getRemaining() < minimumAttemptTime) {
         AttemptOutcome lateOutcome;
         lateOutcome.detail = "no time left";
-        co_await this->giveUp(lateOutcome);
+        co_await this->giveUp(lateOutcome, "no_time");
         co_return NextAction::Done;
     }
     const PlacementDecision decision
@@ -234,7 +235,7 @@
         AttemptOutcome unplacedOutcome;
         unplacedOutcome.detail
             = cause == PlacementFailureCause::Quarantined ? "quarantined prompt" : "no other upstream";
-        co_await this->giveUp(unplacedOutcome);
+        co_await this->giveUp(unplacedOutcome, "no_upstream");
         co_return NextAction::Done;
     }
     if (cause == PlacementFailureCause::Quarantined) {
@@ -310,7 +311,8 @@
             { { "request", this->requestId }, { "upstream", id.string() }, { "end", toString(outcome.end) },
                 { "detail", outcome.detail }, { "attempt", boost::json::value(this->attempts) },
                 { "reused_connection", boost::json::value(outcome.isReused) },
-                { "progress", toString(outcome.progress) },
+                { "progress", toString(outcome.progress) }, { "ended_by", toString(outcome.endedBy) },
+                { "silent_ms", boost::json::value(outcome.silentFor.count()) },
                 { "connection_lost", boost::json::value(outcome.isConnectionLost) },
                 { "prompt_parts",
                     describeSharedParts(findHeader(this->request.headers, this->context.names.promptParts)) },
@@ -368,6 +370,8 @@
         this->context.log.write(this->now(), LogWeight::Notable, "relay_failed",
             { { "request", this->requestId }, { "vm", choice.vm.string() }, { "region", choice.region.string() },
                 { "end", toString(outcome.end) }, { "detail", outcome.detail },
+                { "ended_by", toString(outcome.endedBy) },
+                { "silent_ms", boost::json::value(outcome.silentFor.count()) },
                 { "attempt", boost::json::value(this->attempts) } });
     }
     co_return co_await this->handleOutcome(outcome);
@@ -464,6 +468,10 @@
 
 asio::awaitable<RequestServer::NextAction> RequestServer::handleOutcome(AttemptOutcome& outcome)
 {
+    if (outcome.end != AttemptEnd::Complete) {
+        this->lastEndedBy = outcome.endedBy;
+        this->lastSilentFor = outcome.silentFor;
+    }
     if (outcome.end == AttemptEnd::CallerDisconnected) {
         this->logRequestEnd("request_left", LogWeight::Notable, "caller_gone", 0);
         co_return NextAction::Done;
@@ -508,31 +516,47 @@
         isSent ? "stream" : "caller_gone", outcome.head.status);
 }
 
-asio::awaitable<RequestServer::NextAction> RequestServer::retryOrGiveUp(const AttemptOutcome& outcome)
+std::string_view RequestServer::takeRetry(const AttemptOutcome& outcome)
 {
     const ServingRoute& route = *this->admitted->route;
-    const bool isSafe = this->possibleRuns == 0 || route.isRetryable;
-    const bool canContinue
-        = !this->answer.hasBegun() || (route.isResumable && this->splitter && !this->splitter->hasEventWithoutId());
-    const bool hasAttemptsLeft = this->possibleRuns < std::max(1, route.maximumAttempts)
-        && this->attempts < route.maximumAttempts + extraPlacements;
+    const bool mayContinueStream = route.isResumable && this->splitter && !this->splitter->hasEventWithoutId();
+    if (this->isRelayed)
+        return "relayed";
+    // Another attempt would probably crash another upstream, and end all that runs there.
+    if (this->isCrashSuspect)
+        return "crash_suspect";
+    if (this->possibleRuns > 0 && !route.isRetryable)
+        return "not_repeatable";
+    if (this->answer.hasBegun() && !mayContinueStream)
+        return "not_resumable";
+    if (this->possibleRuns >= std::max(1, route.maximumAttempts)
+        || this->attempts >= route.maximumAttempts + extraPlacements)
+        return "attempts_used";
+    if (this->getRemaining() <= minimumAttemptTime)
+        return "no_time";
     // Another attempt adds no retry load on upstreams if the last one did not reach any of them.
     const bool isExemptFromRetryBudget = outcome.end == AttemptEnd::NotSent
         || (outcome.end == AttemptEnd::NotRun && this->wasLastAttemptRelayed && outcome.isNotSentGuaranteed);
-    // Another attempt would probably crash another upstream, and end all that runs there.
-    if (!this->isRelayed && !this->isCrashSuspect && isSafe && canContinue && hasAttemptsLeft
-        && this->getRemaining() > minimumAttemptTime
-        && (isExemptFromRetryBudget || this->context.core.tryRetry(this->now(), this->admitted->service)))
+    if (!isExemptFromRetryBudget && !this->context.core.tryRetry(this->now(), this->admitted->service))
+        return "retry_budget";
+    return {};
+}
+
+asio::awaitable<RequestServer::NextAction> RequestServer::retryOrGiveUp(const AttemptOutcome& outcome)
+{
+    const std::string_view obstacle = this->takeRetry(outcome);
+    if (obstacle.empty())
         co_return NextAction::TryAgain;
-    co_await this->giveUp(outcome);
+    co_await this->giveUp(outcome, obstacle);
     co_return NextAction::Done;
 }
 
-asio::awaitable<void> RequestServer::giveUp(const AttemptOutcome& outcome)
+asio::awaitable<void> RequestServer::giveUp(const AttemptOutcome& outcome, std::string_view obstacle)
 {
     if (this->answer.hasBegun()) {
         // Closing the connection without the last chunk shows the caller that the answer is incomplete.
         this->answer.disableKeepAlive();
+        this->logBrokenAnswer(obstacle);
         this->logRequestEnd("request_failed", LogWeight::Notable, "stream_broken", 200);
         co_return;
     }
@@ -641,6 +665,24 @@
     return number;
 }
 
+void RequestServer::logBrokenAnswer(std::string_view obstacle)
+{
+    const GatewayCore& core = this->context.core;
+    const auto getVersion = [](const std::shared_ptr<const ServingConfiguration>& configuration) {
+        return boost::json::value(configuration ? configuration->getVersion() : 0);
+    };
+    this->context.log.write(this->now(), LogWeight::Notable, "answer_broken_off",
+        { { "request", this->requestId }, { "last_upstream", this->lastUpstream },
+            { "ended_by", toString(this->lastEndedBy) }, { "not_continued", obstacle },
+            { "silent_ms", boost::json::value(this->lastSilentFor.count()) },
+            { "events", boost::json::value(this->splitter ? this->splitter->countEvents() : 0) },
+            { "left_ms", boost::json::value(this->getRemaining().count()) },
+            { "version_at_start", getVersion(this->admitted->configuration) },
+            { "version_at_end", getVersion(core.getConfiguration()) },
+            { "version_age_at_start_ms", boost::json::value(this->configurationAgeAtStart.count()) },
+            { "version_age_at_end_ms", boost::json::value(core.getConfigurationAge(this->now()).count()) } });
+}
+
 void RequestServer::logRequestEnd(std::string_view event, LogWeight weight, std::string_view cause, int status)
 {
     this->context.metrics.noteRequest(event == "request_answered" ? "answered" : cause);
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -54,7 +54,10 @@
     boost::asio::awaitable<NextAction> retryOrGiveUp(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> forwardAnswer(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> finishStream(const AttemptOutcome& outcome);
-    boost::asio::awaitable<void> giveUp(const AttemptOutcome& outcome);
+    /** @param obstacle  stable name of the reason why no other attempt follows, for the log */
+    boost::asio::awaitable<void> giveUp(const AttemptOutcome& outcome, std::string_view obstacle);
+    /** Takes a retry for another attempt. Returns the stable name of what forbids it, or an empty text. */
+    std::string_view takeRetry(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> refuse(const Refusal& refusal);
     boost::asio::awaitable<void> sendGatewayAnswer(
         int status, std::string_view code, Milliseconds retryAfter, bool isNotRun);
@@ -75,6 +78,7 @@
     Milliseconds now() const { return this->context.clock.now(); }
     std::optional<std::uint64_t> parseNumberHeader(std::string_view header) const;
     void logRequestEnd(std::string_view event, LogWeight weight, std::string_view cause, int status);
+    void logBrokenAnswer(std::string_view obstacle);
 
     ServingContext& context;
     const IncomingRequest& request;
@@ -82,6 +86,7 @@
     ActiveRequest& activeRequest;
     std::string requestId;
     std::optional<Admitted> admitted;
+    Milliseconds configurationAgeAtStart; /**< Time since the configuration was confirmed when the request arrived. */
     std::optional<EventSplitter> splitter;
     Milliseconds arrivedAt;
     Milliseconds answerDeadline; /**< Time by which the final answer must be sent. */
@@ -101,6 +106,8 @@
     bool hasQueriedPlacement = false; /**< Whether placement was queried at least once. */
     std::optional<AttemptOutcome> keptFailure; /**< Error answer of an upstream, sent if all retries fail. */
     std::string lastUpstream; /**< For the log; "relay:" and the id of the VM for a relay. */
+    AttemptEndedBy lastEndedBy = AttemptEndedBy::Upstream; /**< Of the last attempt without a complete answer. */
+    Milliseconds lastSilentFor; /**< The same. */
     bool hasReachedUpstream = false; /**< Whether this VM has sent the request to an upstream. */
     bool isCrashSuspect = false; /**< Whether an upstream crashed as it began to answer this request. */
     bool wasLastAttemptRelayed = false; /**< Whether the last attempt went to another VM. */
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -126,6 +126,23 @@
     return "unknown";
 }
 
+std::string_view toString(AttemptEndedBy endedBy)
+{
+    switch (endedBy) {
+    case AttemptEndedBy::Upstream:
+        return "upstream";
+    case AttemptEndedBy::Silence:
+        return "silence";
+    case AttemptEndedBy::Deadline:
+        return "deadline";
+    case AttemptEndedBy::Bound:
+        return "bound";
+    case AttemptEndedBy::Caller:
+        return "caller";
+    }
+    return "unknown";
+}
+
 void ActiveRequest::noteCallerGone()
 {
     this->callerGone = true;
@@ -143,9 +160,23 @@
 {
 }
 
+AttemptEndedBy UpstreamAttempt::findWhoEndedIt() const
+{
+    if (this->request.isCallerGone())
+        return AttemptEndedBy::Caller;
+    if (!this->exceededBound.empty())
+        return AttemptEndedBy::Bound;
+    if (!this->connection || !this->connection->deadline.hasPassed())
+        return AttemptEndedBy::Upstream;
+    return std::chrono::steady_clock::now() < this->timeouts.end ? AttemptEndedBy::Silence : AttemptEndedBy::Deadline;
+}
+
 AttemptOutcome UpstreamAttempt::fail(AttemptEnd end, std::string detail) const
 {
     AttemptOutcome result;
+    result.endedBy = this->findWhoEndedIt();
+    const auto silence = std::chrono::steady_clock::now() - this->lastBytesAt;
+    result.silentFor = Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
     result.end = this->request.isCallerGone() ? AttemptEnd::CallerDisconnected : end;
     result.isOverLimit = !this->exceededBound.empty();
     result.detail = result.isOverLimit ? "exceeded " + std::string(this->exceededBound) : std::move(detail);
@@ -159,6 +190,7 @@
     std::string_view requestId, AttemptTimeouts newTimeouts, StreamTarget* stream)
 {
     this->timeouts = newTimeouts;
+    this->lastBytesAt = std::chrono::steady_clock::now();
     this->connection = this->pool.takeIdle(endpoint);
     if (!this->connection) {
         this->connection = this->pool.makeConnection(endpoint);
@@ -172,6 +204,7 @@
     this->connection->deadline.set(this->timeouts.firstByte);
     const auto [failure, written]
         = co_await asio::async_write(this->connection->socket, asio::buffer(requestBytes), useResult);
+    this->lastBytesAt = std::chrono::steady_clock::now();
     AttemptOutcome result;
     if (failure && written == 0 && !this->connection->isReused)
         result = this->fail(AttemptEnd::NotSent, "connection broke before the request");
@@ -214,6 +247,7 @@
     if (failure)
         co_return false;
     this->connection->buffer.commit(count);
+    this->lastBytesAt = std::chrono::steady_clock::now();
     co_return true;
 }
 
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -38,12 +38,26 @@
 /** Returns the stable name of a progress, for logs and metrics. */
 std::string_view toString(AnswerProgress progress);
 
+/** Who or what ended an attempt before its answer was complete. */
+enum class AttemptEndedBy {
+    Upstream, /**< It closed or reset the connection, or sent what is not an answer to this request. */
+    Silence, /**< This VM, as nothing arrived for the time that it waits for the next bytes. */
+    Deadline, /**< This VM, as the time of the request was over. */
+    Bound, /**< This VM, as the answer exceeded a bound on its size. */
+    Caller, /**< The caller disconnected. */
+};
+
+/** Returns the stable name of an AttemptEndedBy, for logs. */
+std::string_view toString(AttemptEndedBy endedBy);
+
 /** Result of an attempt. */
 struct AttemptOutcome {
     AttemptEnd end = AttemptEnd::NotSent;
     ResponseHead head; /**< Head of a complete answer or of a refusal. */
     std::string body;
     std::string detail; /**< Description of the failure, for the log. */
+    AttemptEndedBy endedBy = AttemptEndedBy::Upstream; /**< Meaningless for a complete answer. */
+    Milliseconds silentFor; /**< Time between the last bytes of the upstream and the end of the attempt. */
     std::optional<ReportedLoad> load;
     bool isNotSentGuaranteed = false; /**< Whether a relaying VM stated that no upstream has received the request. */
     bool isCrashSuspect = false; /**< Whether a relaying VM stated that an upstream crashed as it began to answer. */
@@ -136,6 +150,7 @@
     std::optional<ReportedLoad> readLoad(const Parser& parser) const;
     UpstreamStatement readStatement(const Parser& parser) const;
     AttemptOutcome fail(AttemptEnd end, std::string detail) const;
+    AttemptEndedBy findWhoEndedIt() const;
     bool exceed(std::string_view bound);
     void release(const Parser& parser);
 
@@ -144,6 +159,7 @@
     ActiveRequest& request;
     std::unique_ptr<UpstreamConnection> connection;
     AttemptTimeouts timeouts;
+    TimePoint lastBytesAt; /**< Time of the last read from the upstream, or of the request's last byte. */
     AnswerMemory::Reservation reservation;
     std::function<void(const UpstreamStatement&)> onStatement;
     std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
