Abandon a silent attempt only once another one is reserved

What callers saw: streams closed in the middle of the answer with seconds left (LOST), while the engine went on.

Cause: whether a silent attempt may be cut off was decided when it began, by a retry that was left then. When the silence came, the retry had been spent by others or no other upstream could take the stream, and the answer was broken off for nothing. Class: a step that cannot be taken back is taken in the hope of another one that was never reserved. The wait for the first byte had the same cause: without a retry at that moment a late answer became a 502 or 504.

Now the attempt asks when its patience ends: the retry is taken and the place is chosen first, and only then the connection closes. Else it asks again every 200 ms until bytes arrive or the time of the request is over. An answer that has begun is handed on only to an upstream of this region that is not suspect; another region or a suspect one may refuse. The time of the request still ends every attempt.

--- a/modules/entrance/server/Deadline.cpp
+++ b/modules/entrance/server/Deadline.cpp
@@ -51,6 +51,11 @@
             arm(state, timer);
         return;
     }
+    if (const std::optional<TimePoint> later = state->extension ? state->extension() : std::nullopt) {
+        state->until = *later;
+        arm(state, timer);
+        return;
+    }
     state->passed = true;
     boost::system::error_code ignored;
     state->socket->close(ignored);
--- a/modules/entrance/server/Deadline.h
+++ b/modules/entrance/server/Deadline.h
@@ -3,7 +3,9 @@
 #include "entrance/server/Signal.h"
 #include "foundation/time/Clock.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace papayashelf {
 
@@ -15,6 +17,9 @@
 */
 class Deadline {
 public:
+    /** Returns a later moment to wait for instead, or nothing to close the socket. */
+    using Extension = std::function<std::optional<TimePoint>()>;
+
     /** @param socket  must outlive the deadline */
     explicit Deadline(boost::asio::ip::tcp::socket& socket);
     ~Deadline();
@@ -30,6 +35,9 @@
     /** From now on no moment passes. */
     void clear();
 
+    /** Sets a function that is asked when the moment has come; empty to close the socket then. */
+    void setExtension(Extension extension) { this->state->extension = std::move(extension); }
+
     /** True once the socket was closed for its time. */
     bool hasPassed() const { return this->state->passed; }
 
@@ -40,6 +48,7 @@
         TimePoint until = TimePoint::max();
         TimePoint armedFor = TimePoint::max();
         bool passed = false;
+        Extension extension;
     };
 
     using Timer = boost::asio::steady_timer;
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -217,8 +217,10 @@
         co_await this->giveUp(lateOutcome, "no_time");
         co_return NextAction::Done;
     }
-    const PlacementDecision decision
-        = this->context.core.place(this->now(), this->makePlacementQuery(), this->admitted->priority);
+    const std::optional<PlacementDecision> reserved = std::exchange(this->reservedPlacement, std::nullopt);
+    const PlacementDecision decision = reserved
+        ? *reserved
+        : this->context.core.place(this->now(), this->makePlacementQuery(), this->admitted->priority);
     if (const auto* upstream = std::get_if<UseUpstream>(&decision))
         co_return co_await this->tryUpstream(*upstream);
     if (const auto* relay = std::get_if<UseRelay>(&decision))
@@ -381,6 +383,7 @@
 {
     UpstreamAttempt attempt(this->context.pool, this->context.answerMemory, this->context.names, this->activeRequest);
     attempt.setStatementHandler(this->onStatement);
+    attempt.setAbandonHandler([this] { return this->reserveNextAttempt(); });
     if (!this->splitter)
         co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimeouts(), nullptr);
     StreamTarget target { &this->answer, &*this->splitter, [this] {
@@ -446,9 +449,7 @@
     timeouts.end = toTimePoint(this->getRemaining());
     timeouts.firstByte = timeouts.end;
     timeouts.maximumSilence = this->getRemaining();
-    // Without a retry left, cutting a slow attempt off would only turn a late answer into a failure.
-    const bool mayTryAgain = route.isRetryable && this->possibleRuns + 1 < route.maximumAttempts
-        && this->context.core.hasRetry(this->now(), this->admitted->service);
+    const bool mayTryAgain = route.isRetryable && this->possibleRuns + 1 < route.maximumAttempts;
     if (mayTryAgain) {
         const Milliseconds waitLimit = std::max(
             minimumFirstByteTimeout, route.isStream ? route.latencyTarget * 2 : route.latencyTarget * 9 / 10);
@@ -516,10 +517,36 @@
         isSent ? "stream" : "caller_gone", outcome.head.status);
 }
 
+bool RequestServer::reserveNextAttempt()
+{
+    const ServingRoute& route = *this->admitted->route;
+    const bool hasBegun = this->answer.hasBegun();
+    const bool mayContinueStream = route.isResumable && this->splitter && !this->splitter->hasEventWithoutId();
+    const bool hasAttemptsLeft
+        = this->possibleRuns + 1 < route.maximumAttempts && this->attempts < route.maximumAttempts + extraPlacements;
+    if (this->isRelayed || this->isCrashSuspect || !route.isRetryable || (hasBegun && !mayContinueStream)
+        || !hasAttemptsLeft || this->getRemaining() <= minimumAttemptTime
+        || !this->context.core.hasRetry(this->now(), this->admitted->service))
+        return false;
+    // Without another place, abandoning a slow attempt would only turn a late answer into a failure.
+    const PlacementDecision decision
+        = this->context.core.place(this->now(), this->makePlacementQuery(), this->admitted->priority);
+    const auto* upstream = std::get_if<UseUpstream>(&decision);
+    // A suspect upstream or another region may refuse, which would break off an answer that has begun.
+    const bool isPlaced
+        = hasBegun ? upstream && !upstream->isTrial : !std::holds_alternative<PlacementFailure>(decision);
+    if (!isPlaced || !this->context.core.tryRetry(this->now(), this->admitted->service))
+        return false;
+    this->reservedPlacement = decision;
+    return true;
+}
+
 std::string_view RequestServer::takeRetry(const AttemptOutcome& outcome)
 {
     const ServingRoute& route = *this->admitted->route;
     const bool mayContinueStream = route.isResumable && this->splitter && !this->splitter->hasEventWithoutId();
+    if (this->reservedPlacement)
+        return {};
     if (this->isRelayed)
         return "relayed";
     // Another attempt would probably crash another upstream, and end all that runs there.
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -54,6 +54,8 @@
     boost::asio::awaitable<NextAction> retryOrGiveUp(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> forwardAnswer(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> finishStream(const AttemptOutcome& outcome);
+    /** Reserves a retry and an upstream or region, so that the current attempt may be abandoned. */
+    bool reserveNextAttempt();
     /** @param obstacle  stable name of the reason why no other attempt follows, for the log */
     boost::asio::awaitable<void> giveUp(const AttemptOutcome& outcome, std::string_view obstacle);
     /** Takes a retry for another attempt. Returns the stable name of what forbids it, or an empty text. */
@@ -98,6 +100,7 @@
     /** Processes what the upstream of the current attempt states of itself; empty for a relay. */
     std::function<void(const UpstreamStatement&)> onStatement;
     std::function<void()> onFirstEvent; /**< Reports the end of prefill of the current attempt; empty once called. */
+    std::optional<PlacementDecision> reservedPlacement; /**< For the next attempt, whose retry is already taken. */
     std::set<UpstreamId> tried;
     std::set<RegionId> triedRegions;
     int attempts = 0; /**< Attempts at upstreams or other VMs. */
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -30,6 +30,8 @@
 /** Milliseconds without a TCP acknowledgement until the connection is closed. */
 constexpr unsigned int unacknowledgedLimit = 2'000;
 
+/** Interval at which an attempt at a silent upstream checks again whether it may be abandoned. */
+constexpr std::chrono::milliseconds abandonCheckInterval { 200 };
 constexpr double longestTimeSeconds = 86'400; /**< Keeps any stated time within the range of Milliseconds. */
 
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -201,6 +203,7 @@
         }
     }
     this->request.setActiveConnection(this->connection.get());
+    this->connection->deadline.setExtension([this] { return this->extendWait(); });
     this->connection->deadline.set(this->timeouts.firstByte);
     const auto [failure, written]
         = co_await asio::async_write(this->connection->socket, asio::buffer(requestBytes), useResult);
@@ -229,6 +232,14 @@
     co_return true;
 }
 
+std::optional<TimePoint> UpstreamAttempt::extendWait() const
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now >= this->timeouts.end || !this->mayAbandon || this->mayAbandon())
+        return std::nullopt;
+    return std::min(this->timeouts.end, now + abandonCheckInterval);
+}
+
 bool UpstreamAttempt::exceed(std::string_view bound)
 {
     this->exceededBound = bound;
@@ -488,6 +499,7 @@
     const auto stated = parser.get()[http::field::keep_alive];
     if (const auto limit = readIdleLimit(std::string_view(stated.data(), stated.size())))
         this->connection->idleLimit = std::clamp(*limit - idleCloseMargin, Milliseconds(0), maximumIdleTime);
+    this->connection->deadline.setExtension({});
     this->pool.giveBack(std::move(this->connection));
 }
 
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -68,11 +68,11 @@
     bool isConnectionLost = false; /**< Whether the upstream closed or reset the connection before the answer's end. */
 };
 
-/** Time limits of an attempt. */
+/** Time limits of an attempt. After a connection is open, only the end is a limit in any case. */
 struct AttemptTimeouts {
     Milliseconds connect; /**< Time to open a new connection. */
-    TimePoint firstByte; /**< Latest time for the answer to begin. */
-    Milliseconds maximumSilence; /**< Maximum time between two reads of the answer. */
+    TimePoint firstByte; /**< Time at which an attempt whose answer has not begun may be abandoned. */
+    Milliseconds maximumSilence; /**< Time between two reads of the answer after which it may be abandoned. */
     TimePoint end; /**< Latest time for the answer to be complete. */
 };
 
@@ -126,6 +126,12 @@
         this->onStatement = std::move(handler);
     }
 
+    /**
+        Sets a function that is asked again and again while the upstream is silent for longer than AttemptTimeouts
+        allow. The attempt is abandoned once it returns true; without it, at once.
+    */
+    void setAbandonHandler(std::function<bool()> handler) { this->mayAbandon = std::move(handler); }
+
     /**
         Runs the attempt.
 
@@ -151,6 +157,8 @@
     UpstreamStatement readStatement(const Parser& parser) const;
     AttemptOutcome fail(AttemptEnd end, std::string detail) const;
     AttemptEndedBy findWhoEndedIt() const;
+    /** Returns until when to wait for a silent upstream, or nothing to abandon the attempt. */
+    std::optional<TimePoint> extendWait() const;
     bool exceed(std::string_view bound);
     void release(const Parser& parser);
 
@@ -162,6 +170,7 @@
     TimePoint lastBytesAt; /**< Time of the last read from the upstream, or of the request's last byte. */
     AnswerMemory::Reservation reservation;
     std::function<void(const UpstreamStatement&)> onStatement;
+    std::function<bool()> mayAbandon;
     std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the connection ended other than by a time limit of this VM. */
