Do not count a caller that reads slowly as silence of the upstream

What callers saw: a stream that a slow caller held up for longer than the pause that is allowed to an upstream was taken from its upstream and run again at another one, or broken off where none was free.

Cause: the time limit of the upstream's connection stayed armed while the VM waited for the caller to take the last events. The upstream had sent more, which the VM had not read.

While events are written to the caller, only the end of the request's time limits the upstream's connection.

--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -417,6 +417,8 @@
                 stream.onFirstByte();
             hasFirstEvent = true;
             this->progress = AnswerProgress::Events;
+            // A caller that reads slowly is no silence of the upstream.
+            this->connection->deadline.set(this->timeouts.end);
             bool isSent = true;
             if (!stream.answer->hasBegun())
                 isSent = co_await stream.answer->begin(head);
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(testSilentStreamIsNotCutOffWithoutAnotherUpstream);
     CPPUNIT_TEST(testSilentStreamIsNotCutOffWithoutRetryBudget);
     CPPUNIT_TEST(testSilentStreamIsResumedByAnotherUpstream);
+    CPPUNIT_TEST(testSlowCallerDoesNotMakeTheUpstreamSilent);
     CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
     CPPUNIT_TEST(testUpstreamGetsNoMoreRequestsThanItStates);
     CPPUNIT_TEST(testUnreadableLimitNeitherBeginsNorEndsOne);
@@ -570,6 +571,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->harness->getArrivals().size());
     }
 
+    void testSlowCallerDoesNotMakeTheUpstreamSilent()
+    {
+        this->queueAnswersOnBoth({ AnswerKind::Large });
+        asio::ip::tcp::socket socket = this->harness->connect(this->harness->getProcess().getCallersEndpoint());
+        asio::write(socket, asio::buffer(ServingHarness::makeHead("GET", "/stream/again/x", "id-1") + "\r\n"));
+        std::this_thread::sleep_for(SealedUpstream::pause);
+        RawAnswer answer;
+        boost::system::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(answer.text), ended);
+        CPPUNIT_ASSERT(answer.isComplete());
+        CPPUNIT_ASSERT(answer.has("id: " + std::to_string(SealedUpstream::largeStreamEvents) + "\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
+    }
+
 private:
     static void assertEachEventOnce(const RawAnswer& answer)
     {
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -23,6 +23,7 @@
     TruncatedEvent, /**< A stream that ends in the middle of its third event. */
     NoResponse, /**< No answer; the connection stays open. */
     Late, /**< Complete, after SealedUpstream::lateness. */
+    Large, /**< A complete stream of more bytes than the sockets between it and a caller hold. */
     Paused, /**< A complete stream with a pause of SealedUpstream::pause after its second event. */
     Reset, /**< The connection is closed without an answer. */
     WithoutLength, /**< The end of the connection delimits the body. */
@@ -48,6 +49,9 @@
     /** Longer than a resumable stream waits for its next event in ServingHarness, shorter than its deadline. */
     static constexpr std::chrono::milliseconds pause { 1'500 };
 
+    /** Events of a large stream. */
+    static constexpr int largeStreamEvents = 400;
+
     /** Prompt part that crashes the upstream as soon as it begins to answer. */
     static constexpr std::string_view deadlyPart = "dead";
 
