Wait for a silent stream as long as callers leave time for another upstream

What callers saw: a stream moved to another upstream, read in again there, or broken off, after 1.3 s without an event, whatever its route promises.

Cause: one constant for all routes. Callers wait for two seconds, four latency targets or eight usual pauses, whichever is longest, so a route with a target of 1.2 s has 4.8 s and lost its place after 1.3.

--- a/modules/gateway/model/ServingConfiguration.cpp
+++ b/modules/gateway/model/ServingConfiguration.cpp
@@ -6,6 +6,21 @@
 
 namespace papayashelf {
 
+namespace {
+
+// What callers of streams do, by their documentation: the longest of three times.
+constexpr Milliseconds shortestStreamPatience { 2'000 };
+constexpr std::int64_t patienceInLatencyTargets = 4;
+constexpr std::int64_t patienceInEventGaps = 8;
+
+} // namespace
+
+Milliseconds ServingRoute::getStreamPatience() const
+{
+    return std::max({ shortestStreamPatience, this->latencyTarget * patienceInLatencyTargets,
+        this->maximumEventGap * patienceInEventGaps });
+}
+
 ServingConfiguration::ServingConfiguration(ServingDocument source)
     : document(std::move(source))
 {
--- a/modules/gateway/model/ServingConfiguration.h
+++ b/modules/gateway/model/ServingConfiguration.h
@@ -39,6 +39,9 @@
     int priority = 5; /**< 0 is the most urgent. */
     std::vector<RegionId> homes; /**< Regions that may serve the requests; empty for all. */
 
+    /** Returns the time without an event after which callers abandon a stream. Thread safety: const. */
+    Milliseconds getStreamPatience() const;
+
     bool operator==(const ServingRoute&) const = default;
 };
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -17,8 +17,10 @@
 constexpr Milliseconds relayConnectLimit { 1'200 }; /**< Between regions; allows for the same. */
 constexpr Milliseconds answerMargin { 40 }; /**< Time for the final answer to reach the caller. */
 constexpr Milliseconds minimumAttemptTime { 30 }; /**< No upstream can answer in less time. */
-/** Leaves time to resume the stream elsewhere before callers abandon it. */
-constexpr Milliseconds resumableStreamSilence { 1'300 };
+/** Sound upstreams may pause for about a second, for example to preempt a request. */
+constexpr Milliseconds longestSoundSilence { 1'300 };
+/** The rest of the time that callers wait is left to another upstream for its first event. */
+constexpr std::int64_t silenceDivisor = 2;
 /** Lower bound for the first-byte timeout if the latency target is short. */
 constexpr Milliseconds minimumFirstByteTimeout { 400 };
 constexpr Milliseconds defaultDeadline { 60'000 }; /**< For callers that send no deadline. */
@@ -456,7 +458,7 @@
         timeouts.firstByte = std::min(timeouts.end, toTimePoint(waitLimit));
     }
     if (route.isResumable && mayTryAgain)
-        timeouts.maximumSilence = resumableStreamSilence;
+        timeouts.maximumSilence = std::max(longestSoundSilence, route.getStreamPatience() / silenceDivisor);
     return timeouts;
 }
 
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(testSilentStreamIsNotCutOffWithoutAnotherUpstream);
     CPPUNIT_TEST(testSilentStreamIsNotCutOffWithoutRetryBudget);
     CPPUNIT_TEST(testSilentStreamIsResumedByAnotherUpstream);
+    CPPUNIT_TEST(testPauseThatCallersWaitForDoesNotMoveTheStream);
     CPPUNIT_TEST(testSlowCallerDoesNotMakeTheUpstreamSilent);
     CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
     CPPUNIT_TEST(testUpstreamGetsNoMoreRequestsThanItStates);
@@ -571,6 +572,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->harness->getArrivals().size());
     }
 
+    // Callers wait for eight usual pauses; the upstream is silent for three of them.
+    void testPauseThatCallersWaitForDoesNotMoveTheStream()
+    {
+        this->queueAnswersOnBoth({ AnswerKind::Paused });
+        this->assertEachEventOnce(this->get("/stream/patient/x", "id-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
+    }
+
     void testSlowCallerDoesNotMakeTheUpstreamSilent()
     {
         this->queueAnswersOnBoth({ AnswerKind::Large });
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foundation/time/Clock.h"
 #include "standins/engine/StandinHttp.h"
 #include <atomic>
 #include <chrono>
@@ -49,6 +50,9 @@
     /** Longer than a resumable stream waits for its next event in ServingHarness, shorter than its deadline. */
     static constexpr std::chrono::milliseconds pause { 1'500 };
 
+    /** Pause between events that the route /stream/patient/ of ServingHarness still counts as on time. */
+    static constexpr Milliseconds longestUsualPause { 500 };
+
     /** Events of a large stream. */
     static constexpr int largeStreamEvents = 400;
 
