Let a stream that broke off wait for an upstream as long as its caller does

What callers saw: a stream whose upstream broke off was ended at once if every other upstream was full or rejecting at that moment, with seconds left.

Cause: the wait for free capacity ends a third of the latency target after a request arrives. That is right before an answer begins; afterwards it has always passed.

A begun answer now waits until callers would abandon the stream, less the time for a first event.

--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -52,6 +52,23 @@
     }
 }
 
+RefusalCause toRefusalCause(PlacementFailureCause cause)
+{
+    switch (cause) {
+    case PlacementFailureCause::NoUpstream:
+        return RefusalCause::NoUpstream;
+    case PlacementFailureCause::AllFull:
+        return RefusalCause::AllFull;
+    case PlacementFailureCause::AllCold:
+        return RefusalCause::AllCold;
+    case PlacementFailureCause::AllRejecting:
+        return RefusalCause::AllRejecting;
+    case PlacementFailureCause::Quarantined:
+        return RefusalCause::QuarantinedPrompt;
+    }
+    return RefusalCause::NoUpstream;
+}
+
 /** Returns the prompt parts that other requests may share: all but the last, which is specific to the request. */
 std::string_view extractSharedParts(std::string_view parts)
 {
@@ -235,21 +252,18 @@
         co_await timer.async_wait(useResult);
         co_return NextAction::TryAgain;
     }
+    const RefusalCause refusal = toRefusalCause(cause);
     if (this->possibleRuns > 0 || this->answer.hasBegun()) {
         AttemptOutcome unplacedOutcome;
         unplacedOutcome.detail
             = cause == PlacementFailureCause::Quarantined ? "quarantined prompt" : "no other upstream";
-        co_await this->giveUp(unplacedOutcome, "no_upstream");
+        co_await this->giveUp(unplacedOutcome, toString(refusal));
         co_return NextAction::Done;
     }
     if (cause == PlacementFailureCause::Quarantined) {
-        co_await this->refuse(Refusal { RefusalCause::QuarantinedPrompt, retryAfter });
+        co_await this->refuse(Refusal { refusal, retryAfter });
         co_return NextAction::Done;
     }
-    const RefusalCause refusal = cause == PlacementFailureCause::AllFull ? RefusalCause::AllFull
-        : cause == PlacementFailureCause::AllCold                        ? RefusalCause::AllCold
-        : cause == PlacementFailureCause::AllRejecting                   ? RefusalCause::AllRejecting
-                                                                         : RefusalCause::NoUpstream;
     const Milliseconds prefillWait = this->context.core.getPrefillWait(this->now(), this->admitted->service);
     co_await this->refuse(
         Refusal { refusal, std::max(prefillWait, retryAfter) + drawRetryDelay(this->getRemaining()) });
@@ -258,6 +272,9 @@
 
 Milliseconds RequestServer::getCapacityDeadline() const
 {
+    // The caller of an answer that has begun waits longer, and without another upstream the answer would be broken off.
+    if (this->answer.hasBegun())
+        return this->lastEventsAt + this->admitted->route->getStreamPatience() - minimumFirstByteTimeout;
     // Two thirds of the latency target are left for prefill. A relayed request has already waited on the relaying VM.
     return this->isRelayed ? this->arrivedAt : this->arrivedAt + this->admitted->route->latencyTarget / 3;
 }
@@ -475,6 +492,8 @@
         this->lastEndedBy = outcome.endedBy;
         this->lastSilentFor = outcome.silentFor;
     }
+    if (outcome.progress == AnswerProgress::Events)
+        this->lastEventsAt = this->now() - outcome.silentFor;
     if (outcome.end == AttemptEnd::CallerDisconnected) {
         this->logRequestEnd("request_left", LogWeight::Notable, "caller_gone", 0);
         co_return NextAction::Done;
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -64,6 +64,7 @@
     boost::asio::awaitable<void> sendGatewayAnswer(
         int status, std::string_view code, Milliseconds retryAfter, bool isNotRun);
 
+    /** Returns the time until which the request waits for an upstream with free capacity. */
     Milliseconds getCapacityDeadline() const;
     PlacementQuery makePlacementQuery();
     AttemptTimeouts makeTimeouts() const;
@@ -111,6 +112,7 @@
     std::string lastUpstream; /**< For the log; "relay:" and the id of the VM for a relay. */
     AttemptEndedBy lastEndedBy = AttemptEndedBy::Upstream; /**< Of the last attempt without a complete answer. */
     Milliseconds lastSilentFor; /**< The same. */
+    Milliseconds lastEventsAt; /**< Time of the last events of an answer that has begun. */
     bool hasReachedUpstream = false; /**< Whether this VM has sent the request to an upstream. */
     bool isCrashSuspect = false; /**< Whether an upstream crashed as it began to answer this request. */
     bool wasLastAttemptRelayed = false; /**< Whether the last attempt went to another VM. */
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(testSilentStreamIsNotCutOffWithoutRetryBudget);
     CPPUNIT_TEST(testSilentStreamIsResumedByAnotherUpstream);
     CPPUNIT_TEST(testPauseThatCallersWaitForDoesNotMoveTheStream);
+    CPPUNIT_TEST(testBrokenStreamWaitsForAnUpstreamThatSoonAccepts);
     CPPUNIT_TEST(testSlowCallerDoesNotMakeTheUpstreamSilent);
     CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
     CPPUNIT_TEST(testUpstreamGetsNoMoreRequestsThanItStates);
@@ -580,6 +581,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
     }
 
+    void testBrokenStreamWaitsForAnUpstreamThatSoonAccepts()
+    {
+        this->harness->first().setStatedHeaders("Retry-After: 0.6\r\n");
+        this->askUntilFirstHas(1, AnswerKind::Rejected);
+        this->harness->second().queueAnswers({ AnswerKind::TruncatedEvent });
+        this->assertEachEventOnce(this->get("/stream/again/x", "id-1"));
+    }
+
     void testSlowCallerDoesNotMakeTheUpstreamSilent()
     {
         this->queueAnswersOnBoth({ AnswerKind::Large });
