--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -238,10 +238,11 @@
 
 const ServiceId& GatewayCore::chooseService(const ServingRoute& route)
 {
-    int total = 0;
+    std::int64_t total = 0;
     for (const WeightedService& part : route.services)
         total += part.weight;
-    int drawnWeight = std::uniform_int_distribution<int>(0, std::max(0, total - 1))(this->random);
+    std::int64_t drawnWeight
+        = std::uniform_int_distribution<std::int64_t>(0, std::max<std::int64_t>(0, total - 1))(this->random);
     for (const WeightedService& part : route.services) {
         drawnWeight -= part.weight;
         if (drawnWeight < 0)
--- a/tests/adapter/DecodingTest.cpp
+++ b/tests/adapter/DecodingTest.cpp
@@ -1,6 +1,7 @@
 #include "adapter/Decoding.h"
 
 #include <boost/json/parse.hpp>
+#include <cmath>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace papayashelf {
@@ -27,6 +28,8 @@
     CPPUNIT_TEST(testUpstreamIsDecoded);
     CPPUNIT_TEST(testInvalidUpstreamEntriesAreRejected);
     CPPUNIT_TEST(testConfigurationIsDecoded);
+    CPPUNIT_TEST(testConfigurationNumbersOutOfRangeAreBounded);
+    CPPUNIT_TEST(testConfigurationVersionOutOfRangeIsRejected);
     CPPUNIT_TEST(testDamagedConfigurationIsRejected);
     CPPUNIT_TEST(testStoreItemsAreDecoded);
     CPPUNIT_TEST(testQuarantinedPromptRoundTrips);
@@ -79,6 +82,59 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 394105 }, document.value().services.front().memoryTokens);
     }
 
+    void testConfigurationNumbersOutOfRangeAreBounded()
+    {
+        const auto decodeWith = [](const std::string& number) {
+            std::string text
+                = R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"idempotent",)"
+                  R"("timeout_ms":1000000000000000000,"goal_ms":#,"gap_target_ms":#,"priority":#,)"
+                  R"("max_attempts":#,"traffic_split":[{"service":"x","weight":#}]}],)"
+                  R"("services":[{"name":"x","cold_per_s":#,"engine":{"slots":#,"kv_capacity":#}}],)"
+                  R"("limits":{"max_header_bytes":#,"max_body_bytes":#,"header_timeout_ms":#,)"
+                  R"("idle_timeout_ms":#},"tenants":[{"name":"t","api_keys":["k"],"priority":#,)"
+                  R"("plain_tokens":#,"rate_per_s":#,"burst":#}]})";
+            while (text.find('#') != std::string::npos)
+                text = replaceFirst(std::move(text), "#", number);
+            return decodeConfiguration(text);
+        };
+        const Milliseconds year = Milliseconds::fromSeconds(365 * 86'400);
+        for (const char* number : { "1e400", "1e30", "18446744073709551615", "9223372036854775807", "4294967297" }) {
+            const Outcome<ServingDocument> document = decodeWith(number);
+            CPPUNIT_ASSERT_MESSAGE(number, document);
+            const ServingRoute& route = document.value().routes.front();
+            for (const Milliseconds time : { route.timeout, route.latencyTarget, route.maximumEventGap,
+                     document.value().limits.headerTimeout, document.value().limits.idleTimeout })
+                CPPUNIT_ASSERT_MESSAGE(number, time > Milliseconds::fromSeconds(3'600) && time < year);
+            CPPUNIT_ASSERT_MESSAGE(number, route.priority >= 9 && route.maximumAttempts >= 100);
+            CPPUNIT_ASSERT_MESSAGE(number, route.services.front().weight >= 1'000);
+            const ServingService& service = document.value().services.front();
+            CPPUNIT_ASSERT_MESSAGE(number, service.slots >= 10'000 && service.memoryTokens >= 1'000'000'000);
+            CPPUNIT_ASSERT_MESSAGE(number, std::isfinite(service.coldRequestsPerSecond));
+            CPPUNIT_ASSERT_MESSAGE(number, document.value().limits.headerBytes >= 1'000'000);
+            CPPUNIT_ASSERT_MESSAGE(number, document.value().limits.bodyBytes >= 1'000'000'000);
+            const ServingWorkspace& workspace = document.value().workspaces.front();
+            CPPUNIT_ASSERT_MESSAGE(number, workspace.priority.value_or(0) >= 9);
+            for (const double units : { workspace.unitsPerSecond, workspace.burstUnits, workspace.defaultRequestUnits })
+                CPPUNIT_ASSERT_MESSAGE(number, units >= 1e9 && std::isfinite(units));
+        }
+        for (const char* number : { "-1", "-1e30", "-9223372036854775808" }) {
+            const Outcome<ServingDocument> document = decodeWith(number);
+            CPPUNIT_ASSERT_MESSAGE(number, document);
+            const ServingRoute& route = document.value().routes.front();
+            CPPUNIT_ASSERT_MESSAGE(number, route.latencyTarget == Milliseconds(0) && route.priority == 0);
+            CPPUNIT_ASSERT_MESSAGE(number, route.services.front().weight == 0);
+            CPPUNIT_ASSERT_MESSAGE(number, document.value().limits.bodyBytes == 0);
+            CPPUNIT_ASSERT_MESSAGE(number, document.value().workspaces.front().unitsPerSecond < 0);
+        }
+    }
+
+    void testConfigurationVersionOutOfRangeIsRejected()
+    {
+        // A negative version would count as later than every other.
+        for (const char* version : { "-1", "1e19", "1e400", "18446744073709551615", "1.5" })
+            CPPUNIT_ASSERT_MESSAGE(version, !decodeConfiguration(std::string(R"({"version":)") + version + "}"));
+    }
+
     void testDamagedConfigurationIsRejected()
     {
         for (const char* text : { "", "{}", R"({"version":"x"})", R"({"version":1,"routes":[{"name":"r"}]})" })
