--- a/tests/adapter/DecodingTest.cpp
+++ b/tests/adapter/DecodingTest.cpp
@@ -27,6 +27,10 @@
     CPPUNIT_TEST_SUITE(DecodingTest);
     CPPUNIT_TEST(testUpstreamIsDecoded);
     CPPUNIT_TEST(testInvalidUpstreamEntriesAreRejected);
+    CPPUNIT_TEST(testUpstreamNumbersOutOfRangeAreRejected);
+    CPPUNIT_TEST(testUpstreamPortsOutOfRangeAreRejected);
+    CPPUNIT_TEST(testDeeplyNestedDocumentsAreRejected);
+    CPPUNIT_TEST(testUnreadableValueKeepsItsKey);
     CPPUNIT_TEST(testConfigurationIsDecoded);
     CPPUNIT_TEST(testConfigurationNumbersOutOfRangeAreBounded);
     CPPUNIT_TEST(testConfigurationVersionOutOfRangeIsRejected);
@@ -62,6 +66,57 @@
         }
     }
 
+    void testUpstreamNumbersOutOfRangeAreRejected()
+    {
+        const std::string cold = "\"cold_left_ms\":0";
+        const std::string sequence = "\"seq\":4";
+        const std::vector<std::string> invalidTexts { replaceFirst(upstream, "64", "4294967297"),
+            replaceFirst(upstream, "64", "2147483647"), replaceFirst(upstream, "64", "1e400"),
+            replaceFirst(upstream, "64", "18446744073709551615"), replaceFirst(upstream, "64", "9223372036854775808.0"),
+            replaceFirst(upstream, cold, "\"cold_left_ms\":9223372036854775807"),
+            replaceFirst(upstream, cold, "\"cold_left_ms\":1e18"),
+            replaceFirst(upstream, cold, "\"cold_left_ms\":1e400"), replaceFirst(upstream, sequence, "\"born\":1e400"),
+            replaceFirst(upstream, sequence, "\"born\":1e30"), replaceFirst(upstream, sequence, "\"born\":-1"),
+            replaceFirst(upstream, sequence, "\"born\":0.5"), replaceFirst(upstream, sequence, "\"born\":\"1\"") };
+        for (const std::string& text : invalidTexts) {
+            const Outcome<UpstreamRecord> record = decodeUpstream("i-1", text, lookUpRegion);
+            CPPUNIT_ASSERT_MESSAGE(text, !record && record.error().code == ErrorCode::Damaged);
+        }
+    }
+
+    void testUpstreamPortsOutOfRangeAreRejected()
+    {
+        for (const char* port : { "", "0", "65536", "99999999999", "-1", "80x", "8e3" }) {
+            const std::string address = std::string("10.128.0.9:") + port;
+            CPPUNIT_ASSERT_MESSAGE(
+                port, !decodeUpstream("i-1", replaceFirst(upstream, "10.128.0.9:8080", address), lookUpRegion));
+        }
+    }
+
+    void testDeeplyNestedDocumentsAreRejected()
+    {
+        constexpr std::size_t depth = 100'000;
+        const std::string closed = std::string(depth, '[') + std::string(depth, ']');
+        for (const std::string& nested : { closed, std::string(depth, '['), std::string(depth, '{') }) {
+            CPPUNIT_ASSERT(!decodeUpstream("i-1", nested, lookUpRegion));
+            CPPUNIT_ASSERT(!decodeUpstream("i-1", replaceFirst(upstream, "\"v1\"", nested), lookUpRegion));
+            CPPUNIT_ASSERT(!decodeVmAnnouncement(nested));
+            CPPUNIT_ASSERT(!decodePromptSignature(nested));
+            CPPUNIT_ASSERT(!decodeConfiguration(nested));
+            CPPUNIT_ASSERT(!decodeDigest(nested));
+        }
+    }
+
+    void testUnreadableValueKeepsItsKey()
+    {
+        // The entry that stood below the key before must end, so its key has to be known.
+        for (const char* value : { "", "!!!!", "====", "a", "ab=", "\xc3\xa4\xc3\xa4" }) {
+            const boost::json::object object { { "key", "k" }, { "revision", 1 }, { "value", value } };
+            const Outcome<StoreItem> item = decodeItem(object);
+            CPPUNIT_ASSERT_MESSAGE(value, item && item.value().key == "k" && item.value().value.size() <= 1);
+        }
+    }
+
     void testConfigurationIsDecoded()
     {
         const Outcome<ServingDocument> document = decodeConfiguration(
