--- a/tests/adapter/DecodingTest.cpp
+++ b/tests/adapter/DecodingTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(testInvalidUpstreamEntriesAreRejected);
     CPPUNIT_TEST(testUpstreamNumbersOutOfRangeAreRejected);
     CPPUNIT_TEST(testUpstreamPortsOutOfRangeAreRejected);
+    CPPUNIT_TEST(testUpstreamIdThatBreaksARequestHeadIsRejected);
     CPPUNIT_TEST(testDeeplyNestedDocumentsAreRejected);
     CPPUNIT_TEST(testUnreadableValueKeepsItsKey);
     CPPUNIT_TEST(testConfigurationIsDecoded);
@@ -93,6 +94,14 @@
         }
     }
 
+    void testUpstreamIdThatBreaksARequestHeadIsRejected()
+    {
+        // The id is sent to the upstream in a header.
+        for (const std::string& id : { std::string(), std::string("i-1\r\nHost: other"), std::string("i 1"),
+                 std::string("i\0", 2), std::string("i-\xff"), std::string(1'000, 'i') })
+            CPPUNIT_ASSERT_MESSAGE(id, !decodeUpstream(id, upstream, lookUpRegion));
+    }
+
     void testDeeplyNestedDocumentsAreRejected()
     {
         constexpr std::size_t depth = 100'000;
