--- a/tests/adapter/StoreConnectionTest.cpp
+++ b/tests/adapter/StoreConnectionTest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(testReplyInProgressMayExceedTimeout);
     CPPUNIT_TEST(testMissingReplyFailsCall);
     CPPUNIT_TEST(testStalledReplyFailsCall);
+    CPPUNIT_TEST(testOddItemLeavesTheOthersOfItsPageReadable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,26 @@
         CPPUNIT_ASSERT(reply && !*reply && reply->error().code == ErrorCode::OutcomeUnknown);
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(3));
     }
+
+    void testOddItemLeavesTheOthersOfItsPageReadable()
+    {
+        const std::string nested = std::string(100, '[') + std::string(100, ']');
+        for (const std::string& odd : { std::string("7"), std::string("null"), std::string("[]"), std::string("{}"),
+                 std::string(R"({"key":7})"), std::string(R"({"key":"k","revision":1e400,"value":""})"),
+                 "{\"key\":\"k\xff\",\"revision\":1,\"value\":\"\"}" + std::string(), nested }) {
+            const std::string good = R"({"key":"good","revision":1,"value":""})";
+            std::string body = R"({"store_revision":1,"items":[)";
+            body.append(odd).append(",").append(good).append("]}");
+            PiecewiseStore store(
+                { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body },
+                std::chrono::milliseconds(1));
+            const auto reply = callOnce(store.endpoint(), Milliseconds(500));
+            CPPUNIT_ASSERT_MESSAGE(odd, reply && *reply);
+            const boost::json::array& items = reply->value().body.at("items").as_array();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::size_t { 2 }, items.size());
+            CPPUNIT_ASSERT_MESSAGE(odd, items.at(1).as_object().at("key").as_string() == "good");
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreConnectionTest);
