Pass over entries of upstreams that are older than what is known

Entries of upstreams carry the start of their incarnation and a sequence that rises within it. UpstreamTable now keeps both: - an entry of the same incarnation with a lower sequence, or of an earlier incarnation, is passed over; - an incarnation that leaves does not become usable again through an entry; - one that was removed is remembered for 120 s, 10,000 at most, and returns only with a higher sequence, which one that lapsed and registers again has; - an older entry that stays listed for 10 s is applied after all, unless its incarnation leaves: the entry of an upstream that has ended is no longer renewed and is removed before that, so this one is alive, and no upstream is left out for good because its clock or its sequence went back. Entries without a start or a sequence have no order and apply as they come.

--- a/modules/gateway/upstreams/UpstreamRecord.h
+++ b/modules/gateway/upstreams/UpstreamRecord.h
@@ -18,6 +18,7 @@
     bool isLeaving = false; /**< True if it completes its running requests and accepts no new ones. */
     Milliseconds coldFor; /**< Remaining time in which it accepts only few requests. */
     std::int64_t startedAt = 0; /**< Unix milliseconds; distinguishes incarnations with the same id. 0 if not stated. */
+    std::int64_t sequence = 0; /**< Rises with the entries of one incarnation; 0 if not stated. */
 
     bool operator==(const UpstreamRecord&) const = default;
 };
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -10,12 +10,56 @@
 constexpr Milliseconds reportLifetime { 1500 };
 /** Time in which a statement reaches all VMs of a region, also if some messages are lost. */
 constexpr Milliseconds statementExchangeTime { 5'000 };
+/** Longer than the store may be away plus the age of what it may return with. */
+constexpr Milliseconds endedMemory { 120'000 };
+constexpr std::size_t maximumEnded = 10'000; /**< Bounds the memory if upstreams start and end very often. */
+/** An entry that its upstream no longer renews is removed sooner. */
+constexpr Milliseconds staleEntryLifetime { 10'000 };
 constexpr Milliseconds coldMargin { 300 }; /**< Covers the upstream's clock error and the delay of the list. */
 
 } // namespace
 
-void UpstreamTable::put(Milliseconds now, const UpstreamRecord& record)
+bool UpstreamOrder::precludes(const UpstreamRecord& record, bool hasEarlierSequence) const
 {
+    if (this->startedAt == 0 || record.startedAt == 0)
+        return false;
+    if (record.startedAt != this->startedAt)
+        return record.startedAt < this->startedAt;
+    if (this->isLeaving && !record.isLeaving)
+        return true;
+    return this->sequence != 0 && record.sequence != 0 && hasEarlierSequence;
+}
+
+std::optional<UpstreamOrder> UpstreamTable::put(Milliseconds now, const UpstreamRecord& record)
+{
+    if (std::optional<UpstreamOrder> later = this->findLaterOrder(record)) {
+        this->passedOver.try_emplace(record.id, PassedOverEntry { {}, now }).first->second.record = record;
+        return later;
+    }
+    this->store(now, record);
+    return std::nullopt;
+}
+
+std::optional<UpstreamOrder> UpstreamTable::findLaterOrder(const UpstreamRecord& record) const
+{
+    if (const KnownUpstream* known = this->find(record.id)) {
+        const UpstreamRecord& last = known->record;
+        const bool isOtherProcess = last.startedAt == record.startedAt && last.endpoint != record.endpoint;
+        const UpstreamOrder order { last.startedAt, last.sequence, last.isLeaving };
+        return !isOtherProcess && order.precludes(record, record.sequence < order.sequence) ? std::optional(order)
+                                                                                            : std::nullopt;
+    }
+    const auto found = this->ended.find(record.id);
+    if (found == this->ended.end())
+        return std::nullopt;
+    const UpstreamOrder& order = found->second.order;
+    return order.precludes(record, record.sequence <= order.sequence) ? std::optional(order) : std::nullopt;
+}
+
+void UpstreamTable::store(Milliseconds now, const UpstreamRecord& record)
+{
+    this->passedOver.erase(record.id);
+    this->ended.erase(record.id);
     KnownUpstream& upstream = this->upstreams[record.id];
     const bool hasRestarted
         = upstream.record.startedAt != record.startedAt || upstream.record.endpoint != record.endpoint;
@@ -37,6 +81,7 @@
     KnownUpstream* upstream = this->get(id);
     if (upstream && !upstream->goneAt)
         upstream->goneAt = goneAt;
+    this->passedOver.erase(id);
 }
 
 std::vector<UpstreamId> UpstreamTable::expire(Milliseconds now)
@@ -44,13 +89,47 @@
     std::vector<UpstreamId> gone;
     std::erase_if(this->upstreams, [&](const auto& entry) {
         const bool isExpired = entry.second.goneAt && *entry.second.goneAt <= now;
-        if (isExpired)
+        if (isExpired) {
             gone.push_back(entry.first);
+            this->rememberEnded(now, entry.second);
+        }
         return isExpired;
     });
+    std::erase_if(this->ended, [now](const auto& entry) { return entry.second.endedAt + endedMemory <= now; });
+    this->applyOldPassedOver(now);
     return gone;
 }
 
+void UpstreamTable::rememberEnded(Milliseconds now, const KnownUpstream& upstream)
+{
+    const UpstreamRecord& last = upstream.record;
+    if (last.startedAt == 0)
+        return;
+    if (this->ended.size() >= maximumEnded) {
+        this->ended.erase(std::min_element(this->ended.begin(), this->ended.end(),
+            [](const auto& left, const auto& right) { return left.second.endedAt < right.second.endedAt; }));
+    }
+    const bool isLeaving = last.isLeaving || upstream.leavingSince;
+    this->ended[last.id] = { { last.startedAt, last.sequence, isLeaving }, now };
+}
+
+void UpstreamTable::applyOldPassedOver(Milliseconds now)
+{
+    std::vector<UpstreamRecord> listed;
+    std::erase_if(this->passedOver, [&](const auto& entry) {
+        const bool isOld = entry.second.since + staleEntryLifetime <= now;
+        if (isOld)
+            listed.push_back(entry.second.record);
+        return isOld;
+    });
+    for (const UpstreamRecord& record : listed) {
+        const std::optional<UpstreamOrder> later = this->findLaterOrder(record);
+        const bool hasLeft = later && later->isLeaving && later->startedAt == record.startedAt;
+        if (!hasLeft)
+            this->store(now, record);
+    }
+}
+
 void UpstreamTable::noteStarted(const UpstreamId& id, std::int64_t promptTokens)
 {
     if (KnownUpstream* upstream = this->get(id)) {
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -69,6 +69,19 @@
     bool isRejecting(Milliseconds now) const { return now < this->rejectsUntil; }
 };
 
+/** The last that is known of an upstream, by which older entries are told from later ones. */
+struct UpstreamOrder {
+    std::int64_t startedAt = 0;
+    std::int64_t sequence = 0;
+    bool isLeaving = false;
+
+    /** Returns true if the record is of an earlier incarnation, contradicts that this one leaves, or has an earlier
+        sequence. Records without a start or a sequence have no order. */
+    bool precludes(const UpstreamRecord& record, bool hasEarlierSequence) const;
+
+    bool operator==(const UpstreamOrder&) const = default;
+};
+
 /** The last statement of an upstream that concerns all VMs of its region, for other VMs. */
 struct SharedStatement {
     UpstreamId upstream;
@@ -96,15 +109,27 @@
 */
 class UpstreamTable {
 public:
-    /** Stores an upstream's latest record. A restart under the same id discards its observed health and load. */
-    void put(Milliseconds now, const UpstreamRecord& record);
+    /**
+        Stores an upstream's latest record. A restart under the same id discards its observed health and load.
+
+        A record that is older than what is known is passed over: an incarnation that leaves does not become usable
+        again, and one that has ended needs a higher sequence. If such an entry stays listed for longer than one that is
+        no longer renewed, it is applied after all, unless its incarnation leaves.
+
+        @returns what is known, if the record was passed over
+    */
+    std::optional<UpstreamOrder> put(Milliseconds now, const UpstreamRecord& record);
 
     /** Records that an upstream was unlisted. It is removed at the given time, unless it is listed again. */
     void remove(const UpstreamId& id, Milliseconds goneAt);
 
-    /** Removes the upstreams whose removal time has passed. Returns their ids. */
+    /** Removes the upstreams whose removal time has passed, and applies entries that were passed over but have stayed
+        listed. Returns the ids of the removed upstreams. Call a few times a second. */
     std::vector<UpstreamId> expire(Milliseconds now);
 
+    /** Returns the number of ended upstreams whose order is remembered. */
+    std::size_t countRemembered() const { return this->ended.size(); }
+
     /** Sets the evacuated failure domains, whose upstreams receive no requests. */
     void setEvacuated(std::set<FailureDomainId> domains) { this->evacuated = std::move(domains); }
 
@@ -165,11 +190,27 @@
     const std::map<UpstreamId, KnownUpstream>& getAll() const { return this->upstreams; }
 
 private:
+    struct EndedUpstream {
+        UpstreamOrder order;
+        Milliseconds endedAt;
+    };
+
+    struct PassedOverEntry {
+        UpstreamRecord record;
+        Milliseconds since; /**< Time since which only older entries have been listed. */
+    };
+
+    std::optional<UpstreamOrder> findLaterOrder(const UpstreamRecord& record) const;
+    void store(Milliseconds now, const UpstreamRecord& record);
+    void rememberEnded(Milliseconds now, const KnownUpstream& upstream);
+    void applyOldPassedOver(Milliseconds now);
     KnownUpstream* get(const UpstreamId& id);
     static bool noteLimit(Milliseconds at, KnownUpstream& upstream, std::optional<double> requestsPerSecond);
     bool isUsable(const KnownUpstream& upstream) const;
 
     std::map<UpstreamId, KnownUpstream> upstreams;
+    std::map<UpstreamId, EndedUpstream> ended; /**< Upstreams removed not long ago. */
+    std::map<UpstreamId, PassedOverEntry> passedOver; /**< Listed entries that are older than what is known. */
     std::set<FailureDomainId> evacuated;
 };
 
--- a/tests/adapter/DecodingTest.cpp
+++ b/tests/adapter/DecodingTest.cpp
@@ -48,6 +48,7 @@
         CPPUNIT_ASSERT(record);
         CPPUNIT_ASSERT_EQUAL(std::string("north"), record.value().region.string());
         CPPUNIT_ASSERT_EQUAL(std::uint16_t { 8080 }, record.value().endpoint.port);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, record.value().sequence);
         CPPUNIT_ASSERT(!record.value().isLeaving);
         const auto leaving = decodeUpstream("i-1", replaceFirst(upstream, "ready", "draining"), lookUpRegion);
         CPPUNIT_ASSERT(leaving && leaving.value().isLeaving);
@@ -78,7 +79,9 @@
             replaceFirst(upstream, cold, "\"cold_left_ms\":1e18"),
             replaceFirst(upstream, cold, "\"cold_left_ms\":1e400"), replaceFirst(upstream, sequence, "\"born\":1e400"),
             replaceFirst(upstream, sequence, "\"born\":1e30"), replaceFirst(upstream, sequence, "\"born\":-1"),
-            replaceFirst(upstream, sequence, "\"born\":0.5"), replaceFirst(upstream, sequence, "\"born\":\"1\"") };
+            replaceFirst(upstream, sequence, "\"born\":0.5"), replaceFirst(upstream, sequence, "\"born\":\"1\""),
+            replaceFirst(upstream, sequence, "\"seq\":-1"), replaceFirst(upstream, sequence, "\"seq\":1e400"),
+            replaceFirst(upstream, sequence, "\"seq\":\"4\"") };
         for (const std::string& text : invalidTexts) {
             const Outcome<UpstreamRecord> record = decodeUpstream("i-1", text, lookUpRegion);
             CPPUNIT_ASSERT_MESSAGE(text, !record && record.error().code == ErrorCode::Damaged);
