Remove an upstream at once whose entry becomes unreadable while it has lapsed

An unreadable entry names no upstream, and one that was listed until then is removed without the grace that an expired lease gets. The earlier of two removal times now counts.

--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -79,8 +79,8 @@
 void UpstreamTable::remove(const UpstreamId& id, Milliseconds goneAt)
 {
     KnownUpstream* upstream = this->get(id);
-    if (upstream && !upstream->goneAt)
-        upstream->goneAt = goneAt;
+    if (upstream)
+        upstream->goneAt = std::min(goneAt, upstream->goneAt.value_or(goneAt));
     this->passedOver.erase(id);
 }
 
--- a/tests/gateway/UpstreamOrderTest.cpp
+++ b/tests/gateway/UpstreamOrderTest.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(testOlderEntryThatIsRemovedIsNotApplied);
     CPPUNIT_TEST(testLeavingUpstreamStaysUnusedWhileAnOlderEntryStaysListed);
     CPPUNIT_TEST(testEndedUpstreamsAreForgotten);
+    CPPUNIT_TEST(testUnreadableEntryEndsTheGraceOfALapsedUpstream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -237,6 +238,16 @@
         table.put(now + Milliseconds(600'000), makeEntry(9));
         CPPUNIT_ASSERT(isUsed(table));
     }
+
+    void testUnreadableEntryEndsTheGraceOfALapsedUpstream()
+    {
+        UpstreamTable table;
+        table.put(now, makeEntry(9));
+        table.remove(upstreamId, now + Milliseconds(2'000));
+        table.remove(upstreamId, now + Milliseconds(100));
+        table.expire(now + Milliseconds(100));
+        CPPUNIT_ASSERT(!isUsed(table));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamOrderTest);
