Pass over statuses of VMs that are older than what is known

The relay key, which each process creates anew, is the incarnation. VmRegistry passes over a status with a lower sequence, a ready one of a process that has stopped, and one of a process that has ended or was replaced unless its sequence is higher; what ended is remembered for 120 s, 10,000 processes at most. A VM whose lease lapsed writes its status with a higher sequence and is listed at once. Builds before this one write no sequence: their statuses have no order among themselves, and they ignore the new field, so both mix in a rolling restart.

--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -91,8 +91,8 @@
     /** Records that a store read sent at the given time returned every configuration change made before it. */
     void noteConfigurationConfirmation(Milliseconds sentAt) { this->freshness.noteConfirmation(sentAt); }
 
-    /** Stores the latest status of a VM. */
-    void putVm(VmAnnouncement status) { this->vms.put(std::move(status)); }
+    /** Stores the latest status of a VM. Returns the last known sequence if the status is older; see VmRegistry. */
+    std::optional<std::int64_t> putVm(VmAnnouncement status) { return this->vms.put(std::move(status)); }
 
     /** Records that a VM's status has disappeared from the store. The VM still counts until the given time. */
     void removeVm(const VmId& vm, Milliseconds keepUntil) { this->vms.remove(vm, keepUntil); }
--- a/modules/gateway/vms/VmAnnouncement.cpp
+++ b/modules/gateway/vms/VmAnnouncement.cpp
@@ -4,6 +4,7 @@
 #include "settings/reading/FieldRules.h"
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <limits>
 
 namespace papayashelf {
 
@@ -29,6 +30,9 @@
     status.relayKey = textAt(object, "relay_key");
     status.isReady = object.at("ready").as_bool();
     status.takesRequests = object.at("takes_requests").as_bool();
+    // Builds before the sequence was introduced do not write it.
+    if (object.if_contains("sequence"))
+        status.sequence = wholeNumberAt(object, "sequence", 0, std::numeric_limits<std::int64_t>::max());
     return status;
 }
 
@@ -46,6 +50,7 @@
     object["relay_key"] = status.relayKey;
     object["ready"] = status.isReady;
     object["takes_requests"] = status.takesRequests;
+    object["sequence"] = status.sequence;
     return json::serialize(object);
 }
 
--- a/modules/gateway/vms/VmAnnouncement.h
+++ b/modules/gateway/vms/VmAnnouncement.h
@@ -18,6 +18,7 @@
     std::string relayKey; /**< Key that relayed requests must carry; each process creates a new one. */
     bool isReady = false; /**< False while the VM starts and after it begins to stop. */
     bool takesRequests = false; /**< Stays true for a while after the VM begins to stop. */
+    std::int64_t sequence = 0; /**< Rises with each status that one process publishes; 0 if not stated. */
 
     bool operator==(const VmAnnouncement&) const = default;
 };
--- a/modules/gateway/vms/VmRegistry.cpp
+++ b/modules/gateway/vms/VmRegistry.cpp
@@ -6,11 +6,52 @@
 
 namespace papayashelf {
 
-void VmRegistry::put(VmAnnouncement status)
+namespace {
+
+/** Longer than the store may be away plus the age of what it may return with. */
+constexpr Milliseconds endedMemory { 120'000 };
+constexpr std::size_t maximumEnded = 10'000; /**< Bounds the memory if processes start and end very often. */
+
+} // namespace
+
+std::optional<std::int64_t> VmRegistry::put(VmAnnouncement status)
 {
-    this->keptUntil.erase(status.vm);
+    if (std::optional<std::int64_t> later = this->findLaterSequence(status))
+        return later;
     const VmId vm = status.vm;
+    const auto known = this->vms.find(vm);
+    if (known != this->vms.end() && known->second.relayKey != status.relayKey)
+        this->rememberEnded(this->checkedAt, known->second);
+    this->ended.erase({ vm, status.relayKey });
+    this->keptUntil.erase(vm);
     this->vms[vm] = std::move(status);
+    return std::nullopt;
+}
+
+std::optional<std::int64_t> VmRegistry::findLaterSequence(const VmAnnouncement& status) const
+{
+    const auto hasOrder = [&status](std::int64_t sequence) { return sequence != 0 && status.sequence != 0; };
+    const auto known = this->vms.find(status.vm);
+    if (known != this->vms.end() && known->second.relayKey == status.relayKey) {
+        const VmAnnouncement& last = known->second;
+        const bool isOlder = hasOrder(last.sequence) && status.sequence < last.sequence;
+        return isOlder || (status.isReady && !last.isReady) ? std::optional(last.sequence) : std::nullopt;
+    }
+    const auto found = this->ended.find({ status.vm, status.relayKey });
+    if (found == this->ended.end())
+        return std::nullopt;
+    const LastStatus& last = found->second;
+    const bool isOlder = hasOrder(last.sequence) && status.sequence <= last.sequence;
+    return isOlder || (status.isReady && !last.isReady) ? std::optional(last.sequence) : std::nullopt;
+}
+
+void VmRegistry::rememberEnded(Milliseconds endedAt, const VmAnnouncement& status)
+{
+    if (this->ended.size() >= maximumEnded) {
+        this->ended.erase(std::min_element(this->ended.begin(), this->ended.end(),
+            [](const auto& left, const auto& right) { return left.second.endedAt < right.second.endedAt; }));
+    }
+    this->ended[{ status.vm, status.relayKey }] = { status.sequence, status.isReady, endedAt };
 }
 
 void VmRegistry::remove(const VmId& vm, Milliseconds keepUntil)
@@ -28,8 +69,12 @@
     }
     for (const VmId& vm : gone) {
         this->keptUntil.erase(vm);
-        this->vms.erase(vm);
+        const auto known = this->vms.find(vm);
+        this->rememberEnded(now, known->second);
+        this->vms.erase(known);
     }
+    this->checkedAt = now;
+    std::erase_if(this->ended, [now](const auto& entry) { return entry.second.endedAt + endedMemory <= now; });
     return gone;
 }
 
--- a/modules/gateway/vms/VmRegistry.h
+++ b/modules/gateway/vms/VmRegistry.h
@@ -3,7 +3,9 @@
 #include "foundation/time/Clock.h"
 #include "gateway/vms/VmAnnouncement.h"
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace papayashelf {
@@ -25,8 +27,16 @@
 */
 class VmRegistry {
 public:
-    /** Stores a VM's latest status. */
-    void put(VmAnnouncement status);
+    /**
+        Stores a VM's latest status.
+
+        A status that is older than what is known of its process is passed over: one that has stopped does not become
+        ready again, and one that has ended or was replaced needs a higher sequence. The relay key tells processes
+        apart. Statuses without a sequence have no order among themselves.
+
+        @returns the last known sequence of the process, if the status was passed over
+    */
+    std::optional<std::int64_t> put(VmAnnouncement status);
 
     /** Records that a VM's status disappeared. The VM counts until the given time, unless it is written again. */
     void remove(const VmId& vm, Milliseconds keepUntil);
@@ -34,6 +44,9 @@
     /** Removes the VMs whose removal time has passed. Returns their ids. */
     std::vector<VmId> expire(Milliseconds now);
 
+    /** Returns the number of ended processes whose sequence is remembered. */
+    std::size_t countRemembered() const { return this->ended.size(); }
+
     /**
         Returns the VMs that a caller should connect to: ready VMs of its failure domain, otherwise of its region,
         otherwise of the homes of its requests. If there are none, it returns the stopping VMs in its region or homes
@@ -56,7 +69,19 @@
     std::size_t countVms() const { return this->vms.empty() ? 1 : this->vms.size(); }
 
 private:
+    /** The last that is known of a process. */
+    struct LastStatus {
+        std::int64_t sequence = 0;
+        bool isReady = false;
+        Milliseconds endedAt;
+    };
+
+    std::optional<std::int64_t> findLaterSequence(const VmAnnouncement& status) const;
+    void rememberEnded(Milliseconds endedAt, const VmAnnouncement& status);
+
     std::map<VmId, VmAnnouncement> vms;
+    std::map<std::pair<VmId, std::string>, LastStatus> ended; /**< Processes that ended not long ago, by relay key. */
+    Milliseconds checkedAt; /**< Time of the last call of expire(). */
     std::map<VmId, Milliseconds> keptUntil; /**< Time until which a VM without a status is kept. */
 };
 
--- a/tests/gateway/SettingsAndStatusTest.cpp
+++ b/tests/gateway/SettingsAndStatusTest.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(testBoundsMayBeFractionsOrOmitted);
     CPPUNIT_TEST(testEveryErrorIsReported);
     CPPUNIT_TEST(testStatusRoundTrips);
+    CPPUNIT_TEST(testStatusOfAnOldBuildHasNoSequence);
+    CPPUNIT_TEST(testStatusWithAnImpossibleSequenceIsRejected);
     CPPUNIT_TEST(testStatusOfAnotherVersionIsRejected);
     CPPUNIT_TEST(testDamagedStatusIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -61,11 +63,35 @@
 
     void testStatusRoundTrips()
     {
-        const VmAnnouncement status = makeVm("north-1", "north");
+        VmAnnouncement status = makeVm("north-1", "north");
+        status.sequence = 7;
         const Outcome<VmAnnouncement> decoded = decodeVmAnnouncement(encodeVmAnnouncement(status));
         CPPUNIT_ASSERT(decoded && decoded.value() == status);
     }
 
+    void testStatusOfAnOldBuildHasNoSequence()
+    {
+        VmAnnouncement status = makeVm("north-1", "north");
+        status.sequence = 7;
+        std::string text = encodeVmAnnouncement(status);
+        const std::string field = ",\"sequence\":7";
+        text.erase(text.find(field), field.size());
+        const Outcome<VmAnnouncement> decoded = decodeVmAnnouncement(text);
+        status.sequence = 0;
+        CPPUNIT_ASSERT(decoded && decoded.value() == status);
+    }
+
+    void testStatusWithAnImpossibleSequenceIsRejected()
+    {
+        VmAnnouncement status = makeVm("north-1", "north");
+        status.sequence = 7;
+        for (const char* sequence : { "-1", "1e400", "1.5", "\"7\"", "18446744073709551615" }) {
+            std::string text = encodeVmAnnouncement(status);
+            text.replace(text.find(":7"), 2, std::string(":") + sequence);
+            CPPUNIT_ASSERT_MESSAGE(sequence, !decodeVmAnnouncement(text));
+        }
+    }
+
     void testStatusOfAnotherVersionIsRejected()
     {
         std::string text = encodeVmAnnouncement(makeVm("north-1", "north"));
