Test planned stops over real sockets

docs/GUARANTEES.md named no test of the process for its promise that a planned stop cuts nothing. GatewayProcess::beginStopping() does what SIGTERM does, so that a test can begin a stop; the harness destroys the process once run() returns, which closes its connections as the end of the program does.

--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -125,14 +125,19 @@
             this->hooks.onReload();
             continue;
         }
-        if (this->core.isStopping())
-            continue;
-        this->core.beginStopping(this->serving.clock.now());
-        this->hooks.onStopping();
-        asio::co_spawn(this->context, this->stopGracefully(), asio::detached);
+        this->beginStopping();
     }
 }
 
+void GatewayProcess::beginStopping()
+{
+    if (this->core.isStopping())
+        return;
+    this->core.beginStopping(this->serving.clock.now());
+    this->hooks.onStopping();
+    asio::co_spawn(this->context, this->stopGracefully(), asio::detached);
+}
+
 asio::awaitable<void> GatewayProcess::stopGracefully()
 {
     const Milliseconds stopBeganAt = this->serving.clock.now();
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -36,6 +36,12 @@
     /** Serves until a signal stops the process and all requests have ended or the grace period is almost over. */
     void run();
 
+    /**
+        Begins a planned stop, as SIGTERM does: run() returns once all requests have ended or the grace period is almost
+        over. Later calls change nothing. Call it from the thread that calls run().
+    */
+    void beginStopping();
+
     /** Makes run() return soon, without waiting for requests. May be called from any thread. */
     void stop() { this->context.stop(); }
 
--- /dev/null
+++ b/tests/serving/PlannedStopTest.cpp
@@ -0,0 +1,144 @@
+#include "serving/ServingHarness.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <future>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+
+class PlannedStopTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PlannedStopTest);
+    CPPUNIT_TEST(testStreamThatRunsUntilTheEndOfTheGraceStaysIncomplete);
+    CPPUNIT_TEST(testProcessEndsOnceItsLastRequestHasEnded);
+    CPPUNIT_TEST(testAnswerOutlivesTheProcess);
+    CPPUNIT_TEST(testRequestOnKeptConnectionIsRefusedLateInTheGrace);
+    CPPUNIT_TEST(testRelayedRequestIsRefusedLateInTheGrace);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tearDown() override { this->harness.reset(); }
+
+    void testStreamThatRunsUntilTheEndOfTheGraceStaysIncomplete()
+    {
+        this->start(Milliseconds(1'200));
+        this->queueAnswersOnBoth({ AnswerKind::Paused });
+        auto call = this->callAndAwaitArrival("/stream/once/x");
+        this->harness->beginStopping();
+        const RawAnswer answer = call.get();
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+        CPPUNIT_ASSERT(answer.has("piece 2") && !answer.has("piece 3") && !answer.isComplete());
+    }
+
+    void testProcessEndsOnceItsLastRequestHasEnded()
+    {
+        constexpr Milliseconds grace { 8'000 };
+        this->start(grace);
+        this->queueAnswersOnBoth({ AnswerKind::Late });
+        auto call = this->callAndAwaitArrival("/once/x");
+        const Clock clock;
+        const Milliseconds beganAt = clock.now();
+        this->harness->beginStopping();
+        const RawAnswer answer = call.get();
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete());
+        this->harness->awaitEnd();
+        const Milliseconds took = clock.now() - beganAt;
+        CPPUNIT_ASSERT(took >= grace * 3 / 10 && took < grace / 2);
+    }
+
+    void testAnswerOutlivesTheProcess()
+    {
+        this->start(Milliseconds(1'000));
+        asio::ip::tcp::socket socket = this->connect();
+        asio::write(socket, asio::buffer(ServingHarness::makeHead("GET", "/once/x", "id-1") + "\r\n"));
+        this->awaitArrival();
+        this->harness->beginStopping();
+        this->harness->awaitEnd();
+        const RawAnswer answer = ServingHarness::readAnswer(socket);
+        CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete());
+    }
+
+    void testRequestOnKeptConnectionIsRefusedLateInTheGrace()
+    {
+        this->start(Milliseconds(3'000));
+        const std::string head = "GET /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer secret-key\r\n"
+                                 "Deadline-Ms: 3000\r\nAttempt-Id: ";
+        asio::ip::tcp::socket socket = this->connect();
+        asio::write(socket, asio::buffer(head + "id-1\r\n\r\n"));
+        std::string first;
+        asio::read_until(socket, asio::dynamic_buffer(first), "body of id-1");
+        auto call = this->callUnanswered("/once/x");
+        this->harness->beginStopping();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+        asio::write(socket, asio::buffer(head + "id-2\r\n\r\n"));
+        const RawAnswer answer = ServingHarness::readAnswer(socket);
+        CPPUNIT_ASSERT_EQUAL(503, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete() && answer.has("Connection: close") && answer.has("Retry-After: 0.05"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->harness->getArrivals().size());
+    }
+
+    void testRelayedRequestIsRefusedLateInTheGrace()
+    {
+        this->start(Milliseconds(3'000));
+        auto call = this->callUnanswered("/once/x");
+        this->harness->beginStopping();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+        const RawAnswer answer = this->relay();
+        CPPUNIT_ASSERT_EQUAL(503, answer.getStatus());
+        CPPUNIT_ASSERT(answer.has("papayashelf-not-run: 1") && answer.has("papayashelf-not-sent: 1"));
+    }
+
+private:
+    void start(Milliseconds grace)
+    {
+        this->harness = std::make_unique<ServingHarness>(ServingHarness::ampleRetryRatio, 2, grace);
+    }
+
+    void queueAnswersOnBoth(const std::deque<AnswerKind>& kinds)
+    {
+        this->harness->first().queueAnswers(kinds);
+        this->harness->second().queueAnswers(kinds);
+    }
+
+    void awaitArrival(std::size_t count = 1)
+    {
+        while (this->harness->getArrivals().size() < count)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+    std::future<RawAnswer> callAndAwaitArrival(const std::string& path)
+    {
+        const std::size_t before = this->harness->getArrivals().size();
+        auto call = std::async(std::launch::async, [this, path] { return this->get(path, "id-open"); });
+        this->awaitArrival(before + 1);
+        return call;
+    }
+
+    /** Sends a request that reaches an upstream and is not answered by it. */
+    std::future<RawAnswer> callUnanswered(const std::string& path)
+    {
+        this->queueAnswersOnBoth({ AnswerKind::NoResponse });
+        auto call = this->callAndAwaitArrival(path);
+        this->queueAnswersOnBoth({});
+        return call;
+    }
+
+    RawAnswer get(const std::string& path, const std::string& id)
+    {
+        return this->harness->call(ServingHarness::makeHead("GET", path, id));
+    }
+
+    RawAnswer relay() { return this->harness->relay(this->harness->getProcess().getCore().getRelayKey(), "service"); }
+
+    asio::ip::tcp::socket connect() { return this->harness->connect(this->harness->getProcess().getCallersEndpoint()); }
+
+    std::unique_ptr<ServingHarness> harness;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
+
+} // namespace papayashelf
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -491,7 +491,7 @@
         GatewayProcess& process = this->harness->getProcess();
         for (const bool isRight : { false, true }) {
             const std::string key = isRight ? process.getCore().getRelayKey() : "guessed";
-            CPPUNIT_ASSERT_EQUAL(isRight ? 200 : 401, this->relay(key, "service").getStatus());
+            CPPUNIT_ASSERT_EQUAL(isRight ? 200 : 401, this->harness->relay(key, "service").getStatus());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
     }
@@ -501,11 +501,11 @@
     {
         const std::string key = this->harness->getProcess().getCore().getRelayKey();
         this->queueAnswersOnBoth({ AnswerKind::NotRun });
-        const RawAnswer refusedByUpstream = this->relay(key, "service");
+        const RawAnswer refusedByUpstream = this->harness->relay(key, "service");
         CPPUNIT_ASSERT_EQUAL(503, refusedByUpstream.getStatus());
         CPPUNIT_ASSERT(refusedByUpstream.has("papayashelf-not-run: 1"));
         CPPUNIT_ASSERT(!refusedByUpstream.has("papayashelf-not-sent"));
-        const RawAnswer notPlaced = this->relay(key, "unknown-service");
+        const RawAnswer notPlaced = this->harness->relay(key, "unknown-service");
         CPPUNIT_ASSERT_EQUAL(503, notPlaced.getStatus());
         CPPUNIT_ASSERT(notPlaced.has("papayashelf-not-run: 1") && notPlaced.has("papayashelf-not-sent: 1"));
     }
@@ -648,19 +648,6 @@
         return this->harness->first().getRequests().size() - before;
     }
 
-    /** Sends a request to the process as another VM would relay it. */
-    RawAnswer relay(const std::string& key, const std::string& service)
-    {
-        asio::ip::tcp::socket socket = this->harness->connect(this->harness->getProcess().getRelaysEndpoint());
-        asio::write(socket,
-            asio::buffer(ServingHarness::makeHead("GET", "/once/x", "id-1",
-                "papayashelf-relay-key: " + key + "\r\npapayashelf-service: " + service + "\r\n\r\n")));
-        RawAnswer answer;
-        boost::system::error_code ended;
-        asio::read(socket, asio::dynamic_buffer(answer.text), ended);
-        return answer;
-    }
-
     RawAnswer get(const std::string& path, const std::string& id, const std::string& more = {})
     {
         return this->harness->call(ServingHarness::makeHead("GET", path, id, more));
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -1,8 +1,10 @@
 #include "serving/ServingHarness.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/TestAssert.h>
+#include <future>
 
 namespace papayashelf {
 
@@ -13,7 +15,7 @@
 const ServiceId service("service");
 const ServiceId remoteService("remote-service"); /**< Has upstreams in other regions only. */
 
-GatewaySettings makeSettings(double retryRatio)
+GatewaySettings makeSettings(double retryRatio, Milliseconds stopGrace)
 {
     GatewaySettings settings;
     settings.vm = VmId("vm-1");
@@ -22,6 +24,7 @@
     const Endpoint any { "127.0.0.1", 0 };
     settings.listeners = { any, any, any, any, any };
     settings.bounds.retryRatio = retryRatio;
+    settings.bounds.stopGrace = stopGrace;
     // The tests follow no store, so the configuration that they apply must count as fresh for as long as they run.
     settings.bounds.keyWithdrawal = Milliseconds::fromSeconds(600);
     return settings;
@@ -78,8 +81,8 @@
     return document;
 }
 
-ServingHarness::ServingHarness(double retryRatio, int upstreamCount)
-    : process(std::make_unique<GatewayProcess>(makeSettings(retryRatio), wire::makeHeaderNames()))
+ServingHarness::ServingHarness(double retryRatio, int upstreamCount, Milliseconds stopGrace)
+    : process(std::make_unique<GatewayProcess>(makeSettings(retryRatio, stopGrace), wire::makeHeaderNames()))
 {
     const auto nothing = [](std::string_view) { return SimpleHttpResponse {}; };
     CPPUNIT_ASSERT(this->process->open({ nothing, nothing, [] {}, [] {}, [](const QuarantineChange&) {} }));
@@ -89,13 +92,37 @@
         this->addUpstream("u-" + std::to_string(number), this->upstreams.emplace_back().start());
     this->addVmOfOtherRegion("south", this->upstreams[0].getEndpoint());
     this->addVmOfOtherRegion("west", this->upstreams[1].getEndpoint());
-    this->thread = std::thread([this] { this->process->run(); });
+    this->thread = std::thread([this] {
+        this->process->run();
+        const std::scoped_lock lock(this->mutex);
+        this->process.reset(); // Closes the connections, as the end of the program does.
+    });
 }
 
 ServingHarness::~ServingHarness()
 {
-    this->process->stop();
-    this->thread.join();
+    {
+        const std::scoped_lock lock(this->mutex);
+        if (this->process)
+            this->process->stop();
+    }
+    this->awaitEnd();
+}
+
+void ServingHarness::beginStopping()
+{
+    std::promise<void> begun;
+    asio::post(this->process->getContext(), [this, &begun] {
+        this->process->beginStopping();
+        begun.set_value();
+    });
+    begun.get_future().wait();
+}
+
+void ServingHarness::awaitEnd()
+{
+    if (this->thread.joinable())
+        this->thread.join();
 }
 
 void ServingHarness::addUpstream(const std::string& id, const Endpoint& endpoint)
@@ -150,6 +177,20 @@
     if (!body.empty())
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     asio::write(socket, asio::buffer(text + "\r\n" + body));
+    return readAnswer(socket);
+}
+
+RawAnswer ServingHarness::relay(const std::string& key, const std::string& forService) const
+{
+    asio::ip::tcp::socket socket = this->connect(this->process->getRelaysEndpoint());
+    asio::write(socket,
+        asio::buffer(makeHead("GET", "/once/x", "id-1",
+            "papayashelf-relay-key: " + key + "\r\npapayashelf-service: " + forService + "\r\n\r\n")));
+    return readAnswer(socket);
+}
+
+RawAnswer ServingHarness::readAnswer(asio::ip::tcp::socket& socket)
+{
     RawAnswer answer;
     boost::system::error_code ended;
     asio::read(socket, asio::dynamic_buffer(answer.text), ended);
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -4,6 +4,7 @@
 #include "serving/SealedUpstream.h"
 #include "serving/serving.h"
 #include <memory>
+#include <mutex>
 #include <thread>
 
 namespace papayashelf {
@@ -32,17 +33,31 @@
         Starts the upstreams and the process.
 
         @param upstreamCount  number of upstreams of the service; two or more
+        @param stopGrace      time from beginStopping() until the process would be killed
     */
-    explicit ServingHarness(double retryRatio = ampleRetryRatio, int upstreamCount = 2);
+    explicit ServingHarness(
+        double retryRatio = ampleRetryRatio, int upstreamCount = 2, Milliseconds stopGrace = GatewayBounds().stopGrace);
     ~ServingHarness();
 
     /** Sends a request with "Connection: close" and reads until the connection ends. */
     RawAnswer call(const std::string& head, const std::string& body = {}) const;
 
+    /** Sends a request as another VM would relay it and reads until the connection ends. */
+    RawAnswer relay(const std::string& key, const std::string& forService) const;
+
+    /** Begins a planned stop and returns once it has begun. */
+    void beginStopping();
+
+    /** Waits until the process has ended by itself. */
+    void awaitEnd();
+
     /** Formats a request head with the usual headers, followed by the given header lines. */
     static std::string makeHead(
         const std::string& method, const std::string& path, const std::string& id, const std::string& more = {});
 
+    /** Reads until the connection ends. */
+    static RawAnswer readAnswer(boost::asio::ip::tcp::socket& socket);
+
     /** Opens a connection to the endpoint. */
     boost::asio::ip::tcp::socket connect(const Endpoint& to) const;
 
@@ -52,7 +67,7 @@
     /** Returns the second upstream. */
     SealedUpstream& second() { return this->upstreams[1]; }
 
-    /** Returns the gateway process under test. */
+    /** Returns the gateway process under test. Precondition: it has not ended. */
     GatewayProcess& getProcess() { return *this->process; }
 
     /** Returns the requests that reached any upstream, grouped by upstream. */
@@ -65,7 +80,8 @@
 
     mutable boost::asio::io_context clients;
     std::deque<SealedUpstream> upstreams;
-    std::unique_ptr<GatewayProcess> process;
+    std::mutex mutex; /**< For the end of the process. */
+    std::unique_ptr<GatewayProcess> process; /**< Null once it has ended. */
     std::thread thread;
 };
 
