Answer requests that outlast the grace of a planned stop

Callers saw: in a planned stop, the connection of a request that was still running near the end of the grace closed without an answer.

Cause: GatewayProcess::stopGracefully() stopped the I/O context 1 s before SIGKILL, whatever was open. Attempts were bounded by the deadline of the request and the time-out of the route only, and upstreams were told those. The fixed second also ended requests before the last sixth of any grace below 6 s.

Fix: StopSchedule derives the moments of a stop from the grace. It bounds the time of each attempt and the deadline that upstreams are told. OpenRequests aborts the attempts that began earlier, and the process ends once each request has had its final answer: 504 if it may have run, 503 if not; a stream that has begun stays incomplete. An attempt that a stop ended counts neither as a failure of the upstream nor as a connection that the upstream lost.

Class: time bounds that do not know of each other.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -340,13 +340,13 @@
 
 void GatewayCore::beginStopping(Milliseconds now)
 {
-    if (!this->stoppingSince)
-        this->stoppingSince = now;
+    if (!this->stop)
+        this->stop.emplace(now, this->settings.bounds.stopGrace);
 }
 
 bool GatewayCore::takesRequests(Milliseconds now) const
 {
-    return !this->stoppingSince || now - *this->stoppingSince < this->settings.bounds.stopGrace * 3 / 10;
+    return !this->stop || this->stop->takesRequests(now);
 }
 
 const CallerLimits& GatewayCore::getCallerLimits() const
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -10,6 +10,7 @@
 #include "gateway/placement/Placement.h"
 #include "gateway/quarantine/PromptQuarantine.h"
 #include "gateway/settings/GatewaySettings.h"
+#include "gateway/stop/StopSchedule.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmRegistry.h"
 #include <memory>
@@ -155,7 +156,10 @@
     bool isReady(Milliseconds now) const;
 
     /** Returns true once beginStopping() was called. */
-    bool isStopping() const { return this->stoppingSince.has_value(); }
+    bool isStopping() const { return this->stop.has_value(); }
+
+    /** Returns when this VM ends its work, or nothing unless it is stopping. */
+    const std::optional<StopSchedule>& getStop() const { return this->stop; }
 
     /** Returns false once the VM stops too soon to complete a new request. */
     bool takesRequests(Milliseconds now) const;
@@ -230,7 +234,7 @@
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
     RecentMaximum recentVmCount; /**< Number of VMs that may have used extra retries in the current window. */
     bool hasTicked = false;
-    std::optional<Milliseconds> stoppingSince;
+    std::optional<StopSchedule> stop;
 };
 
 } // namespace papayashelf
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "gateway/placement/Placement.h"
 #include "gateway/quarantine/PromptQuarantine.h"
 #include "gateway/settings/GatewaySettings.h"
+#include "gateway/stop/StopSchedule.h"
 #include "gateway/streams/EventSplitter.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmAnnouncement.h"
--- a/modules/serving/caller/CallerSession.cpp
+++ b/modules/serving/caller/CallerSession.cpp
@@ -83,6 +83,7 @@
     CallerAnswer answer(
         this->stream, request.keepAlive, request.method == "HEAD", [this] { return this->context.core.isStopping(); });
     ActiveRequest current;
+    const OpenRequests::Entry entry(this->context.openRequests, current);
     this->activeRequest = &current;
     if (this->input.isGone())
         current.noteCallerGone();
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -18,7 +18,6 @@
 constexpr std::chrono::milliseconds tickInterval { 100 };
 /** Interval of checks whether the last request has ended. */
 constexpr std::chrono::milliseconds stopPollInterval { 50 };
-constexpr Milliseconds killMargin { 1'000 }; /**< Time before SIGKILL in which a slow VM can send its last answers. */
 constexpr Milliseconds upstreamIdleTimeout { 4'000 }; /**< Shorter than the idle timeouts that upstreams announce. */
 /** Per upstream; the number of requests that an engine runs at once. */
 constexpr std::size_t maximumIdleConnections = 64;
@@ -53,7 +52,8 @@
     , core(settings, makeRelayKey(), std::random_device {}())
     , poolSettings(makePoolSettings())
     , pool(this->context.get_executor(), this->poolSettings)
-    , serving { this->core, this->pool, this->answerMemory, this->log, this->metrics, this->names, Clock() }
+    , serving { this->core, this->pool, this->answerMemory, this->log, this->metrics, this->openRequests, this->names,
+        Clock() }
     , digests(this->context.get_executor(), this->core, this->log)
     , signals(this->context, SIGTERM, SIGHUP, SIGINT)
 {
@@ -140,15 +140,16 @@
 
 asio::awaitable<void> GatewayProcess::stopGracefully()
 {
-    const Milliseconds stopBeganAt = this->serving.clock.now();
+    const StopSchedule stop = *this->core.getStop();
     asio::steady_timer timer(this->context);
-    while (true) {
-        timer.expires_after(stopPollInterval);
+    Milliseconds now = this->serving.clock.now();
+    while (now < stop.getProcessEnd() && (stop.takesRequests(now) || !this->openRequests.isEmpty())) {
+        if (now >= stop.getRequestsEnd())
+            this->openRequests.noteStopped();
+        const Milliseconds nextEnd = now < stop.getRequestsEnd() ? stop.getRequestsEnd() : stop.getProcessEnd();
+        timer.expires_after(std::min(stopPollInterval, std::chrono::milliseconds((nextEnd - now).count())));
         co_await timer.async_wait(useResult);
-        const Milliseconds now = this->serving.clock.now();
-        const bool isIdle = !this->core.takesRequests(now) && this->metrics.countOpenRequests() == 0;
-        if (isIdle || now - stopBeganAt >= this->settings.bounds.stopGrace - killMargin)
-            break;
+        now = this->serving.clock.now();
     }
     this->context.stop();
 }
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -76,6 +76,7 @@
     GatewaySettings settings;
     HeaderNames names;
     AnswerMemory answerMemory; /**< Outlives the answers of requests that end with the context. */
+    OpenRequests openRequests; /**< Outlives the requests that end with the context. */
     boost::asio::io_context context { 1 };
     DecisionLog log;
     GatewayCore core;
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -448,7 +448,8 @@
         break;
     case AttemptEnd::Unanswered:
     case AttemptEnd::Broken:
-        table.noteHealthObservation(this->now(), upstream, HealthObservation::Failure);
+        if (outcome.endedBy != AttemptEndedBy::Stop)
+            table.noteHealthObservation(this->now(), upstream, HealthObservation::Failure);
         break;
     case AttemptEnd::NotRun:
         // Another upstream now uses the address, so this one no longer exists even if it is still listed.
@@ -489,7 +490,8 @@
 asio::awaitable<RequestServer::NextAction> RequestServer::handleOutcome(AttemptOutcome& outcome)
 {
     if (outcome.end != AttemptEnd::Complete) {
-        this->lastEndedBy = outcome.endedBy;
+        const bool isDeadline = outcome.endedBy == AttemptEndedBy::Deadline;
+        this->lastEndedBy = isDeadline && this->isEndedByStop() ? AttemptEndedBy::Stop : outcome.endedBy;
         this->lastSilentFor = outcome.silentFor;
     }
     if (outcome.progress == AnswerProgress::Events)
@@ -581,7 +583,7 @@
         || this->attempts >= route.maximumAttempts + extraPlacements)
         return "attempts_used";
     if (this->getRemaining() <= minimumAttemptTime)
-        return "no_time";
+        return this->isEndedByStop() ? "stopping" : "no_time";
     // Another attempt adds no retry load on upstreams if the last one did not reach any of them.
     const bool isExemptFromRetryBudget = outcome.end == AttemptEnd::NotSent
         || (outcome.end == AttemptEnd::NotRun && this->wasLastAttemptRelayed && outcome.isNotSentGuaranteed);
@@ -612,6 +614,10 @@
         co_await this->forwardAnswer(*this->keptFailure);
         co_return;
     }
+    if (this->possibleRuns == 0 && this->isEndedByStop()) {
+        co_await this->refuse(Refusal { RefusalCause::Stopping, stoppingRetryDelay });
+        co_return;
+    }
     if (this->possibleRuns == 0) {
         const bool isLate = this->getRemaining() < minimumAttemptTime;
         co_await this->refuse(Refusal { isLate ? RefusalCause::NoTimeLeft : RefusalCause::NoRetryLeft,
@@ -619,9 +625,11 @@
         co_return;
     }
     const bool isLate = this->getRemaining() < minimumAttemptTime;
-    co_await this->sendGatewayAnswer(
-        isLate ? 504 : 502, isLate ? "timed_out" : "upstream_failed", Milliseconds(0), false);
-    this->logRequestEnd("request_failed", LogWeight::Notable, outcome.detail, isLate ? 504 : 502);
+    const bool isEndedByStop = this->isEndedByStop();
+    const std::string_view code = isEndedByStop ? "stopping" : isLate ? "timed_out" : "upstream_failed";
+    co_await this->sendGatewayAnswer(isLate ? 504 : 502, code, Milliseconds(0), false);
+    this->logRequestEnd(
+        "request_failed", LogWeight::Notable, isEndedByStop ? code : outcome.detail, isLate ? 504 : 502);
 }
 
 asio::awaitable<void> RequestServer::refuse(const Refusal& refusal)
@@ -700,7 +708,14 @@
 
 Milliseconds RequestServer::getRemaining() const
 {
-    return this->answerDeadline - this->now();
+    const std::optional<StopSchedule>& stop = this->context.core.getStop();
+    return (stop ? std::min(this->answerDeadline, stop->getRequestsEnd()) : this->answerDeadline) - this->now();
+}
+
+bool RequestServer::isEndedByStop() const
+{
+    const std::optional<StopSchedule>& stop = this->context.core.getStop();
+    return stop && stop->getRequestsEnd() < this->answerDeadline && this->getRemaining() < minimumAttemptTime;
 }
 
 std::optional<std::uint64_t> RequestServer::parseNumberHeader(std::string_view header) const
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway.h"
 #include "serving/caller/CallerAnswer.h"
 #include "serving/http/HeaderNames.h"
+#include "serving/request/OpenRequests.h"
 #include "serving/request/ServingMetrics.h"
 #include "serving/upstream/UpstreamAttempt.h"
 
@@ -17,6 +18,7 @@
     AnswerMemory& answerMemory;
     DecisionLog& log;
     ServingMetrics& metrics;
+    OpenRequests& openRequests;
     const HeaderNames& names;
     Clock clock;
 };
@@ -78,6 +80,8 @@
     void reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome);
     bool mayForward(const AttemptOutcome& outcome) const;
     Milliseconds getRemaining() const;
+    /** Whether the time of a planned stop, and not that of the request, is over. */
+    bool isEndedByStop() const;
     Milliseconds now() const { return this->context.clock.now(); }
     std::optional<std::uint64_t> parseNumberHeader(std::string_view header) const;
     void logRequestEnd(std::string_view event, LogWeight weight, std::string_view cause, int status);
@@ -92,7 +96,7 @@
     Milliseconds configurationAgeAtStart; /**< Time since the configuration was confirmed when the request arrived. */
     std::optional<EventSplitter> splitter;
     Milliseconds arrivedAt;
-    Milliseconds answerDeadline; /**< Time by which the final answer must be sent. */
+    Milliseconds answerDeadline; /**< Time by which the final answer must be sent, unless the VM stops earlier. */
     std::int64_t promptTokens = 0;
     std::int64_t sharedTokens = 0;
     std::optional<std::int64_t> totalTokens; /**< Prompt tokens and maximum answer tokens, if stated. */
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -11,6 +11,7 @@
 #include <cmath>
 #include <netinet/tcp.h>
 #include <tuple>
+#include <utility>
 
 namespace papayashelf {
 
@@ -141,6 +142,8 @@
         return "bound";
     case AttemptEndedBy::Caller:
         return "caller";
+    case AttemptEndedBy::Stop:
+        return "stop";
     }
     return "unknown";
 }
@@ -148,6 +151,20 @@
 void ActiveRequest::noteCallerGone()
 {
     this->callerGone = true;
+    this->closeActiveConnection();
+}
+
+void ActiveRequest::noteStopped()
+{
+    if (std::exchange(this->stopped, true))
+        return;
+    this->closeActiveConnection();
+    if (this->onStopped)
+        this->onStopped();
+}
+
+void ActiveRequest::closeActiveConnection()
+{
     boost::system::error_code ignored;
     if (this->activeConnection)
         this->activeConnection->socket.close(ignored);
@@ -166,6 +183,8 @@
 {
     if (this->request.isCallerGone())
         return AttemptEndedBy::Caller;
+    if (this->request.isStopped())
+        return AttemptEndedBy::Stop;
     if (!this->exceededBound.empty())
         return AttemptEndedBy::Bound;
     if (!this->connection || !this->connection->deadline.hasPassed())
@@ -254,7 +273,8 @@
     const auto space = this->connection->buffer.prepare(receiveBytes);
     const auto [failure, count] = co_await this->connection->socket.async_read_some(space, useResult);
     this->hasEnded = failure == asio::error::eof;
-    this->isConnectionLost = failure && !this->connection->deadline.hasPassed() && !this->request.isCallerGone();
+    this->isConnectionLost = failure && !this->connection->deadline.hasPassed() && !this->request.isCallerGone()
+        && !this->request.isStopped();
     if (failure)
         co_return false;
     this->connection->buffer.commit(count);
@@ -408,9 +428,9 @@
         }
         const std::string completeEvents = stream.splitter->push(parser.get().body());
         parser.get().body().clear();
-        // The first event may arrive at the moment at which the connection is closed for its silence. To begin an
-        // answer then would only break it off.
-        if (!hasFirstEvent && this->connection->deadline.hasPassed())
+        // The first event may arrive at the moment at which the connection is closed for its silence or for a stop. To
+        // begin an answer then would only break it off.
+        if (!hasFirstEvent && (this->connection->deadline.hasPassed() || this->request.isStopped()))
             break;
         if (!completeEvents.empty()) {
             if (!hasFirstEvent)
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -45,6 +45,7 @@
     Deadline, /**< This VM, as the time of the request was over. */
     Bound, /**< This VM, as the answer exceeded a bound on its size. */
     Caller, /**< The caller disconnected. */
+    Stop, /**< This VM, as the grace of its planned stop was over. */
 };
 
 /** Returns the stable name of an AttemptEndedBy, for logs. */
@@ -77,9 +78,10 @@
 };
 
 /**
-    State that a request shares with its attempts: whether the caller is still connected, and the connection in use.
+    State that a request shares with its attempts: whether the caller is still connected, whether the VM stops, and the
+    connection in use.
 
-    When the caller disconnects, the attempt in progress is aborted immediately.
+    When the caller disconnects or the time of a stop is over, the attempt in progress is aborted immediately.
 
     Thread safety: none; owned by one I/O thread.
 */
@@ -88,6 +90,15 @@
     /** Records that the caller has disconnected and aborts the attempt in progress. */
     void noteCallerGone();
 
+    /** Records that the VM stops too soon to go on, aborts the attempt in progress and calls the stop handler. */
+    void noteStopped();
+
+    /** Whether the VM stops too soon to go on. */
+    bool isStopped() const { return this->stopped; }
+
+    /** Sets a function that noteStopped() calls; empty for none. */
+    void setStopHandler(std::function<void()> handler) { this->onStopped = std::move(handler); }
+
     /** Whether the caller has disconnected. */
     bool isCallerGone() const { return this->callerGone; }
 
@@ -95,7 +106,11 @@
     void setActiveConnection(UpstreamConnection* connection) { this->activeConnection = connection; }
 
 private:
+    void closeActiveConnection();
+
     bool callerGone = false;
+    bool stopped = false;
+    std::function<void()> onStopped;
     UpstreamConnection* activeConnection = nullptr;
 };
 
--- a/tests/serving/PlannedStopTest.cpp
+++ b/tests/serving/PlannedStopTest.cpp
@@ -11,7 +11,9 @@
 
 class PlannedStopTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlannedStopTest);
+    CPPUNIT_TEST(testRequestThatRunsUntilTheEndOfTheGraceGetsAFinalAnswer);
     CPPUNIT_TEST(testStreamThatRunsUntilTheEndOfTheGraceStaysIncomplete);
+    CPPUNIT_TEST(testDeadlinePassedOnEndsWithTheGrace);
     CPPUNIT_TEST(testProcessEndsOnceItsLastRequestHasEnded);
     CPPUNIT_TEST(testAnswerOutlivesTheProcess);
     CPPUNIT_TEST(testRequestOnKeptConnectionIsRefusedLateInTheGrace);
@@ -21,6 +23,16 @@
 public:
     void tearDown() override { this->harness.reset(); }
 
+    void testRequestThatRunsUntilTheEndOfTheGraceGetsAFinalAnswer()
+    {
+        this->start(Milliseconds(1'600));
+        auto call = this->callUnanswered("/once/x");
+        this->harness->beginStopping();
+        const RawAnswer answer = call.get();
+        CPPUNIT_ASSERT_EQUAL(504, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete() && answer.has("\"stopping\"") && !answer.has("Response-Seal"));
+    }
+
     void testStreamThatRunsUntilTheEndOfTheGraceStaysIncomplete()
     {
         this->start(Milliseconds(1'200));
@@ -32,6 +44,15 @@
         CPPUNIT_ASSERT(answer.has("piece 2") && !answer.has("piece 3") && !answer.isComplete());
     }
 
+    void testDeadlinePassedOnEndsWithTheGrace()
+    {
+        constexpr Milliseconds grace { 1'600 };
+        this->start(grace);
+        this->harness->beginStopping();
+        CPPUNIT_ASSERT_EQUAL(200, this->get("/once/x", "id-1").getStatus());
+        CPPUNIT_ASSERT(std::stoi(this->harness->getArrivals().front().header("Deadline-Ms")) < grace.count());
+    }
+
     void testProcessEndsOnceItsLastRequestHasEnded()
     {
         constexpr Milliseconds grace { 8'000 };
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -85,6 +85,7 @@
         return formatWithLength(
             formatResponseHead("503 Service Unavailable", "", false) + "Not-Executed: 1\r\n", "full");
     case AnswerKind::Rejected:
+    case AnswerKind::LateRejected:
         return formatWithLength(
             formatResponseHead("503 Service Unavailable", id, false) + "Not-Executed: 1\r\n", "full");
     case AnswerKind::Misdirected:
@@ -258,7 +259,7 @@
         co_return true;
     if (kind == AnswerKind::Reset)
         co_return false;
-    if (kind == AnswerKind::Late) {
+    if (kind == AnswerKind::Late || kind == AnswerKind::LateRejected) {
         asio::steady_timer timer(co_await asio::this_coro::executor, lateness);
         co_await timer.async_wait(standinResult);
     }
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -24,6 +24,7 @@
     TruncatedEvent, /**< A stream that ends in the middle of its third event. */
     NoResponse, /**< No answer; the connection stays open. */
     Late, /**< Complete, after SealedUpstream::lateness. */
+    LateRejected, /**< As Rejected, after SealedUpstream::lateness. */
     Large, /**< A complete stream of more bytes than the sockets between it and a caller hold. */
     Paused, /**< A complete stream with a pause of SealedUpstream::pause after its second event. */
     Reset, /**< The connection is closed without an answer. */
