--- a/tests/gateway/StopScheduleTest.cpp
+++ b/tests/gateway/StopScheduleTest.cpp
@@ -7,6 +7,7 @@
 class StopScheduleTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(StopScheduleTest);
     CPPUNIT_TEST(testRequestsMayRunUntilTheLastSixthOfAnyGrace);
+    CPPUNIT_TEST(testLongGraceDoesNotProlongAcceptance);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -21,6 +22,15 @@
         }
     }
 
+    void testLongGraceDoesNotProlongAcceptance()
+    {
+        for (const std::int64_t seconds : { 8, 30, 600 }) {
+            const StopSchedule stop(beganAt, Milliseconds::fromSeconds(seconds));
+            CPPUNIT_ASSERT(stop.takesRequests(beganAt + Milliseconds(2'000)));
+            CPPUNIT_ASSERT(!stop.takesRequests(beganAt + Milliseconds(3'000)));
+        }
+    }
+
 private:
     static constexpr Milliseconds beganAt { 5'000 };
 };
