Refuse requests that would not end in the grace of a planned stop

Callers saw: a request that may not be repeated, refused by one upstream late in the grace, was sent to another one with less than its latency target left, and ended with 504 when the time of the stop was over. It may have run.

Cause: only the arrival of a request was compared with the stop. Waiting and earlier attempts take time as well.

Fix: before each placement, a request that has not run is refused if its route's latency target ends after the time for requests.

--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -236,6 +236,10 @@
         co_await this->giveUp(lateOutcome, "no_time");
         co_return NextAction::Done;
     }
+    if (this->isTooLateForStop()) {
+        co_await this->refuse(Refusal { RefusalCause::Stopping, stoppingRetryDelay });
+        co_return NextAction::Done;
+    }
     const std::optional<PlacementDecision> reserved = std::exchange(this->reservedPlacement, std::nullopt);
     const PlacementDecision decision = reserved
         ? *reserved
@@ -718,6 +722,13 @@
     return stop && stop->getRequestsEnd() < this->answerDeadline && this->getRemaining() < minimumAttemptTime;
 }
 
+bool RequestServer::isTooLateForStop() const
+{
+    const std::optional<StopSchedule>& stop = this->context.core.getStop();
+    return stop && this->possibleRuns == 0 && !this->answer.hasBegun()
+        && this->now() + this->admitted->route->latencyTarget > stop->getRequestsEnd();
+}
+
 std::optional<std::uint64_t> RequestServer::parseNumberHeader(std::string_view header) const
 {
     const std::string_view text = findHeader(this->request.headers, header);
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -82,6 +82,8 @@
     Milliseconds getRemaining() const;
     /** Whether the time of a planned stop, and not that of the request, is over. */
     bool isEndedByStop() const;
+    /** Whether a request that has not run would probably not end in the grace of a planned stop. */
+    bool isTooLateForStop() const;
     Milliseconds now() const { return this->context.clock.now(); }
     std::optional<std::uint64_t> parseNumberHeader(std::string_view header) const;
     void logRequestEnd(std::string_view event, LogWeight weight, std::string_view cause, int status);
--- a/tests/serving/PlannedStopTest.cpp
+++ b/tests/serving/PlannedStopTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(testProcessEndsOnceItsLastRequestHasEnded);
     CPPUNIT_TEST(testAnswerOutlivesTheProcess);
     CPPUNIT_TEST(testRequestOnKeptConnectionIsRefusedLateInTheGrace);
+    CPPUNIT_TEST(testRequestIsNotPassedOnWithoutTimeToEndInTheGrace);
     CPPUNIT_TEST(testRelayedRequestIsRefusedLateInTheGrace);
     CPPUNIT_TEST_SUITE_END();
 
@@ -102,6 +103,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->harness->getArrivals().size());
     }
 
+    void testRequestIsNotPassedOnWithoutTimeToEndInTheGrace()
+    {
+        this->start(Milliseconds(1'400));
+        this->queueAnswersOnBoth({ AnswerKind::LateRejected });
+        this->harness->beginStopping();
+        const RawAnswer answer = this->get("/once/x", "id-1");
+        CPPUNIT_ASSERT_EQUAL(503, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete() && answer.has("Retry-After: 0.05"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
+    }
+
     void testRelayedRequestIsRefusedLateInTheGrace()
     {
         this->start(Milliseconds(3'000));
