Serve relayed requests early in a planned stop

Callers saw: a request relayed to a VM that had just begun to stop was refused by it, and by the whole region, although that VM still took requests of its own callers.

Cause: serveRelayed() refused as soon as the VM was stopping. The relaying VM does not know of the stop yet, and tries each region once per request, so one stopping VM took all upstreams of its region from the request.

Evidence: testRelayedRequestIsServedEarlyInTheGrace got 503 instead of 200 before, in two runs of two. testRelayedRequestIsRefusedLateInTheGrace passes before and after.

Fix: relayed requests are taken for as long as callers' requests are.

--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -191,7 +191,7 @@
     const std::string_view key = findHeader(this->request.headers, relayheaders::key);
     if (key != this->context.core.getRelayKey() || this->requestId.empty()) {
         co_await this->sendGatewayAnswer(401, "not_a_vm", Milliseconds(0), true);
-    } else if (this->context.core.isStopping()) {
+    } else if (!this->context.core.takesRequests(this->now())) {
         co_await this->refuse(Refusal { RefusalCause::Stopping, stoppingRetryDelay });
     } else {
         // The relaying VM has admitted the request by its own configuration; this VM only places and forwards it.
--- a/tests/serving/PlannedStopTest.cpp
+++ b/tests/serving/PlannedStopTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(testAnswerOutlivesTheProcess);
     CPPUNIT_TEST(testRequestOnKeptConnectionIsRefusedLateInTheGrace);
     CPPUNIT_TEST(testRequestIsNotPassedOnWithoutTimeToEndInTheGrace);
+    CPPUNIT_TEST(testRelayedRequestIsServedEarlyInTheGrace);
     CPPUNIT_TEST(testRelayedRequestIsRefusedLateInTheGrace);
     CPPUNIT_TEST_SUITE_END();
 
@@ -114,6 +115,13 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->harness->getArrivals().size());
     }
 
+    void testRelayedRequestIsServedEarlyInTheGrace()
+    {
+        this->start(Milliseconds(8'000));
+        this->harness->beginStopping();
+        CPPUNIT_ASSERT_EQUAL(200, this->relay().getStatus());
+    }
+
     void testRelayedRequestIsRefusedLateInTheGrace()
     {
         this->start(Milliseconds(3'000));
