Refuse requests that a planned stop finds half read

Callers saw: a VM that stopped closed the connection while a caller was still sending the body of a request. A caller whose request may not be repeated cannot tell that from a request that has run.

Cause: only requests that were complete counted as open, so the process ended as soon as those had ended.

Fix: a request is open from its first byte. It is refused once it is complete; if the time for requests ends earlier, reading is interrupted and it is refused as it is. Nothing of it was passed on.

--- a/modules/entrance/caller/CallerInput.cpp
+++ b/modules/entrance/caller/CallerInput.cpp
@@ -37,11 +37,18 @@
 asio::awaitable<bool> CallerInput::waitForMore(TimePoint until)
 {
     const std::size_t before = this->buffer.size();
-    while (!this->gone && this->buffer.size() == before && std::chrono::steady_clock::now() < until)
+    while (
+        !this->gone && !this->interrupted && this->buffer.size() == before && std::chrono::steady_clock::now() < until)
         co_await this->more.wait(until);
     co_return this->buffer.size() > before;
 }
 
+void CallerInput::interrupt()
+{
+    this->interrupted = true;
+    this->more.notify();
+}
+
 void CallerInput::consume(std::size_t count)
 {
     OPENSSL_cleanse(this->buffer.data().data(), count);
@@ -54,6 +61,7 @@
 void CallerInput::discard()
 {
     this->isDiscarding = true;
+    this->interrupted = false;
     this->consume(this->buffer.size());
 }
 
--- a/modules/entrance/caller/CallerInput.h
+++ b/modules/entrance/caller/CallerInput.h
@@ -26,9 +26,12 @@
     /** Reads until the caller is gone, then calls the function. Run once, beside whatever uses the input. */
     boost::asio::awaitable<void> run(std::function<void()> onGone);
 
-    /** Waits for more bytes than there are. False if the caller is gone or the moment has come. */
+    /** Waits for more bytes than there are. False if the caller is gone, the moment has come, or after interrupt(). */
     boost::asio::awaitable<bool> waitForMore(TimePoint until);
 
+    /** Ends the wait in progress, if any, and all later ones until discard(). */
+    void interrupt();
+
     boost::asio::const_buffer getBytes() const { return this->buffer.cdata(); }
 
     /** Forgets the first bytes, and overwrites them: a key may be among them. */
@@ -39,6 +42,7 @@
 
     bool isEmpty() const { return this->buffer.size() == 0; }
     bool isGone() const { return this->gone; }
+    bool isInterrupted() const { return this->interrupted; }
 
 private:
     static constexpr std::size_t pieceBytes = 2 * kibibyte;
@@ -50,6 +54,7 @@
     Signal more;
     Signal room;
     bool gone = false;
+    bool interrupted = false;
     bool isDiscarding = false;
 };
 
--- a/modules/serving/caller/CallerRequestReader.cpp
+++ b/modules/serving/caller/CallerRequestReader.cpp
@@ -27,10 +27,13 @@
     this->parser.body_limit(limits.bodyBytes);
 }
 
+asio::awaitable<bool> CallerRequestReader::awaitRequest()
+{
+    co_return !this->input.isEmpty() || co_await this->input.waitForMore(deadlineAfter(this->limits.idleTimeout));
+}
+
 asio::awaitable<ReadResult> CallerRequestReader::read()
 {
-    if (this->input.isEmpty() && !co_await this->input.waitForMore(deadlineAfter(this->limits.idleTimeout)))
-        co_return ReadResult::Disconnected;
     this->beganAt = std::chrono::steady_clock::now();
     const ReadResult head = co_await this->parse(false, deadlineAfter(this->limits.headerTimeout));
     if (head != ReadResult::Complete)
@@ -57,7 +60,9 @@
         if (isWholeRequest ? this->parser.is_done() : this->parser.is_header_done())
             break;
         if (!co_await this->input.waitForMore(deadline))
-            co_return this->input.isGone() ? ReadResult::Disconnected : ReadResult::TooSlow;
+            co_return this->input.isGone()    ? ReadResult::Disconnected
+                : this->input.isInterrupted() ? ReadResult::Interrupted
+                                              : ReadResult::TooSlow;
     }
     co_return ReadResult::Complete;
 }
--- a/modules/serving/caller/CallerRequestReader.h
+++ b/modules/serving/caller/CallerRequestReader.h
@@ -11,11 +11,12 @@
 /** Result of reading a request. */
 enum class ReadResult {
     Complete,
-    Disconnected, /**< The caller closed the connection or stayed idle too long before a request. */
+    Disconnected, /**< The caller closed the connection. */
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
     TooSlow, /**< The request began but was not complete in time. */
+    Interrupted, /**< The request began, and its input was interrupted. */
 };
 
 /**
@@ -28,7 +29,10 @@
     /** @param stream, input, limits  must outlive the reader */
     CallerRequestReader(CallerStream& stream, CallerInput& input, const CallerLimits& limits);
 
-    /** Waits for a request and reads it completely. */
+    /** Waits for the first byte of a request. False if the caller closes the connection or stays idle too long. */
+    boost::asio::awaitable<bool> awaitRequest();
+
+    /** Reads the request completely. */
     boost::asio::awaitable<ReadResult> read();
 
     /** Returns the request and moves out its body. Precondition: read() returned Complete. */
--- a/modules/serving/caller/CallerSession.cpp
+++ b/modules/serving/caller/CallerSession.cpp
@@ -29,6 +29,8 @@
         return { 413, "Content Too Large", "body_too_large" };
     case ReadResult::TooSlow:
         return { 408, "Request Timeout", "request_too_slow" };
+    case ReadResult::Interrupted:
+        return { 503, "Service Unavailable", "stopping" };
     default:
         return { 400, "Bad Request", "malformed_request" };
     }
@@ -72,7 +74,13 @@
 {
     const CallerLimits limits = this->context.core.getCallerLimits();
     CallerRequestReader reader(this->stream, this->input, limits);
+    if (!co_await reader.awaitRequest())
+        co_return false;
+    ActiveRequest current;
+    const OpenRequests::Entry entry(this->context.openRequests, current);
+    current.setStopHandler([this] { this->input.interrupt(); });
     const ReadResult result = co_await reader.read();
+    current.setStopHandler({});
     if (result == ReadResult::Disconnected)
         co_return false;
     if (result != ReadResult::Complete) {
@@ -82,8 +90,6 @@
     const IncomingRequest request = reader.take();
     CallerAnswer answer(
         this->stream, request.keepAlive, request.method == "HEAD", [this] { return this->context.core.isStopping(); });
-    ActiveRequest current;
-    const OpenRequests::Entry entry(this->context.openRequests, current);
     this->activeRequest = &current;
     if (this->input.isGone())
         current.noteCallerGone();
@@ -106,6 +112,9 @@
     const std::string body = std::string("{\"error\":\"") + errorAnswer.code + "\"}";
     ResponseHead head { errorAnswer.status, errorAnswer.reason, {} };
     head.headers.emplace_back("Content-Type", "application/json");
+    if (result == ReadResult::Interrupted)
+        head.headers.emplace_back(
+            this->context.names.retryAfter, std::to_string(RequestServer::stoppingRetryDelay.seconds()));
     co_await answer.writeComplete(head, body);
 }
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -30,7 +30,6 @@
 /** Limits delays to a quarter of the remaining time: a load peak may be over, and an answer is still possible. */
 constexpr std::int64_t retryDelayDivisor = 4;
 constexpr int extraPlacements = 2; /**< Beyond the route's maximum, after upstreams that did not run the request. */
-constexpr Milliseconds stoppingRetryDelay { 50 }; /**< Short, as other VMs accept requests immediately. */
 /** Interval of checks whether an upstream has free capacity. */
 constexpr std::chrono::milliseconds capacityPollInterval { 40 };
 constexpr std::uint64_t lowestPriority = 9;
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -30,6 +30,9 @@
 */
 class RequestServer {
 public:
+    /** Time after which a caller that a stopping VM refuses should retry; other VMs accept requests immediately. */
+    static constexpr Milliseconds stoppingRetryDelay { 50 };
+
     /** All references must outlive the object. */
     RequestServer(
         ServingContext& context, const IncomingRequest& request, CallerAnswer& answer, ActiveRequest& activeRequest);
--- a/tests/serving/PlannedStopTest.cpp
+++ b/tests/serving/PlannedStopTest.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(testRequestIsNotPassedOnWithoutTimeToEndInTheGrace);
     CPPUNIT_TEST(testRelayedRequestIsServedEarlyInTheGrace);
     CPPUNIT_TEST(testRelayedRequestIsRefusedLateInTheGrace);
+    CPPUNIT_TEST(testRequestWhoseBodyEndsLateInTheGraceIsRefused);
+    CPPUNIT_TEST(testRequestWithoutItsBodyIsRefusedAtTheEndOfTheGrace);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +135,29 @@
         CPPUNIT_ASSERT(answer.has("papayashelf-not-run: 1") && answer.has("papayashelf-not-sent: 1"));
     }
 
+    void testRequestWhoseBodyEndsLateInTheGraceIsRefused()
+    {
+        this->start(Milliseconds(4'000));
+        asio::ip::tcp::socket socket = this->sendBeginOfRequest();
+        this->harness->beginStopping();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+        asio::write(socket, asio::buffer(std::string("end")));
+        const RawAnswer answer = ServingHarness::readAnswer(socket);
+        CPPUNIT_ASSERT_EQUAL(503, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete() && this->harness->getArrivals().empty());
+    }
+
+    void testRequestWithoutItsBodyIsRefusedAtTheEndOfTheGrace()
+    {
+        this->start(Milliseconds(1'600));
+        asio::ip::tcp::socket socket = this->sendBeginOfRequest();
+        this->harness->beginStopping();
+        const RawAnswer answer = ServingHarness::readAnswer(socket);
+        CPPUNIT_ASSERT_EQUAL(503, answer.getStatus());
+        CPPUNIT_ASSERT(answer.isComplete() && answer.has("\"stopping\"") && answer.has("Retry-After: 0.05"));
+        CPPUNIT_ASSERT(this->harness->getArrivals().empty());
+    }
+
 private:
     void start(Milliseconds grace)
     {
@@ -177,6 +202,17 @@
 
     asio::ip::tcp::socket connect() { return this->harness->connect(this->harness->getProcess().getCallersEndpoint()); }
 
+    /** Sends a request without the last three bytes of its body. */
+    asio::ip::tcp::socket sendBeginOfRequest()
+    {
+        asio::ip::tcp::socket socket = this->connect();
+        asio::write(socket,
+            asio::buffer(ServingHarness::makeHead("POST", "/once/x", "id-1") + "Content-Length: 8\r\n\r\nbegin"));
+        // The connection is accepted and its bytes are read once a later request is answered.
+        this->harness->call(ServingHarness::makeHead("GET", "/unknown/x", "id-2"));
+        return socket;
+    }
+
     std::unique_ptr<ServingHarness> harness;
 };
 
