Soak: do not blame a stop for an answer that a crashed upstream broke off

Cause: the check is wrong, not the product. It excuses an answer whose upstream something was done to, but the fault crash_upstream, which closes the upstream's connections, was the only one that left no record.

The check excuses an answer only if the upstream that ran it last crashed while that run was under way. All other checks see what they saw before: the record is not one of the spans that excuse late arrivals.

A stream whose upstream crashes is given up at once while no upstream can take it, although seconds of its time are left; that is open.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -163,6 +163,10 @@
         others = {sent.vm, *(run.upstream for run in runs_of.get(sent.attempt, ()))}
         if not ledger.is_calm(others, sent.at - bounds.contact, answer.ended_at, except_for=("stop", "reload", "end")):
             continue
+        last_run = max(runs_of.get(sent.attempt, ()), key=lambda run: run.at, default=None)
+        if last_run and any(upstream == last_run.upstream and last_run.at <= at <= answer.ended_at
+                            for upstream, at in ledger.crashes):
+            continue  # The upstream broke the answer off.
         was_held = answer.ended_at > answer.sent_whole_at + bounds.stop_slack
         is_long = answer.ended_at > stop + bounds.stop_grace * 5 / 6 and sent.at < stop + 3
         if (runs_of.get(sent.attempt) or was_held) and not is_long:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -63,6 +63,7 @@
     withdrawn: dict = field(default_factory=dict)  # Key -> when the store had taken the configuration without it.
     leaving: dict = field(default_factory=dict)  # Upstream -> when the store had taken that it leaves.
     cold: dict = field(default_factory=dict)  # Upstream -> its cold times, as (begin, end).
+    crashes: list = field(default_factory=list)  # (upstream, when it crashed)
     evacuations: list = field(default_factory=list)  # (domain, begin, end)
     routes_added: dict = field(default_factory=dict)  # Path -> when in force at the store.
     routes_removed: dict = field(default_factory=dict)
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -101,6 +101,7 @@
     async def crash(self):
         """Ends at once; the entry follows when its time is over."""
         own_id = self.id
+        self.ledger.crashes.append((own_id, self.ledger.now()))
         self.stop()
         await asyncio.sleep(3 * HEARTBEAT_S)
         if not (self.is_up and self.id == own_id):
