--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -30,7 +30,6 @@
 /** Limits delays to a quarter of the remaining time: a load peak may be over, and an answer is still possible. */
 constexpr std::int64_t retryDelayDivisor = 4;
 constexpr int extraPlacements = 2; /**< Beyond the route's maximum, after upstreams that did not run the request. */
-constexpr Milliseconds stoppingRetryDelay { 50 }; /**< Short, as other VMs accept requests immediately. */
 /** Interval of checks whether an upstream has free capacity. */
 constexpr std::chrono::milliseconds capacityPollInterval { 40 };
 constexpr std::uint64_t lowestPriority = 9;
@@ -191,7 +190,7 @@
     const std::string_view key = findHeader(this->request.headers, relayheaders::key);
     if (key != this->context.core.getRelayKey() || this->requestId.empty()) {
         co_await this->sendGatewayAnswer(401, "not_a_vm", Milliseconds(0), true);
-    } else if (this->context.core.isStopping()) {
+    } else if (!this->context.core.takesRequests(this->now())) {
         co_await this->refuse(Refusal { RefusalCause::Stopping, stoppingRetryDelay });
     } else {
         // The relaying VM has admitted the request by its own configuration; this VM only places and forwards it.
@@ -236,6 +235,10 @@
         co_await this->giveUp(lateOutcome, "no_time");
         co_return NextAction::Done;
     }
+    if (this->isTooLateForStop()) {
+        co_await this->refuse(Refusal { RefusalCause::Stopping, stoppingRetryDelay });
+        co_return NextAction::Done;
+    }
     const std::optional<PlacementDecision> reserved = std::exchange(this->reservedPlacement, std::nullopt);
     const PlacementDecision decision = reserved
         ? *reserved
@@ -448,7 +451,8 @@
         break;
     case AttemptEnd::Unanswered:
     case AttemptEnd::Broken:
-        table.noteHealthObservation(this->now(), upstream, HealthObservation::Failure);
+        if (outcome.endedBy != AttemptEndedBy::Stop)
+            table.noteHealthObservation(this->now(), upstream, HealthObservation::Failure);
         break;
     case AttemptEnd::NotRun:
         // Another upstream now uses the address, so this one no longer exists even if it is still listed.
@@ -489,7 +493,8 @@
 asio::awaitable<RequestServer::NextAction> RequestServer::handleOutcome(AttemptOutcome& outcome)
 {
     if (outcome.end != AttemptEnd::Complete) {
-        this->lastEndedBy = outcome.endedBy;
+        const bool isDeadline = outcome.endedBy == AttemptEndedBy::Deadline;
+        this->lastEndedBy = isDeadline && this->isEndedByStop() ? AttemptEndedBy::Stop : outcome.endedBy;
         this->lastSilentFor = outcome.silentFor;
     }
     if (outcome.progress == AnswerProgress::Events)
@@ -581,7 +586,7 @@
         || this->attempts >= route.maximumAttempts + extraPlacements)
         return "attempts_used";
     if (this->getRemaining() <= minimumAttemptTime)
-        return "no_time";
+        return this->isEndedByStop() ? "stopping" : "no_time";
     // Another attempt adds no retry load on upstreams if the last one did not reach any of them.
     const bool isExemptFromRetryBudget = outcome.end == AttemptEnd::NotSent
         || (outcome.end == AttemptEnd::NotRun && this->wasLastAttemptRelayed && outcome.isNotSentGuaranteed);
@@ -612,6 +617,10 @@
         co_await this->forwardAnswer(*this->keptFailure);
         co_return;
     }
+    if (this->possibleRuns == 0 && this->isEndedByStop()) {
+        co_await this->refuse(Refusal { RefusalCause::Stopping, stoppingRetryDelay });
+        co_return;
+    }
     if (this->possibleRuns == 0) {
         const bool isLate = this->getRemaining() < minimumAttemptTime;
         co_await this->refuse(Refusal { isLate ? RefusalCause::NoTimeLeft : RefusalCause::NoRetryLeft,
@@ -619,9 +628,11 @@
         co_return;
     }
     const bool isLate = this->getRemaining() < minimumAttemptTime;
-    co_await this->sendGatewayAnswer(
-        isLate ? 504 : 502, isLate ? "timed_out" : "upstream_failed", Milliseconds(0), false);
-    this->logRequestEnd("request_failed", LogWeight::Notable, outcome.detail, isLate ? 504 : 502);
+    const bool isEndedByStop = this->isEndedByStop();
+    const std::string_view code = isEndedByStop ? "stopping" : isLate ? "timed_out" : "upstream_failed";
+    co_await this->sendGatewayAnswer(isLate ? 504 : 502, code, Milliseconds(0), false);
+    this->logRequestEnd(
+        "request_failed", LogWeight::Notable, isEndedByStop ? code : outcome.detail, isLate ? 504 : 502);
 }
 
 asio::awaitable<void> RequestServer::refuse(const Refusal& refusal)
@@ -700,7 +711,21 @@
 
 Milliseconds RequestServer::getRemaining() const
 {
-    return this->answerDeadline - this->now();
+    const std::optional<StopSchedule>& stop = this->context.core.getStop();
+    return (stop ? std::min(this->answerDeadline, stop->getRequestsEnd()) : this->answerDeadline) - this->now();
+}
+
+bool RequestServer::isEndedByStop() const
+{
+    const std::optional<StopSchedule>& stop = this->context.core.getStop();
+    return stop && stop->getRequestsEnd() < this->answerDeadline && this->getRemaining() < minimumAttemptTime;
+}
+
+bool RequestServer::isTooLateForStop() const
+{
+    const std::optional<StopSchedule>& stop = this->context.core.getStop();
+    return stop && this->possibleRuns == 0 && !this->answer.hasBegun()
+        && this->now() + this->admitted->route->latencyTarget > stop->getRequestsEnd();
 }
 
 std::optional<std::uint64_t> RequestServer::parseNumberHeader(std::string_view header) const
