Count limited and rejecting upstreams by what they accept in the prefill capacity

What callers saw: while most upstreams of a service state a limit, long prompts are admitted as if there were none, the other upstreams read prompts without a pause, and streams there are late.

Cause: Placement::getPrefillCapacity counted every usable upstream in full. Class: a figure of capacity that is computed beside the decision that it bounds, and does not know what that decision knows.

Evidence: 18 upstreams of which 13 state 2 requests per second (or reject), prompts offered at the speed of all 18. testLimitedUpstreamsDoNotAddTheirWholePrefillCapacity and testRejectingUpstreamsAddNoPrefillCapacity failed before (one run each): the five other upstreams were given more than 0.95 of their time in prefill. testEndOfLimitsRestoresPrefillCapacity passed before and guards the end of the limits.

Now a limited upstream adds its rate times the mean length of the prompts that were placed, at most its whole capacity; a rejecting one adds nothing until the end of that time. Leaving ones were left out already, as they are not usable. Measured: the three tests and the 106 others of test_gateway pass.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -121,16 +121,16 @@
     this->vms.expire(now);
     this->quarantine.expire(now);
     this->recentVmCount.note(now, this->vms.countVms());
-    this->updateShares();
+    this->updateShares(now);
 }
 
-void GatewayCore::updateShares()
+void GatewayCore::updateShares(Milliseconds now)
 {
     for (auto& [workspace, allowance] : this->workspaceAllowances)
         allowance.setRemoteDemand({ this->loadExchange.getRemoteDemand(workspace), this->vms.countVms() });
     const std::size_t vmCount = std::max<std::size_t>(1, this->vms.getReadyVms(this->settings.region).size());
     for (auto& [service, allowance] : this->prefillAllowances) {
-        const double capacity = this->placement.getPrefillCapacity(service, this->settings.region);
+        const double capacity = this->placement.getPrefillCapacity(now, service);
         allowance.setLimit({ capacity, capacity * prefillBurstSeconds, 0 });
         const ServiceLoad others = this->loadExchange.getLocalLoadOfOtherVms(service);
         allowance.setRemoteDemand({ static_cast<double>(others.requestedTokensPerSecond), vmCount });
@@ -279,8 +279,10 @@
     query.hasPrefillCapacity = allowance.hasLevelAbove(
         now, std::min(maximumReserve, effectivePriority * priorityReserveStep - urgentOverdraft + lengthReserve));
     PlacementDecision decision = this->placement.choose(now, query, service);
-    if (std::holds_alternative<UseUpstream>(decision))
+    if (std::holds_alternative<UseUpstream>(decision)) {
         allowance.take(tokens);
+        this->placement.notePlaced(query.service, tokens);
+    }
     if (!std::holds_alternative<PlacementFailure>(decision))
         fairness.notePlaced(now, tokens);
     return decision;
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -206,7 +206,7 @@
     const ServiceId& chooseService(const ServingRoute& route);
     SharedRetryBudget& getRetryBudget(const ServiceId& service);
     double getExtraRetryShare(Milliseconds now) const;
-    void updateShares();
+    void updateShares(Milliseconds now);
     LoadFigures measureLoad(Milliseconds now) const;
 
     /** Longer than a store change takes to reach every VM's watch. */
--- a/modules/gateway/limits/StatedRateLimit.cpp
+++ b/modules/gateway/limits/StatedRateLimit.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/** Without any request, no answer could tell that the upstream has recovered. */
-constexpr double minimumPerSecond = 0.2;
 /** Seconds of the rate that may be sent at once, as callers' requests do not arrive evenly. */
 constexpr double burstSeconds = 1;
 constexpr Milliseconds selectionLifetime { 500 }; /**< The list of VMs changes seldom, and hashing it takes time. */
@@ -26,7 +24,7 @@
     share.level = std::min(share.level, std::max(1.0, share.perSecond * burstSeconds));
     share.refilledAt = now;
     if (share.statedPerSecond != perSecond || now - share.selectedAt >= selectionLifetime) {
-        const double rate = std::max(perSecond, minimumPerSecond);
+        const double rate = getAcceptedRate(perSecond);
         const auto count = static_cast<std::size_t>(
             std::clamp(rate, 1.0, static_cast<double>(std::max<std::size_t>(1, vmsInRegion.size()))));
         const bool isUser = isSelected(this->vm, upstream, vmsInRegion, count);
--- a/modules/gateway/limits/StatedRateLimit.h
+++ b/modules/gateway/limits/StatedRateLimit.h
@@ -2,6 +2,7 @@
 
 #include "foundation/identity/Identifier.h"
 #include "foundation/time/Clock.h"
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -35,10 +36,16 @@
     /** Records that this VM sends a request to an upstream. Does nothing if the upstream states no limit. */
     void noteUse(const UpstreamId& upstream);
 
+    /** Returns the requests per second that all VMs together send an upstream that states the given rate. */
+    static double getAcceptedRate(double perSecond) { return std::max(perSecond, minimumPerSecond); }
+
     /** Removes the state of an upstream that states no limit any more or no longer exists. */
     void forget(const UpstreamId& upstream) { this->shares.erase(upstream); }
 
 private:
+    /** Requests per second. Without any request, no answer could tell that the upstream has recovered. */
+    static constexpr double minimumPerSecond = 0.2;
+
     /** This VM's part of an upstream's rate. */
     struct Share {
         double perSecond = 0; /**< 0 if other VMs use the upstream. */
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -206,11 +206,27 @@
     return UseRelay { chosen->vm, chosen->region, chosen->relays, chosen->relayKey };
 }
 
-double Placement::getPrefillCapacity(const ServiceId& service, const RegionId& targetRegion) const
+double Placement::getFullPrefillCapacity(const ServiceId& service) const
 {
     constexpr double perSecond = 1000;
-    const auto upstreams = static_cast<double>(this->table.getUsableUpstreams(service, targetRegion).size());
-    return this->prefillSpeed.get(service) * perSecond * upstreams * maximumPrefillShare;
+    return this->prefillSpeed.get(service) * perSecond * maximumPrefillShare;
+}
+
+double Placement::getStatedPrefillCapacity(const KnownUpstream& upstream) const
+{
+    const double full = this->getFullPrefillCapacity(upstream.record.service);
+    const std::optional<double> length = this->promptLength.get(upstream.record.service);
+    if (!upstream.requestsPerSecond || !length)
+        return full;
+    return std::min(full, StatedRateLimit::getAcceptedRate(*upstream.requestsPerSecond) * *length);
+}
+
+double Placement::getPrefillCapacity(Milliseconds now, const ServiceId& service) const
+{
+    double capacity = 0;
+    for (const KnownUpstream* upstream : this->table.getUsableUpstreams(service, this->region))
+        capacity += upstream->isRejecting(now) ? 0 : this->getStatedPrefillCapacity(*upstream);
+    return capacity;
 }
 
 double Placement::estimateRegionCost(const PlacementQuery& query, const RegionId& other, bool needsFreeCapacity) const
@@ -223,7 +239,7 @@
     const double regionLoad = static_cast<double>(load.running) / slots;
     if (needsFreeCapacity && regionLoad >= fullLoad)
         return std::numeric_limits<double>::infinity();
-    const double prefillCapacity = this->getPrefillCapacity(query.service, other);
+    const double prefillCapacity = this->getFullPrefillCapacity(query.service) * static_cast<double>(upstreams.size());
     if (needsFreeCapacity && query.promptTokens > 0
         && static_cast<double>(load.requestedTokensPerSecond) > prefillCapacity * maximumRelayLoad)
         return std::numeric_limits<double>::infinity();
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -5,6 +5,7 @@
 #include "gateway/limits/StatedRateLimit.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/placement/PrefillSpeed.h"
+#include "gateway/placement/PromptLength.h"
 #include "gateway/quarantine/PromptParts.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmRegistry.h"
@@ -92,10 +93,10 @@
     PlacementDecision choose(Milliseconds now, const PlacementQuery& query, const ServingService& service);
 
     /**
-        Returns the prompt tokens per second that a region's upstreams can prefill without slowing responses too much; 0
-        if it has no usable upstream.
+        Returns the prompt tokens per second that this region's upstreams accept and can prefill without slowing
+        responses too much; 0 if no upstream accepts requests from this VM.
     */
-    double getPrefillCapacity(const ServiceId& service, const RegionId& targetRegion) const;
+    double getPrefillCapacity(Milliseconds now, const ServiceId& service) const;
 
     /** Returns the prefill speed of one upstream of a service, in prompt tokens per millisecond; above 0. */
     double getPrefillSpeed(const ServiceId& service) const { return this->prefillSpeed.get(service); }
@@ -106,6 +107,9 @@
     /** Records that the VM starts now. It sends cold upstreams nothing until it knows the other VMs. */
     void noteStart(Milliseconds now) { this->vmsKnownAt = now + vmDiscoveryTime; }
 
+    /** Records that an upstream was chosen for a prompt. @param tokens  prompt tokens that it probably has to read */
+    void notePlaced(const ServiceId& service, double tokens) { this->promptLength.addSample(service, tokens); }
+
     /** Records that a request is sent to an upstream. */
     void noteUse(Milliseconds now, const UpstreamId& upstream);
 
@@ -145,6 +149,10 @@
 
     /** Returns the time until the first of the service's upstreams accepts requests again; 0 if none rejects them. */
     Milliseconds getRejectionTime(Milliseconds now, const ServiceId& service) const;
+    /** Returns the prompt tokens per second that an upstream may prefill if it states no limit. */
+    double getFullPrefillCapacity(const ServiceId& service) const;
+    /** Returns the same under the limit that an upstream states. */
+    double getStatedPrefillCapacity(const KnownUpstream& upstream) const;
     std::vector<Candidate> findCandidates(
         Milliseconds now, const PlacementQuery& query, const ServingService& service, PlacementFailureCause& cause);
     void estimateCosts(const PlacementQuery& query, std::vector<Candidate>& candidates);
@@ -172,6 +180,7 @@
     StatedRateLimit statedLimit;
     Milliseconds vmsKnownAt;
     PrefillSpeed prefillSpeed;
+    PromptLength promptLength;
     std::map<VmId, Milliseconds> avoidedVmsUntil;
     std::map<RegionId, std::int64_t> pendingRelayedTokens; /**< Tokens of relayed prompts without a first event. */
     PlacementInputs inputs;
