Tell other regions what part of a region's capacity stated limits leave

What callers saw: a request was relayed to a region whose upstreams state limits and turn it away there, and came back refused.

Cause: statements stay within a region, and Placement::estimateRegionCost took the slots and the prefill capacity of another region's upstreams in full.

Evidence: two regions of three VMs, the upstream of one states 0.5 requests per second, the other one's is full. testOtherRegionsDoNotRelayToUpstreamsAtTheirLimit failed before (one run): the request was relayed.

Now the load figures of a service carry the accepted share, the part of the prefill capacity that limits leave, of which a region's sum has the least (the VM that knows most). Slots, prefill capacity and the division of pending prompts of that region are scaled by it. Rejections are left out, as they are between an upstream and one VM. Services without prompts still count in full.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -147,8 +147,11 @@
     }
     load.services = this->upstreams.measureLoad(this->settings.region);
     load.upstreams = this->upstreams.measureUpstreamLoads(this->settings.region);
-    for (const auto& [service, allowance] : this->prefillAllowances)
-        load.services[service].requestedTokensPerSecond = static_cast<std::int64_t>(allowance.getDemand(now));
+    for (const auto& [service, allowance] : this->prefillAllowances) {
+        ServiceLoad& serviceLoad = load.services[service];
+        serviceLoad.requestedTokensPerSecond = static_cast<std::int64_t>(allowance.getDemand(now));
+        serviceLoad.acceptedShare = this->placement.getAcceptedShare(service);
+    }
     return load;
 }
 
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -30,9 +30,12 @@
     for (const auto& [negative, workspace] : byDemand)
         demand[workspace.string()] = static_cast<std::int64_t>(-negative);
     json::object services;
-    for (const auto& [service, load] : figures.services)
-        services[service.string()]
-            = json::array { load.running, load.pendingPrefillTokens, load.requestedTokensPerSecond };
+    for (const auto& [service, load] : figures.services) {
+        json::array numbers { load.running, load.pendingPrefillTokens, load.requestedTokensPerSecond };
+        if (load.acceptedShare < 1)
+            numbers.emplace_back(load.acceptedShare);
+        services[service.string()] = std::move(numbers);
+    }
     json::object figuresObject { { "d", demand }, { "s", services } };
     if (!figures.upstreams.empty()) {
         json::object upstreams;
@@ -50,8 +53,11 @@
         figures.demand[WorkspaceId(std::string(member.key()))] = member.value().to_number<double>();
     for (const auto& member : object.at("s").as_object()) {
         const json::array& numbers = member.value().as_array();
-        figures.services[ServiceId(std::string(member.key()))] = { numbers.at(0).to_number<int>(),
-            numbers.at(1).to_number<std::int64_t>(), numbers.at(2).to_number<std::int64_t>() };
+        ServiceLoad& load = figures.services[ServiceId(std::string(member.key()))];
+        load = { numbers.at(0).to_number<int>(), numbers.at(1).to_number<std::int64_t>(),
+            numbers.at(2).to_number<std::int64_t>() };
+        if (numbers.size() > 3)
+            load.acceptedShare = std::clamp(numbers.at(3).to_number<double>(), 0.0, 1.0);
     }
     const json::value* upstreams = object.if_contains("u");
     if (!upstreams)
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -21,6 +21,7 @@
 /** Share of an engine's time. With three quarters of it spent on prefill, responses take four times as long. */
 constexpr double maximumPrefillShare = 0.75;
 constexpr double maximumRelayLoad = 0.9; /**< Share of a region's prefill capacity above which it gets no relays. */
+constexpr double minimumAcceptedShare = 0.001; /**< Keeps estimates finite while all upstreams state limits near 0. */
 /** Milliseconds; costs that differ by less count as equal, and the VM chooses among them at random. */
 constexpr double costTolerance = 2;
 
@@ -229,6 +230,16 @@
     return capacity;
 }
 
+double Placement::getAcceptedShare(const ServiceId& service) const
+{
+    const std::vector<const KnownUpstream*> upstreams = this->table.getUsableUpstreams(service, this->region);
+    double accepted = 0;
+    for (const KnownUpstream* upstream : upstreams)
+        accepted += this->getStatedPrefillCapacity(*upstream);
+    const double full = this->getFullPrefillCapacity(service) * static_cast<double>(upstreams.size());
+    return full > 0 ? accepted / full : 1;
+}
+
 double Placement::estimateRegionCost(const PlacementQuery& query, const RegionId& other, bool needsFreeCapacity) const
 {
     const std::vector<const KnownUpstream*> upstreams = this->table.getUsableUpstreams(query.service, other);
@@ -236,10 +247,12 @@
     if (slots == 0)
         return std::numeric_limits<double>::infinity();
     const ServiceLoad load = this->loadExchange.getLoad(other, query.service);
-    const double regionLoad = static_cast<double>(load.running) / slots;
+    const double acceptedShare = std::max(load.acceptedShare, minimumAcceptedShare);
+    const double acceptingUpstreams = static_cast<double>(upstreams.size()) * acceptedShare;
+    const double regionLoad = static_cast<double>(load.running) / (slots * acceptedShare);
     if (needsFreeCapacity && regionLoad >= fullLoad)
         return std::numeric_limits<double>::infinity();
-    const double prefillCapacity = this->getFullPrefillCapacity(query.service) * static_cast<double>(upstreams.size());
+    const double prefillCapacity = this->getFullPrefillCapacity(query.service) * acceptingUpstreams;
     if (needsFreeCapacity && query.promptTokens > 0
         && static_cast<double>(load.requestedTokensPerSecond) > prefillCapacity * maximumRelayLoad)
         return std::numeric_limits<double>::infinity();
@@ -251,7 +264,7 @@
     const double cacheMissCost
         = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) / this->prefillSpeed.get(query.service);
     return relayCost + cacheMissCost + regionLoad * fullLoadCost
-        + pendingTokens / static_cast<double>(upstreams.size()) / this->prefillSpeed.get(query.service);
+        + pendingTokens / acceptingUpstreams / this->prefillSpeed.get(query.service);
 }
 
 const VmAnnouncement* Placement::chooseRelayVm(Milliseconds now, const RegionId& other)
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -98,6 +98,9 @@
     */
     double getPrefillCapacity(Milliseconds now, const ServiceId& service) const;
 
+    /** Returns the part of the prefill capacity of this region's upstreams that their stated limits leave; 0 to 1. */
+    double getAcceptedShare(const ServiceId& service) const;
+
     /** Returns the prefill speed of one upstream of a service, in prompt tokens per millisecond; above 0. */
     double getPrefillSpeed(const ServiceId& service) const { return this->prefillSpeed.get(service); }
 
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -2,6 +2,7 @@
 
 #include "gateway/upstreams/UpstreamHealth.h"
 #include "gateway/upstreams/UpstreamRecord.h"
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -16,13 +17,15 @@
     int running = 0; /**< Requests that have not ended. */
     std::int64_t pendingPrefillTokens = 0; /**< Tokens of prompts without a first event. */
     std::int64_t requestedTokensPerSecond = 0; /**< Prompt tokens per second that callers request, admitted or not. */
+    double acceptedShare = 1; /**< Part of the prefill capacity that the upstreams' stated limits leave; 0 to 1. */
 
-    /** Adds the load from another VM. */
+    /** Adds the load from another VM of the region. The VM that knows most of the limits determines what they leave. */
     void add(const ServiceLoad& other)
     {
         this->running += other.running;
         this->pendingPrefillTokens += other.pendingPrefillTokens;
         this->requestedTokensPerSecond += other.requestedTokensPerSecond;
+        this->acceptedShare = std::min(this->acceptedShare, other.acceptedShare);
     }
 
     bool operator==(const ServiceLoad&) const = default;
--- a/tests/gateway/StatedCapacityTest.cpp
+++ b/tests/gateway/StatedCapacityTest.cpp
@@ -1,4 +1,4 @@
-#include "gateway/GatewayFixture.h"
+#include "gateway/DigestFleet.h"
 
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(testLimitedUpstreamsDoNotAddTheirWholePrefillCapacity);
     CPPUNIT_TEST(testRejectingUpstreamsAddNoPrefillCapacity);
     CPPUNIT_TEST(testEndOfLimitsRestoresPrefillCapacity);
+    CPPUNIT_TEST(testOtherRegionsDoNotRelayToUpstreamsAtTheirLimit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +69,39 @@
         CPPUNIT_ASSERT(placed.onLimited + placed.onUnlimited >= 0.6 * whole);
     }
 
+    // Load pattern: two regions have the same load. One could read all of it, but its upstreams state limits.
+    void testOtherRegionsDoNotRelayToUpstreamsAtTheirLimit()
+    {
+        DigestFleet fleet({ "north", "south" }, 3);
+        for (const auto& [vm, core] : fleet.cores) {
+            core->applyConfiguration(makeDocument(1));
+            for (const char* region : { "north", "south" }) {
+                const std::string name = std::string(region) + "-engine";
+                core->getUpstreams().put(Milliseconds(fleet.now), makeUpstream(name, region));
+            }
+        }
+        UpstreamStatement statement;
+        statement.requestsPerSecond = 0.5;
+        fleet.at("south-1").getUpstreams().noteStatement(
+            Milliseconds(fleet.now), makeUpstream("south-engine", "south"), statement);
+        PlacementQuery query;
+        query.service = engine;
+        query.promptTokens = 500;
+        query.mayRelay = false;
+        for (int round = 0; round < 8; ++round) {
+            for (const char* vm : { "south-0", "south-1", "south-2" })
+                fleet.at(vm).place(Milliseconds(fleet.now), query, 2);
+            fleet.runUntil(fleet.now + DigestFleet::interval);
+        }
+        query.mayRelay = true;
+        for (const char* vm : { "north-0", "north-1", "north-2" }) {
+            // The own engine is full.
+            fleet.at(vm).getUpstreams().noteLoad(Milliseconds(fleet.now), UpstreamId("north-engine"), { 64, 10, 64 });
+            const PlacementDecision decision = fleet.at(vm).place(Milliseconds(fleet.now), query, 2);
+            CPPUNIT_ASSERT(std::holds_alternative<PlacementFailure>(decision));
+        }
+    }
+
 private:
     std::unique_ptr<GatewayCore> makeCore()
     {
