--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -37,6 +37,11 @@
 /** Time in which a VM that lost the store may regain it, or callers move to another VM. */
 constexpr Milliseconds storeRetryDelay { 500 };
 constexpr Milliseconds minimumWait { 50 };
+constexpr Milliseconds minimumReturnDelay { 150 }; /**< For a service without free capacity. */
+/** Spreads returns over at least this time, so that they do not arrive in bursts. */
+constexpr Milliseconds minimumReturnSpread { 450 };
+/** Limits delays to a quarter of the remaining time: a load peak may be over, and an answer is still possible. */
+constexpr std::int64_t returnDelayDivisor = 4;
 
 /** Returns the regions that are in both lists; an empty list allows all regions. */
 std::vector<RegionId> intersectHomes(const std::vector<RegionId>& left, const std::vector<RegionId>& right)
@@ -302,10 +307,19 @@
     return this->upstreams.noteStatement(now, upstream, statement);
 }
 
-Milliseconds GatewayCore::getPrefillWait(Milliseconds now, const ServiceId& service)
+Milliseconds GatewayCore::planReturn(
+    Milliseconds now, const PlacementQuery& query, Milliseconds known, Milliseconds remaining)
 {
-    const auto found = this->prefillAllowances.find(service);
-    return found == this->prefillAllowances.end() ? Milliseconds(0) : found->second.getWait(now);
+    const auto found = this->prefillAllowances.find(query.service);
+    const Milliseconds wait = found == this->prefillAllowances.end() ? Milliseconds(0) : found->second.getWait(now);
+    return std::max(wait, known) + this->drawReturnDelay(remaining);
+}
+
+Milliseconds GatewayCore::drawReturnDelay(Milliseconds remaining)
+{
+    const Milliseconds latest = std::max(minimumReturnDelay + minimumReturnSpread, remaining / returnDelayDivisor);
+    std::uniform_int_distribution<std::int64_t> spread(minimumReturnDelay.count(), latest.count());
+    return Milliseconds(spread(this->random));
 }
 
 SharedRetryBudget& GatewayCore::getRetryBudget(const ServiceId& service)
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -138,8 +138,17 @@
     */
     PlacementDecision place(Milliseconds now, PlacementQuery query, int priority);
 
-    /** Returns the time until this region's engines of the service may have prefill capacity; 0 if they have it now. */
-    Milliseconds getPrefillWait(Milliseconds now, const ServiceId& service);
+    /**
+        Returns the time after which the caller of a request that could not be placed should return.
+
+        @param known      known time until the request can be placed; 0 if it is not known
+        @param remaining  time that the caller has left
+    */
+    Milliseconds planReturn(Milliseconds now, const PlacementQuery& query, Milliseconds known, Milliseconds remaining);
+
+    /** Draws the time after which a caller should return if nothing is known. @param remaining  time that it has left
+     */
+    Milliseconds drawReturnDelay(Milliseconds remaining);
 
     /** Counts a caller's request for a service, which adds to its retry budget. */
     void noteRequest(Milliseconds now, const ServiceId& service);
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
-#include <random>
 #include <utility>
 
 namespace papayashelf {
@@ -22,11 +21,6 @@
 /** Lower bound for the first-byte timeout if the latency target is short. */
 constexpr Milliseconds minimumFirstByteTimeout { 400 };
 constexpr Milliseconds defaultDeadline { 60'000 }; /**< For callers that send no deadline. */
-constexpr Milliseconds minimumRetryDelay { 150 }; /**< For a service without free capacity. */
-/** Spreads retries over at least this time, so that they do not arrive in bursts. */
-constexpr Milliseconds minimumRetrySpread { 450 };
-/** Limits delays to a quarter of the remaining time: a load peak may be over, and an answer is still possible. */
-constexpr std::int64_t retryDelayDivisor = 4;
 constexpr int extraPlacements = 2; /**< Beyond the route's maximum, after upstreams that did not run the request. */
 constexpr Milliseconds stoppingRetryDelay { 50 }; /**< Short, as other VMs accept requests immediately. */
 /** Interval of checks whether an upstream has free capacity. */
@@ -79,15 +73,6 @@
     return sum;
 }
 
-/** Draws a random delay after which a caller should retry at a service without free capacity. */
-Milliseconds drawRetryDelay(Milliseconds remaining)
-{
-    thread_local std::minstd_rand random { std::random_device {}() };
-    const Milliseconds latest = std::max(minimumRetryDelay + minimumRetrySpread, remaining / retryDelayDivisor);
-    std::uniform_int_distribution<std::int64_t> spread(minimumRetryDelay.count(), latest.count());
-    return Milliseconds(spread(random));
-}
-
 /** Parses "a,b" into two numbers. */
 std::optional<std::pair<std::int64_t, std::int64_t>> parseTokenCounts(std::string_view text)
 {
@@ -248,9 +233,8 @@
         : cause == PlacementFailureCause::AllCold                        ? RefusalCause::AllCold
         : cause == PlacementFailureCause::AllRejecting                   ? RefusalCause::AllRejecting
                                                                          : RefusalCause::NoUpstream;
-    const Milliseconds prefillWait = this->context.core.getPrefillWait(this->now(), this->admitted->service);
-    co_await this->refuse(
-        Refusal { refusal, std::max(prefillWait, retryAfter) + drawRetryDelay(this->getRemaining()) });
+    co_await this->refuse(Refusal { refusal,
+        this->context.core.planReturn(this->now(), this->makePlacementQuery(), retryAfter, this->getRemaining()) });
     co_return NextAction::Done;
 }
 
@@ -594,7 +578,7 @@
     if (this->possibleRuns == 0) {
         const bool isLate = this->getRemaining() < minimumAttemptTime;
         co_await this->refuse(Refusal { isLate ? RefusalCause::NoTimeLeft : RefusalCause::NoRetryLeft,
-            isLate ? Milliseconds(0) : drawRetryDelay(this->getRemaining()) });
+            isLate ? Milliseconds(0) : this->context.core.drawReturnDelay(this->getRemaining()) });
         co_return;
     }
     const bool isLate = this->getRemaining() < minimumAttemptTime;
