Let refused callers return when the capacity that is left allows it

What callers saw: while many upstreams state limits, callers were refused, came back at a random time within a quarter of their time, and were refused again.

Cause: the time to return knew neither the rate that limits leave nor the callers who had been refused before. Class: a promise of a time without a look at what has been promised already.

Now ReturnSchedule reserves, for each refused prompt, its tokens on the part of this VM's rate that new requests leave, one after the other. A time beyond a third of what the caller has left reserves nothing and is told spread. Where prompts are not what is short, the times are as before.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -42,6 +42,8 @@
 constexpr Milliseconds minimumReturnSpread { 450 };
 /** Limits delays to a quarter of the remaining time: a load peak may be over, and an answer is still possible. */
 constexpr std::int64_t returnDelayDivisor = 4;
+/** Part of the remaining time after which no return is planned, as too little would be left for an answer. */
+constexpr std::int64_t longestReturnDivisor = 3;
 
 /** Returns the regions that are in both lists; an empty list allows all regions. */
 std::vector<RegionId> intersectHomes(const std::vector<RegionId>& left, const std::vector<RegionId>& right)
@@ -59,6 +61,13 @@
     return both;
 }
 
+/** Returns the prompt tokens that an upstream probably has to read. */
+double estimateReadTokens(const PlacementQuery& query)
+{
+    const auto unsharedTokens = static_cast<double>(query.promptTokens - query.sharedTokens);
+    return unsharedTokens + static_cast<double>(query.sharedTokens) * cacheMissProbability;
+}
+
 } // namespace
 
 std::string_view toString(RefusalCause cause)
@@ -267,8 +276,7 @@
         return PlacementFailure { PlacementFailureCause::Quarantined, quarantined };
     if (query.promptTokens == 0)
         return this->placement.choose(now, query, service);
-    const auto unsharedTokens = static_cast<double>(query.promptTokens - query.sharedTokens);
-    const double tokens = unsharedTokens + static_cast<double>(query.sharedTokens) * cacheMissProbability;
+    const double tokens = estimateReadTokens(query);
     SharedAllowance& allowance = this->prefillAllowances[query.service];
     const int level = std::min(priority, lowestPriority);
     PromptSizeFairness& fairness = this->sizeFairness[{ query.service, level }];
@@ -310,9 +318,19 @@
 Milliseconds GatewayCore::planReturn(
     Milliseconds now, const PlacementQuery& query, Milliseconds known, Milliseconds remaining)
 {
+    const Milliseconds drawn = this->drawReturnDelay(remaining);
     const auto found = this->prefillAllowances.find(query.service);
-    const Milliseconds wait = found == this->prefillAllowances.end() ? Milliseconds(0) : found->second.getWait(now);
-    return std::max(wait, known) + this->drawReturnDelay(remaining);
+    if (found == this->prefillAllowances.end())
+        return known + drawn;
+    SharedAllowance& allowance = found->second;
+    const Milliseconds unplanned = std::max(known, allowance.getWait(now)) + drawn;
+    if (!allowance.hasLimit() || !query.mayRelay)
+        return unplanned;
+    const Milliseconds latest = remaining / longestReturnDivisor;
+    const Milliseconds planned = this->returnSchedules[query.service].reserve(
+        now, estimateReadTokens(query), allowance.getRate(now), allowance.getDemand(now), latest);
+    // Times without a reservation are all alike and have to be spread.
+    return planned > latest ? planned + drawn : std::max(planned, unplanned);
 }
 
 Milliseconds GatewayCore::drawReturnDelay(Milliseconds remaining)
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -4,6 +4,7 @@
 #include "gateway/limits/ConfigurationFreshness.h"
 #include "gateway/limits/PromptSizeFairness.h"
 #include "gateway/limits/RecentMaximum.h"
+#include "gateway/limits/ReturnSchedule.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
 #include "gateway/model/ServingConfiguration.h"
@@ -235,6 +236,7 @@
     std::optional<Milliseconds> behindSince; /**< Since when another VM has reported a later revision. */
     std::map<WorkspaceId, SharedAllowance> workspaceAllowances;
     std::map<ServiceId, SharedAllowance> prefillAllowances; /**< This VM's share of its region's prefill capacity. */
+    std::map<ServiceId, ReturnSchedule> returnSchedules;
     std::map<std::pair<ServiceId, int>, PromptSizeFairness> sizeFairness; /**< By service and priority. */
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
     RecentMaximum recentVmCount; /**< Number of VMs that may have used extra retries in the current window. */
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/limits/ConfigurationFreshness.h"
 #include "gateway/limits/PromptSizeFairness.h"
 #include "gateway/limits/RecentMaximum.h"
+#include "gateway/limits/ReturnSchedule.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
 #include "gateway/limits/StatedRateLimit.h"
--- a/modules/gateway/limits/SharedAllowance.h
+++ b/modules/gateway/limits/SharedAllowance.h
@@ -62,6 +62,9 @@
     /** Returns the time until a request may be admitted again; 0 if it may be now. */
     Milliseconds getWait(Milliseconds now);
 
+    /** Returns true if there is a limit. */
+    bool hasLimit() const { return this->limit.unitsPerSecond > 0; }
+
     /** Returns the units per second that callers request at this VM. */
     double getDemand(Milliseconds now) const;
 
--- a/tests/gateway/StatedCapacityTest.cpp
+++ b/tests/gateway/StatedCapacityTest.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 
 namespace papayashelf {
 
@@ -26,6 +27,24 @@
     double onUnlimited = 0;
 };
 
+constexpr std::int64_t callerTimeout = 12'000; /**< Milliseconds. */
+
+/** A caller's request, which returns after a refusal for as long as it has time. */
+struct Caller {
+    std::int64_t deadline = 0;
+    std::int64_t tokens = 0;
+    int refusals = 0;
+};
+
+/** What became of the callers of a run. */
+struct CallerCounts {
+    int refused = 0; /**< At least once. */
+    int refusedTwice = 0;
+    int served = 0;
+    int given = 0;
+    std::int64_t delay = 0; /**< Milliseconds from first arrival to service, summed up over the refused ones. */
+};
+
 } // namespace
 
 class StatedCapacityTest : public CppUnit::TestFixture {
@@ -34,6 +53,7 @@
     CPPUNIT_TEST(testRejectingUpstreamsAddNoPrefillCapacity);
     CPPUNIT_TEST(testEndOfLimitsRestoresPrefillCapacity);
     CPPUNIT_TEST(testOtherRegionsDoNotRelayToUpstreamsAtTheirLimit);
+    CPPUNIT_TEST(testRefusedCallersReturnWhenLimitsLeaveCapacity);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,7 +122,67 @@
         }
     }
 
+    // Load pattern: for three seconds callers want more than what the limits leave, then half of it.
+    void testRefusedCallersReturnWhenLimitsLeaveCapacity()
+    {
+        for (const double peak : { 1.5, 2.0 }) {
+            const auto core = this->makeCore();
+            UpstreamStatement statement;
+            statement.requestsPerSecond = 2;
+            this->state(*core, statement);
+            const CallerCounts counts = this->playCallers(*core, peak);
+            CPPUNIT_ASSERT(counts.refused > 50);
+            CPPUNIT_ASSERT(counts.refusedTwice <= counts.refused / 3);
+            CPPUNIT_ASSERT_EQUAL(counts.given, counts.served);
+            CPPUNIT_ASSERT(counts.delay / counts.refused <= callerTimeout / 3);
+        }
+    }
+
 private:
+    /** Lets callers return when they are told to, but after a third of the time that they have left at the latest. */
+    CallerCounts playCallers(GatewayCore& core, double peak)
+    {
+        constexpr std::int64_t peakEnd = 6'000;
+        constexpr std::int64_t end = 16'000;
+        constexpr double accepted
+            = 0.75 * prefillSpeed * (upstreamCount - limitedCount) + 0.001 * 2 * 2'000 * limitedCount;
+        CallerCounts counts;
+        std::multimap<std::int64_t, Caller> arrivals;
+        const std::array<std::int64_t, 4> lengths { 500, 2'500, 1'000, 4'000 };
+        double elapsed = 0;
+        for (std::size_t prompt = 0; elapsed < static_cast<double>(end); ++prompt, ++counts.given) {
+            const auto at = static_cast<std::int64_t>(elapsed);
+            const std::int64_t tokens = lengths[prompt % lengths.size()];
+            arrivals.insert({ at, Caller { at + callerTimeout, tokens, 0 } });
+            const double load = at >= 3'000 && at < peakEnd ? peak : 0.5;
+            elapsed += static_cast<double>(tokens) / (accepted * load);
+        }
+        while (!arrivals.empty()) {
+            auto [at, caller] = *arrivals.begin();
+            arrivals.erase(arrivals.begin());
+            const Milliseconds now = start + Milliseconds(at);
+            core.tick(now);
+            PlacementQuery query;
+            query.service = engine;
+            query.promptTokens = caller.tokens;
+            const PlacementDecision decision = core.place(now, query, 2);
+            if (const auto* upstream = std::get_if<UseUpstream>(&decision)) {
+                core.getPlacement().noteUse(now, upstream->upstream.id);
+                ++counts.served;
+                counts.delay += caller.refusals > 0 ? at - (caller.deadline - callerTimeout) : 0;
+                continue;
+            }
+            ++caller.refusals;
+            counts.refused += caller.refusals == 1 ? 1 : 0;
+            counts.refusedTwice += caller.refusals == 2 ? 1 : 0;
+            const std::int64_t remaining = caller.deadline - at;
+            const Milliseconds wait = core.planReturn(now, query, Milliseconds(0), Milliseconds(remaining));
+            if (remaining > 100)
+                arrivals.insert({ at + std::min(wait.count(), remaining / 3), caller });
+        }
+        return counts;
+    }
+
     std::unique_ptr<GatewayCore> makeCore()
     {
         auto core = std::make_unique<GatewayCore>(makeSettings(), "relay-key", 1);
