Pass on that an upstream leaves if its answer told nothing of a limit

What callers saw: nothing yet; VMs that are cut off from the store go on sending to an upstream that told another VM that it leaves (DRAIN).

Cause: a shared statement carries one age, that of the last statement on a limit. A refusal or an unsealed answer, which tells nothing of limits, leaves that age as it was, or as old as the clock. The collector then dated the leaving back beyond the time in which it passes statements on, and no VM behind it learned of it. Class: one date for two facts.

A leaving upstream does not return, so its date only bounds how long each VM passes it on: it is now the time at which the VM learned it. Measured: the test passes after; two exchanges over eight VMs.

--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -122,7 +122,7 @@
         return;
     const Milliseconds statedAt = now - statement.age;
     if (statement.isLeaving && !upstream->leavingSince)
-        upstream->leavingSince = statedAt;
+        upstream->leavingSince = now;
     if (statedAt > upstream->statedAt)
         noteLimit(statedAt, *upstream, statement.requestsPerSecond);
 }
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -61,7 +61,7 @@
     Milliseconds statedAt; /**< Time of its last statement, to this or another VM. */
     Milliseconds limitEndedAt; /**< Time at which its last limit ended; 0 if it had none. */
     int sentSinceLimited = 0; /**< Requests from this VM since its limit began. */
-    std::optional<Milliseconds> leavingSince; /**< Time at which it stated that it is about to end. */
+    std::optional<Milliseconds> leavingSince; /**< Time at which this VM learned that it is about to end. */
     Milliseconds rejectsUntil; /**< Until then it wants no requests from this VM. */
     std::optional<Milliseconds> goneAt; /**< Set when it disappears from the list: time at which it is removed. */
 
@@ -78,7 +78,7 @@
     std::int64_t startedAt = 0; /**< Start of the incarnation that stated it; see UpstreamRecord::startedAt. */
     std::optional<double> requestsPerSecond; /**< Empty if it states no limit any more. */
     bool isLeaving = false;
-    Milliseconds age; /**< Time since the statement. */
+    Milliseconds age; /**< Time since the upstream last stated a limit or that it has none. */
 
     bool operator==(const SharedStatement&) const = default;
 };
--- a/tests/gateway/StatedLeavingTest.cpp
+++ b/tests/gateway/StatedLeavingTest.cpp
@@ -45,6 +45,7 @@
 class StatedLeavingTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(StatedLeavingTest);
     CPPUNIT_TEST(testVmsLearnThatAnUpstreamLeavesWithinOneExchange);
+    CPPUNIT_TEST(testLeavingPassesOnFromAnswerWithoutLimit);
     CPPUNIT_TEST(testStatementOfOldIncarnationDoesNotMarkNewOne);
     CPPUNIT_TEST(testNewIncarnationStartsWithoutStatements);
     CPPUNIT_TEST(testEveryPathObeysLeavingAndRejecting);
@@ -67,6 +68,18 @@
         }
     }
 
+    void testLeavingPassesOnFromAnswerWithoutLimit()
+    {
+        DigestFleet fleet({ "north" }, 8);
+        this->putStating(fleet);
+        fleet.runUntil(fleet.now + 3 * DigestFleet::interval);
+        UpstreamStatement statement = stateLeaving();
+        statement.isLimitKnown = false;
+        fleet.at("north-7").noteStatement(Milliseconds(fleet.now), makeStating(), statement);
+        fleet.runUntil(fleet.now + 2 * DigestFleet::interval);
+        this->checkNoVmUses(fleet);
+    }
+
     void testStatementOfOldIncarnationDoesNotMarkNewOne()
     {
         GatewayCore core(makeSettings(), "key", 1);
