Return to an upstream gradually after it rejected requests

What callers saw: nothing yet; the upstream in need got all requests of its region when the time that it had named ended.

Cause: the spread of the VMs' ends (a fifth of the time) is shorter than the time in which they learn of each other's requests. Its last reported load is then near 0, so it is the cheapest upstream for all of them. Class: many VMs act on the same old figure.

For four reports' time after the end, a request may use the upstream with a chance that rises from 0 to 1. A VM that is alone knows its load and returns at once. Not part of it: without any rejection, many VMs with few requests each put up to 101 at one upstream for a moment in this model (320 VMs).

--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -21,6 +21,8 @@
 /** Share of an engine's time. With three quarters of it spent on prefill, responses take four times as long. */
 constexpr double maximumPrefillShare = 0.75;
 constexpr double maximumRelayLoad = 0.9; /**< Share of a region's prefill capacity above which it gets no relays. */
+/** Time after a rejection in which a rising part of the requests may use the upstream; covers a few load reports. */
+constexpr Milliseconds returnTime = LoadExchange::reportInterval * 4;
 constexpr double minimumAcceptedShare = 0.001; /**< Keeps estimates finite while all upstreams state limits near 0. */
 /** Milliseconds; costs that differ by less count as equal, and the VM chooses among them at random. */
 constexpr double costTolerance = 2;
@@ -97,7 +99,7 @@
     std::vector<Candidate> healthyCandidates;
     std::vector<Candidate> suspectCandidates;
     for (const KnownUpstream* upstream : this->table.getUsableUpstreams(query.service, this->region)) {
-        if (upstream->isRejecting(now)) {
+        if (upstream->isRejecting(now) || !this->mayReturnTo(now, *upstream, regionVms.size())) {
             cause = cause == PlacementFailureCause::NoUpstream ? PlacementFailureCause::AllRejecting : cause;
             continue;
         }
@@ -132,6 +134,15 @@
     return healthyCandidates;
 }
 
+bool Placement::mayReturnTo(Milliseconds now, const KnownUpstream& upstream, std::size_t regionVms)
+{
+    const Milliseconds elapsed = now - upstream.rejectsUntil;
+    // A VM that is alone knows all requests of the upstream at once.
+    if (upstream.rejectsUntil == Milliseconds(0) || elapsed >= returnTime || regionVms <= 1)
+        return true;
+    return std::bernoulli_distribution(elapsed.seconds() / returnTime.seconds())(this->random);
+}
+
 Milliseconds Placement::getRejectionTime(Milliseconds now, const ServiceId& service) const
 {
     std::optional<Milliseconds> earliest;
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -150,6 +150,8 @@
         double cost = 0; /**< Cost in milliseconds; see Placement. */
     };
 
+    /** Returns true if the request may use an upstream that may have rejected requests shortly before. */
+    bool mayReturnTo(Milliseconds now, const KnownUpstream& upstream, std::size_t regionVms);
     /** Returns the time until the first of the service's upstreams accepts requests again; 0 if none rejects them. */
     Milliseconds getRejectionTime(Milliseconds now, const ServiceId& service) const;
     /** Returns the prompt tokens per second that an upstream may prefill if it states no limit. */
