--- a/tests/gateway/StatedLeavingTest.cpp
+++ b/tests/gateway/StatedLeavingTest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(testEveryPathObeysLeavingAndRejecting);
     CPPUNIT_TEST(testMemoryIsNotFetchedFromLeavingOrRejectingUpstream);
     CPPUNIT_TEST(testColdAndSuspectUpstreamsObeyLeavingAndRejecting);
+    CPPUNIT_TEST(testRejectionIsObeyedForTheLongestTimeAtMost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -187,6 +188,22 @@
         }
     }
 
+    void testRejectionIsObeyedForTheLongestTimeAtMost()
+    {
+        constexpr Milliseconds longestSpread { 1'000 };
+        GatewaySettings settings = makeSettings();
+        settings.bounds.longestRejection = Milliseconds(20'000);
+        GatewayCore core(settings, "key", 1);
+        core.getUpstreams().put(start, makeStating());
+        UpstreamStatement statement;
+        statement.rejectsFor = Milliseconds(3'600'000);
+        core.noteStatement(start, makeStating(), statement);
+        PlacementQuery query;
+        query.service = engine;
+        CPPUNIT_ASSERT(isKeptFromRequests(core, start + Milliseconds(19'900), query));
+        CPPUNIT_ASSERT(!isKeptFromRequests(core, start + Milliseconds(20'000) + longestSpread, query));
+    }
+
 private:
     void putStating(DigestFleet& fleet)
     {
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(testCallersLearnWhenTheLastUpstreamAcceptsAgain);
     CPPUNIT_TEST(testUnreadableStatementsTakeNoUpstreamOutOfService);
     CPPUNIT_TEST(testOtherUpstreamAtTheAddressStatesNothing);
+    CPPUNIT_TEST(testAnswersWithoutSealOrToOtherRequestsStateNothing);
+    CPPUNIT_TEST(testStatementsOutsideTheHeadOfTheAnswerHaveNoEffect);
     CPPUNIT_TEST(testEarlierRefusalOnKeptConnectionIsNotTakenForThisRequest);
     CPPUNIT_TEST(testErrorOfResumingUpstreamDoesNotEnterTheStream);
     CPPUNIT_TEST(testHeadThatBreaksOffIsNoAnswer);
@@ -412,6 +414,24 @@
         CPPUNIT_ASSERT(this->countArrivalsAtFirst(60) > 5);
     }
 
+    void testAnswersWithoutSealOrToOtherRequestsStateNothing()
+    {
+        for (const AnswerKind kind : { AnswerKind::Unsealed, AnswerKind::OtherId }) {
+            this->harness->first().setStatedHeaders("Server-Leaving: 1\r\nServer-Limit: 0\r\nRetry-After: 30\r\n");
+            this->askUntilFirstHas(1, kind);
+            this->harness->first().setStatedHeaders("");
+            CPPUNIT_ASSERT(this->countArrivalsAtFirst(60) > 5);
+        }
+    }
+
+    void testStatementsOutsideTheHeadOfTheAnswerHaveNoEffect()
+    {
+        for (const AnswerKind kind : { AnswerKind::StatedInInterim, AnswerKind::StatedInTrailer }) {
+            this->askUntilFirstHas(1, kind);
+            CPPUNIT_ASSERT(this->countArrivalsAtFirst(60) > 5);
+        }
+    }
+
     void testOtherUpstreamAtTheAddressStatesNothing()
     {
         this->harness->first().setStatedHeaders("Server-Leaving: 1\r\nRetry-After: 30\r\n");
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -77,6 +77,7 @@
 {
     const std::string id = getHeader(request, "Attempt-Id");
     const std::string body = "body of " + id;
+    const std::string statements = "Server-Leaving: 1\r\nServer-Limit: 0\r\nRetry-After: 30\r\n";
     std::string completeAnswer = formatWithLength(formatResponseHead("200 OK", id, true), body);
     switch (kind) {
     case AnswerKind::Failure:
@@ -105,6 +106,11 @@
         return formatResponseHead("200 OK", id, true) + "Content-Length: 100\r\n\r\n" + body;
     case AnswerKind::WithoutLength:
         return formatResponseHead("200 OK", id, true) + "Connection: close\r\n\r\n" + body;
+    case AnswerKind::StatedInInterim:
+        return "HTTP/1.1 103 Early Hints\r\n" + statements + "\r\n" + completeAnswer;
+    case AnswerKind::StatedInTrailer:
+        return formatResponseHead("200 OK", id, true) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n"
+            + statements + "\r\n";
     case AnswerKind::TrailingBytes:
         return completeAnswer + "bytes of no answer";
     default:
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -33,6 +33,8 @@
     EndlessBody, /**< A sealed chunked body without end. */
     EndlessEvent, /**< A sealed stream whose first event has no end. */
     EndlessChunkExtension, /**< A sealed body whose first chunk size has an extension without end. */
+    StatedInInterim, /**< Complete, after an interim answer that states leaving, a limit and a time. */
+    StatedInTrailer, /**< Complete, with a trailer that states the same. */
     TrailingBytes, /**< A complete answer followed by bytes that are no HTTP answer. */
 };
 
