Let prompts use limited upstreams while the others have no prefill capacity

Cause: one allowance of tokens decided for all upstreams, so a long prompt paid with many tokens for what costs a limited upstream one request. Class: two scarce things counted in one unit.

Now a request without prefill capacity may still be sent to upstreams whose limit leaves prefill capacity unused, as far as that limit allows, and uses there no more of the allowance than a mean prompt.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -295,8 +295,8 @@
     query.hasPrefillCapacity = allowance.hasLevelAbove(
         now, std::min(maximumReserve, effectivePriority * priorityReserveStep - urgentOverdraft + lengthReserve));
     PlacementDecision decision = this->placement.choose(now, query, service);
-    if (std::holds_alternative<UseUpstream>(decision)) {
-        allowance.take(tokens);
+    if (const auto* choice = std::get_if<UseUpstream>(&decision)) {
+        allowance.take(this->placement.getUsedPrefill(choice->upstream.id, tokens));
         this->placement.notePlaced(query.service, tokens);
     }
     if (!std::holds_alternative<PlacementFailure>(decision))
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -46,10 +46,10 @@
 {
     PlacementFailureCause cause = PlacementFailureCause::NoUpstream;
     std::vector<Candidate> candidates;
+    if (isHome(query.homes, this->region))
+        candidates = this->findCandidates(now, query, service, cause);
     if (!query.hasPrefillCapacity)
         cause = PlacementFailureCause::AllFull;
-    else if (isHome(query.homes, this->region))
-        candidates = this->findCandidates(now, query, service, cause);
     this->estimateCosts(query, candidates);
     const Candidate* best = this->chooseCheapest(candidates);
     this->inputs = {};
@@ -103,7 +103,8 @@
             cause = cause == PlacementFailureCause::NoUpstream ? PlacementFailureCause::AllRejecting : cause;
             continue;
         }
-        if (query.tried.contains(upstream->record.id))
+        if (query.tried.contains(upstream->record.id)
+            || (!query.hasPrefillCapacity && !this->isBoundByRequests(*upstream)))
             continue;
         const double slots = std::max(1, upstream->record.slots);
         // Without figures of the other VMs, all VMs of the region are taken to send the upstream as much as this one.
@@ -233,6 +234,19 @@
     return std::min(full, StatedRateLimit::getAcceptedRate(*upstream.requestsPerSecond) * *length);
 }
 
+bool Placement::isBoundByRequests(const KnownUpstream& upstream) const
+{
+    return this->getStatedPrefillCapacity(upstream) < this->getFullPrefillCapacity(upstream.record.service);
+}
+
+double Placement::getUsedPrefill(const UpstreamId& id, double tokens) const
+{
+    const KnownUpstream* upstream = this->table.find(id);
+    if (!upstream || !this->isBoundByRequests(*upstream))
+        return tokens;
+    return std::min(tokens, this->promptLength.get(upstream->record.service).value_or(tokens));
+}
+
 double Placement::getPrefillCapacity(Milliseconds now, const ServiceId& service) const
 {
     double capacity = 0;
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -27,7 +27,8 @@
     std::span<const PromptPartId> promptParts; /**< Shared parts of the prompt, sorted. */
     std::set<UpstreamId> tried; /**< Upstreams that already received the request. */
     std::set<RegionId> triedRegions; /**< Regions that refused the relayed request. */
-    bool hasPrefillCapacity = true; /**< True if this region's engines have capacity to prefill the prompt. */
+    /** False if only upstreams that limit the number of requests have capacity to prefill the prompt. */
+    bool hasPrefillCapacity = true;
     bool mayRelay = true; /**< False for a request that another VM relayed here. */
 };
 
@@ -98,6 +99,12 @@
     */
     double getPrefillCapacity(Milliseconds now, const ServiceId& service) const;
 
+    /**
+        Returns the tokens of getPrefillCapacity() that a prompt uses at an upstream: a long one no more than the mean
+        where the upstream limits the number of requests and not their length.
+    */
+    double getUsedPrefill(const UpstreamId& id, double tokens) const;
+
     /** Returns the part of the prefill capacity of this region's upstreams that their stated limits leave; 0 to 1. */
     double getAcceptedShare(const ServiceId& service) const;
 
@@ -158,6 +165,8 @@
     double getFullPrefillCapacity(const ServiceId& service) const;
     /** Returns the same under the limit that an upstream states. */
     double getStatedPrefillCapacity(const KnownUpstream& upstream) const;
+    /** Returns true if the limit that an upstream states leaves a part of its prefill capacity unused. */
+    bool isBoundByRequests(const KnownUpstream& upstream) const;
     std::vector<Candidate> findCandidates(
         Milliseconds now, const PlacementQuery& query, const ServingService& service, PlacementFailureCause& cause);
     void estimateCosts(const PlacementQuery& query, std::vector<Candidate>& candidates);
--- a/tests/gateway/StatedCapacityTest.cpp
+++ b/tests/gateway/StatedCapacityTest.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(testLimitedUpstreamsDoNotAddTheirWholePrefillCapacity);
     CPPUNIT_TEST(testRejectingUpstreamsAddNoPrefillCapacity);
     CPPUNIT_TEST(testEndOfLimitsRestoresPrefillCapacity);
+    CPPUNIT_TEST(testPromptsUseLimitedUpstreamsOnceTheOthersAreBusy);
     CPPUNIT_TEST(testOtherRegionsDoNotRelayToUpstreamsAtTheirLimit);
     CPPUNIT_TEST(testRefusedCallersReturnWhenLimitsLeaveCapacity);
     CPPUNIT_TEST_SUITE_END();
@@ -89,6 +90,30 @@
         CPPUNIT_ASSERT(placed.onLimited + placed.onUnlimited >= 0.6 * whole);
     }
 
+    // Load pattern: short prompts keep the upstreams without a limit busy; the limited ones still accept requests.
+    void testPromptsUseLimitedUpstreamsOnceTheOthersAreBusy()
+    {
+        const auto core = this->makeCore();
+        UpstreamStatement statement;
+        statement.requestsPerSecond = 2;
+        this->state(*core, statement);
+        PlacementQuery query;
+        query.service = engine;
+        query.promptTokens = 700;
+        constexpr int promptsPerStep = 5; /**< Nearly four times what the upstreams without a limit may read. */
+        for (std::int64_t elapsed = 0; elapsed < 3'000; elapsed += 5) {
+            core->tick(start + Milliseconds(elapsed));
+            for (int prompt = 0; prompt < promptsPerStep; ++prompt)
+                core->place(start + Milliseconds(elapsed), query, 2);
+        }
+        query.promptTokens = 12'000;
+        for (int prompt = 0; prompt < 20; ++prompt) {
+            const PlacementDecision decision = core->place(start + Milliseconds(3'000), query, 2);
+            const auto* choice = std::get_if<UseUpstream>(&decision);
+            CPPUNIT_ASSERT(choice && core->getUpstreams().find(choice->upstream.id)->requestsPerSecond);
+        }
+    }
+
     // Load pattern: two regions have the same load. One could read all of it, but its upstreams state limits.
     void testOtherRegionsDoNotRelayToUpstreamsAtTheirLimit()
     {
