--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -37,6 +37,13 @@
 /** Time in which a VM that lost the store may regain it, or callers move to another VM. */
 constexpr Milliseconds storeRetryDelay { 500 };
 constexpr Milliseconds minimumWait { 50 };
+constexpr Milliseconds minimumReturnDelay { 150 }; /**< For a service without free capacity. */
+/** Spreads returns over at least this time, so that they do not arrive in bursts. */
+constexpr Milliseconds minimumReturnSpread { 450 };
+/** Limits delays to a quarter of the remaining time: a load peak may be over, and an answer is still possible. */
+constexpr std::int64_t returnDelayDivisor = 4;
+/** Part of the remaining time after which no return is planned, as too little would be left for an answer. */
+constexpr std::int64_t longestReturnDivisor = 3;
 
 /** Returns the regions that are in both lists; an empty list allows all regions. */
 std::vector<RegionId> intersectHomes(const std::vector<RegionId>& left, const std::vector<RegionId>& right)
@@ -54,6 +61,13 @@
     return both;
 }
 
+/** Returns the prompt tokens that an upstream probably has to read. */
+double estimateReadTokens(const PlacementQuery& query)
+{
+    const auto unsharedTokens = static_cast<double>(query.promptTokens - query.sharedTokens);
+    return unsharedTokens + static_cast<double>(query.sharedTokens) * cacheMissProbability;
+}
+
 } // namespace
 
 std::string_view toString(RefusalCause cause)
@@ -121,16 +135,16 @@
     this->vms.expire(now);
     this->quarantine.expire(now);
     this->recentVmCount.note(now, this->vms.countVms());
-    this->updateShares();
+    this->updateShares(now);
 }
 
-void GatewayCore::updateShares()
+void GatewayCore::updateShares(Milliseconds now)
 {
     for (auto& [workspace, allowance] : this->workspaceAllowances)
         allowance.setRemoteDemand({ this->loadExchange.getRemoteDemand(workspace), this->vms.countVms() });
     const std::size_t vmCount = std::max<std::size_t>(1, this->vms.getReadyVms(this->settings.region).size());
     for (auto& [service, allowance] : this->prefillAllowances) {
-        const double capacity = this->placement.getPrefillCapacity(service, this->settings.region);
+        const double capacity = this->placement.getPrefillCapacity(now, service);
         allowance.setLimit({ capacity, capacity * prefillBurstSeconds, 0 });
         const ServiceLoad others = this->loadExchange.getLocalLoadOfOtherVms(service);
         allowance.setRemoteDemand({ static_cast<double>(others.requestedTokensPerSecond), vmCount });
@@ -147,8 +161,11 @@
     }
     load.services = this->upstreams.measureLoad(this->settings.region);
     load.upstreams = this->upstreams.measureUpstreamLoads(this->settings.region);
-    for (const auto& [service, allowance] : this->prefillAllowances)
-        load.services[service].requestedTokensPerSecond = static_cast<std::int64_t>(allowance.getDemand(now));
+    for (const auto& [service, allowance] : this->prefillAllowances) {
+        ServiceLoad& serviceLoad = load.services[service];
+        serviceLoad.requestedTokensPerSecond = static_cast<std::int64_t>(allowance.getDemand(now));
+        serviceLoad.acceptedShare = this->placement.getAcceptedShare(service);
+    }
     return load;
 }
 
@@ -260,8 +277,7 @@
         return PlacementFailure { PlacementFailureCause::Quarantined, quarantined };
     if (query.promptTokens == 0)
         return this->placement.choose(now, query, service);
-    const auto unsharedTokens = static_cast<double>(query.promptTokens - query.sharedTokens);
-    const double tokens = unsharedTokens + static_cast<double>(query.sharedTokens) * cacheMissProbability;
+    const double tokens = estimateReadTokens(query);
     SharedAllowance& allowance = this->prefillAllowances[query.service];
     const int level = std::min(priority, lowestPriority);
     PromptSizeFairness& fairness = this->sizeFairness[{ query.service, level }];
@@ -280,8 +296,10 @@
     query.hasPrefillCapacity = allowance.hasLevelAbove(
         now, std::min(maximumReserve, effectivePriority * priorityReserveStep - urgentOverdraft + lengthReserve));
     PlacementDecision decision = this->placement.choose(now, query, service);
-    if (std::holds_alternative<UseUpstream>(decision))
-        allowance.take(tokens);
+    if (const auto* choice = std::get_if<UseUpstream>(&decision)) {
+        allowance.take(this->placement.getUsedPrefill(choice->upstream.id, tokens));
+        this->placement.notePlaced(query.service, tokens);
+    }
     if (!std::holds_alternative<PlacementFailure>(decision))
         fairness.notePlaced(now, tokens);
     return decision;
@@ -298,10 +316,29 @@
     return this->upstreams.noteStatement(now, upstream, statement);
 }
 
-Milliseconds GatewayCore::getPrefillWait(Milliseconds now, const ServiceId& service)
+Milliseconds GatewayCore::planReturn(
+    Milliseconds now, const PlacementQuery& query, Milliseconds known, Milliseconds remaining)
+{
+    const Milliseconds drawn = this->drawReturnDelay(remaining);
+    const auto found = this->prefillAllowances.find(query.service);
+    if (found == this->prefillAllowances.end())
+        return known + drawn;
+    SharedAllowance& allowance = found->second;
+    const Milliseconds unplanned = std::max(known, allowance.getWait(now)) + drawn;
+    if (!allowance.hasLimit() || !query.mayRelay)
+        return unplanned;
+    const Milliseconds latest = remaining / longestReturnDivisor;
+    const Milliseconds planned = this->returnSchedules[query.service].reserve(
+        now, estimateReadTokens(query), allowance.getRate(now), allowance.getDemand(now), latest);
+    // Times without a reservation are all alike and have to be spread.
+    return planned > latest ? planned + drawn : std::max(planned, unplanned);
+}
+
+Milliseconds GatewayCore::drawReturnDelay(Milliseconds remaining)
 {
-    const auto found = this->prefillAllowances.find(service);
-    return found == this->prefillAllowances.end() ? Milliseconds(0) : found->second.getWait(now);
+    const Milliseconds latest = std::max(minimumReturnDelay + minimumReturnSpread, remaining / returnDelayDivisor);
+    std::uniform_int_distribution<std::int64_t> spread(minimumReturnDelay.count(), latest.count());
+    return Milliseconds(spread(this->random));
 }
 
 SharedRetryBudget& GatewayCore::getRetryBudget(const ServiceId& service)
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -4,6 +4,7 @@
 #include "gateway/limits/ConfigurationFreshness.h"
 #include "gateway/limits/PromptSizeFairness.h"
 #include "gateway/limits/RecentMaximum.h"
+#include "gateway/limits/ReturnSchedule.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
 #include "gateway/model/ServingConfiguration.h"
@@ -139,8 +140,17 @@
     */
     PlacementDecision place(Milliseconds now, PlacementQuery query, int priority);
 
-    /** Returns the time until this region's engines of the service may have prefill capacity; 0 if they have it now. */
-    Milliseconds getPrefillWait(Milliseconds now, const ServiceId& service);
+    /**
+        Returns the time after which the caller of a request that could not be placed should return.
+
+        @param known      known time until the request can be placed; 0 if it is not known
+        @param remaining  time that the caller has left
+    */
+    Milliseconds planReturn(Milliseconds now, const PlacementQuery& query, Milliseconds known, Milliseconds remaining);
+
+    /** Draws the time after which a caller should return if nothing is known. @param remaining  time that it has left
+     */
+    Milliseconds drawReturnDelay(Milliseconds remaining);
 
     /** Counts a caller's request for a service, which adds to its retry budget. */
     void noteRequest(Milliseconds now, const ServiceId& service);
@@ -210,7 +220,7 @@
     const ServiceId& chooseService(const ServingRoute& route);
     SharedRetryBudget& getRetryBudget(const ServiceId& service);
     double getExtraRetryShare(Milliseconds now) const;
-    void updateShares();
+    void updateShares(Milliseconds now);
     LoadFigures measureLoad(Milliseconds now) const;
 
     /** Longer than a store change takes to reach every VM's watch. */
@@ -230,6 +240,7 @@
     std::optional<Milliseconds> behindSince; /**< Since when another VM has reported a later revision. */
     std::map<WorkspaceId, SharedAllowance> workspaceAllowances;
     std::map<ServiceId, SharedAllowance> prefillAllowances; /**< This VM's share of its region's prefill capacity. */
+    std::map<ServiceId, ReturnSchedule> returnSchedules;
     std::map<std::pair<ServiceId, int>, PromptSizeFairness> sizeFairness; /**< By service and priority. */
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
     RecentMaximum recentVmCount; /**< Number of VMs that may have used extra retries in the current window. */
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -21,6 +21,9 @@
 /** Share of an engine's time. With three quarters of it spent on prefill, responses take four times as long. */
 constexpr double maximumPrefillShare = 0.75;
 constexpr double maximumRelayLoad = 0.9; /**< Share of a region's prefill capacity above which it gets no relays. */
+/** Time after a rejection in which a rising part of the requests may use the upstream; covers a few load reports. */
+constexpr Milliseconds returnTime = LoadExchange::reportInterval * 4;
+constexpr double minimumAcceptedShare = 0.001; /**< Keeps estimates finite while all upstreams state limits near 0. */
 /** Milliseconds; costs that differ by less count as equal, and the VM chooses among them at random. */
 constexpr double costTolerance = 2;
 
@@ -43,10 +46,10 @@
 {
     PlacementFailureCause cause = PlacementFailureCause::NoUpstream;
     std::vector<Candidate> candidates;
+    if (isHome(query.homes, this->region))
+        candidates = this->findCandidates(now, query, service, cause);
     if (!query.hasPrefillCapacity)
         cause = PlacementFailureCause::AllFull;
-    else if (isHome(query.homes, this->region))
-        candidates = this->findCandidates(now, query, service, cause);
     this->estimateCosts(query, candidates);
     const Candidate* best = this->chooseCheapest(candidates);
     this->inputs = {};
@@ -96,11 +99,12 @@
     std::vector<Candidate> healthyCandidates;
     std::vector<Candidate> suspectCandidates;
     for (const KnownUpstream* upstream : this->table.getUsableUpstreams(query.service, this->region)) {
-        if (upstream->isRejecting(now)) {
+        if (upstream->isRejecting(now) || !this->mayReturnTo(now, *upstream, regionVms.size())) {
             cause = cause == PlacementFailureCause::NoUpstream ? PlacementFailureCause::AllRejecting : cause;
             continue;
         }
-        if (query.tried.contains(upstream->record.id))
+        if (query.tried.contains(upstream->record.id)
+            || (!query.hasPrefillCapacity && !this->isBoundByRequests(*upstream)))
             continue;
         const double slots = std::max(1, upstream->record.slots);
         // Without figures of the other VMs, all VMs of the region are taken to send the upstream as much as this one.
@@ -131,6 +135,15 @@
     return healthyCandidates;
 }
 
+bool Placement::mayReturnTo(Milliseconds now, const KnownUpstream& upstream, std::size_t regionVms)
+{
+    const Milliseconds elapsed = now - upstream.rejectsUntil;
+    // A VM that is alone knows all requests of the upstream at once.
+    if (upstream.rejectsUntil == Milliseconds(0) || elapsed >= returnTime || regionVms <= 1)
+        return true;
+    return std::bernoulli_distribution(elapsed.seconds() / returnTime.seconds())(this->random);
+}
+
 Milliseconds Placement::getRejectionTime(Milliseconds now, const ServiceId& service) const
 {
     std::optional<Milliseconds> earliest;
@@ -206,11 +219,50 @@
     return UseRelay { chosen->vm, chosen->region, chosen->relays, chosen->relayKey };
 }
 
-double Placement::getPrefillCapacity(const ServiceId& service, const RegionId& targetRegion) const
+double Placement::getFullPrefillCapacity(const ServiceId& service) const
 {
     constexpr double perSecond = 1000;
-    const auto upstreams = static_cast<double>(this->table.getUsableUpstreams(service, targetRegion).size());
-    return this->prefillSpeed.get(service) * perSecond * upstreams * maximumPrefillShare;
+    return this->prefillSpeed.get(service) * perSecond * maximumPrefillShare;
+}
+
+double Placement::getStatedPrefillCapacity(const KnownUpstream& upstream) const
+{
+    const double full = this->getFullPrefillCapacity(upstream.record.service);
+    const std::optional<double> length = this->promptLength.get(upstream.record.service);
+    if (!upstream.requestsPerSecond || !length)
+        return full;
+    return std::min(full, StatedRateLimit::getAcceptedRate(*upstream.requestsPerSecond) * *length);
+}
+
+bool Placement::isBoundByRequests(const KnownUpstream& upstream) const
+{
+    return this->getStatedPrefillCapacity(upstream) < this->getFullPrefillCapacity(upstream.record.service);
+}
+
+double Placement::getUsedPrefill(const UpstreamId& id, double tokens) const
+{
+    const KnownUpstream* upstream = this->table.find(id);
+    if (!upstream || !this->isBoundByRequests(*upstream))
+        return tokens;
+    return std::min(tokens, this->promptLength.get(upstream->record.service).value_or(tokens));
+}
+
+double Placement::getPrefillCapacity(Milliseconds now, const ServiceId& service) const
+{
+    double capacity = 0;
+    for (const KnownUpstream* upstream : this->table.getUsableUpstreams(service, this->region))
+        capacity += upstream->isRejecting(now) ? 0 : this->getStatedPrefillCapacity(*upstream);
+    return capacity;
+}
+
+double Placement::getAcceptedShare(const ServiceId& service) const
+{
+    const std::vector<const KnownUpstream*> upstreams = this->table.getUsableUpstreams(service, this->region);
+    double accepted = 0;
+    for (const KnownUpstream* upstream : upstreams)
+        accepted += this->getStatedPrefillCapacity(*upstream);
+    const double full = this->getFullPrefillCapacity(service) * static_cast<double>(upstreams.size());
+    return full > 0 ? accepted / full : 1;
 }
 
 double Placement::estimateRegionCost(const PlacementQuery& query, const RegionId& other, bool needsFreeCapacity) const
@@ -220,10 +272,12 @@
     if (slots == 0)
         return std::numeric_limits<double>::infinity();
     const ServiceLoad load = this->loadExchange.getLoad(other, query.service);
-    const double regionLoad = static_cast<double>(load.running) / slots;
+    const double acceptedShare = std::max(load.acceptedShare, minimumAcceptedShare);
+    const double acceptingUpstreams = static_cast<double>(upstreams.size()) * acceptedShare;
+    const double regionLoad = static_cast<double>(load.running) / (slots * acceptedShare);
     if (needsFreeCapacity && regionLoad >= fullLoad)
         return std::numeric_limits<double>::infinity();
-    const double prefillCapacity = this->getPrefillCapacity(query.service, other);
+    const double prefillCapacity = this->getFullPrefillCapacity(query.service) * acceptingUpstreams;
     if (needsFreeCapacity && query.promptTokens > 0
         && static_cast<double>(load.requestedTokensPerSecond) > prefillCapacity * maximumRelayLoad)
         return std::numeric_limits<double>::infinity();
@@ -235,7 +289,7 @@
     const double cacheMissCost
         = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) / this->prefillSpeed.get(query.service);
     return relayCost + cacheMissCost + regionLoad * fullLoadCost
-        + pendingTokens / static_cast<double>(upstreams.size()) / this->prefillSpeed.get(query.service);
+        + pendingTokens / acceptingUpstreams / this->prefillSpeed.get(query.service);
 }
 
 const VmAnnouncement* Placement::chooseRelayVm(Milliseconds now, const RegionId& other)
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -2,6 +2,7 @@
 
 #include "gateway/upstreams/UpstreamHealth.h"
 #include "gateway/upstreams/UpstreamRecord.h"
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -16,13 +17,15 @@
     int running = 0; /**< Requests that have not ended. */
     std::int64_t pendingPrefillTokens = 0; /**< Tokens of prompts without a first event. */
     std::int64_t requestedTokensPerSecond = 0; /**< Prompt tokens per second that callers request, admitted or not. */
+    double acceptedShare = 1; /**< Part of the prefill capacity that the upstreams' stated limits leave; 0 to 1. */
 
-    /** Adds the load from another VM. */
+    /** Adds the load from another VM of the region. The VM that knows most of the limits determines what they leave. */
     void add(const ServiceLoad& other)
     {
         this->running += other.running;
         this->pendingPrefillTokens += other.pendingPrefillTokens;
         this->requestedTokensPerSecond += other.requestedTokensPerSecond;
+        this->acceptedShare = std::min(this->acceptedShare, other.acceptedShare);
     }
 
     bool operator==(const ServiceLoad&) const = default;
@@ -58,7 +61,7 @@
     Milliseconds statedAt; /**< Time of its last statement, to this or another VM. */
     Milliseconds limitEndedAt; /**< Time at which its last limit ended; 0 if it had none. */
     int sentSinceLimited = 0; /**< Requests from this VM since its limit began. */
-    std::optional<Milliseconds> leavingSince; /**< Time at which it stated that it is about to end. */
+    std::optional<Milliseconds> leavingSince; /**< Time at which this VM learned that it is about to end. */
     Milliseconds rejectsUntil; /**< Until then it wants no requests from this VM. */
     std::optional<Milliseconds> goneAt; /**< Set when it disappears from the list: time at which it is removed. */
 
@@ -88,7 +91,7 @@
     std::int64_t startedAt = 0; /**< Start of the incarnation that stated it; see UpstreamRecord::startedAt. */
     std::optional<double> requestsPerSecond; /**< Empty if it states no limit any more. */
     bool isLeaving = false;
-    Milliseconds age; /**< Time since the statement. */
+    Milliseconds age; /**< Time since the upstream last stated a limit or that it has none. */
 
     bool operator==(const SharedStatement&) const = default;
 };
