Compare what VMs know of the store by era and revision

Callers could see keys of a withdrawn version accepted, or refused for good: VMs compared bare revisions, which a store that comes back from an older copy gives out again. A VM with a higher revision of the earlier era was taken to be ahead, and its confirmation covered a VM that knew the new copy.

A position in the store is now an era and a revision (StorePosition). Digests carry both; a VM of an earlier release states no era, which counts as 0, so that both releases can run side by side. A confirmation of an earlier era confirms nothing; one of a later era shows that this VM is behind.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -192,6 +192,9 @@
         this->behindSince = this->behindSince.value_or(now);
         return;
     }
+    // What was current in an earlier era may have been lost and written again in this one.
+    if (confirmation->knownRevision.era < this->knownRevision.era)
+        return;
     // This VM has every change up to its own revision, so it lacks none of those the replier confirmed as complete.
     this->behindSince.reset();
     this->freshness.noteConfirmation(confirmation->confirmedAt);
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -7,6 +7,7 @@
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
 #include "gateway/model/ServingConfiguration.h"
+#include "gateway/model/StorePosition.h"
 #include "gateway/placement/Placement.h"
 #include "gateway/quarantine/PromptQuarantine.h"
 #include "gateway/settings/GatewaySettings.h"
@@ -97,8 +98,8 @@
     /** Records that a VM's status has disappeared from the store. The VM still counts until the given time. */
     void removeVm(const VmId& vm, Milliseconds keepUntil) { this->vms.remove(vm, keepUntil); }
 
-    /** Records the store revision up to which this VM has received every change. */
-    void noteKnownRevision(std::int64_t revision) { this->knownRevision = std::max(this->knownRevision, revision); }
+    /** Records the position in the store up to which this VM has received every change. */
+    void noteKnownRevision(StorePosition position) { this->knownRevision = std::max(this->knownRevision, position); }
 
     /** Returns the reports to send now, with their receivers. Call once per LoadExchange::reportInterval. */
     std::vector<std::pair<const VmAnnouncement*, DigestReport>> makeReports(Milliseconds now);
@@ -222,7 +223,7 @@
     LoadExchange loadExchange;
     PromptQuarantine quarantine;
     Placement placement;
-    std::int64_t knownRevision = 0;
+    StorePosition knownRevision;
     std::optional<Milliseconds> behindSince; /**< Since when another VM has reported a later revision. */
     std::map<WorkspaceId, SharedAllowance> workspaceAllowances;
     std::map<ServiceId, SharedAllowance> prefillAllowances; /**< This VM's share of its region's prefill capacity. */
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -170,6 +170,13 @@
     return statements;
 }
 
+/** VMs of an earlier release state no era. */
+std::int64_t eraOr(const json::object& object)
+{
+    const json::value* era = object.if_contains("era");
+    return era ? era->to_number<std::int64_t>() : 0;
+}
+
 DigestReport decodeReport(const json::object& object)
 {
     DigestReport report;
@@ -189,7 +196,7 @@
     reply.from = VmId(textAt(object, "vm"));
     reply.sentAt = object.at("sent").to_number<std::int64_t>();
     reply.confirmationAge = object.at("age").to_number<std::int64_t>();
-    reply.knownRevision = object.at("change").to_number<std::int64_t>();
+    reply.knownRevision = { eraOr(object), object.at("change").to_number<std::int64_t>() };
     for (const auto& region : object.at("regions").as_object())
         reply.regions[RegionId(std::string(region.key()))] = decodeFigures(region.value().as_object());
     reply.crashes = decodeCrashes(object);
@@ -232,7 +239,7 @@
         regions[region.string()] = encodeFigures(figures);
     json::object message { { "schema", schemaVersion }, { "kind", "reply" }, { "key", key },
         { "vm", reply.from.string() }, { "sent", reply.sentAt }, { "age", reply.confirmationAge },
-        { "change", reply.knownRevision }, { "regions", regions } };
+        { "change", reply.knownRevision.revision }, { "era", reply.knownRevision.era }, { "regions", regions } };
     encodeCrashes(message, reply.crashes);
     encodeStatements(message, reply.statements);
     return json::serialize(message);
--- a/modules/gateway/digest/Digest.h
+++ b/modules/gateway/digest/Digest.h
@@ -2,6 +2,7 @@
 
 #include "foundation/identity/Identifier.h"
 #include "foundation/outcomes/Outcome.h"
+#include "gateway/model/StorePosition.h"
 #include "gateway/quarantine/CrashEvidence.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include <cstdint>
@@ -48,7 +49,7 @@
     std::int64_t sentAt = 0; /**< Sending time copied from the report. */
     /** Milliseconds since the replier's view was confirmed to be current; -1 if it is unknown or too old. */
     std::int64_t confirmationAge = -1;
-    std::int64_t knownRevision = 0; /**< Store revision of the last change that the replier has received. */
+    StorePosition knownRevision; /**< Position of the last change in the store that the replier has received. */
     std::map<RegionId, LoadFigures> regions; /**< Recent figures of each region that the replier knows. */
     CrashEvidence crashes = {}; /**< What the sender knows of upstreams that crashed under requests. */
     /** Statements of the upstreams of the sender's region. Exchanged within a region only. */
--- a/modules/gateway/digest/LoadExchange.cpp
+++ b/modules/gateway/digest/LoadExchange.cpp
@@ -106,7 +106,7 @@
 }
 
 DigestReply LoadExchange::makeReply(
-    Milliseconds now, const DigestReport& report, Milliseconds confirmationAge, std::int64_t knownRevision)
+    Milliseconds now, const DigestReport& report, Milliseconds confirmationAge, StorePosition knownRevision)
 {
     DigestReply reply { this->vm, report.sentAt, -1, knownRevision, {} };
     if (confirmationAge < Milliseconds::fromSeconds(60))
--- a/modules/gateway/digest/LoadExchange.h
+++ b/modules/gateway/digest/LoadExchange.h
@@ -12,7 +12,7 @@
 /** Confirmation from another VM that its view of the store was current at a known time. */
 struct FreshnessConfirmation {
     Milliseconds confirmedAt; /**< Time on this VM's clock at which the replier's view was current. */
-    std::int64_t knownRevision = 0; /**< Store revision of the last change in that view. */
+    StorePosition knownRevision; /**< Position of the last change in that view. */
 
     bool operator==(const FreshnessConfirmation&) const = default;
 };
@@ -54,10 +54,10 @@
         Creates the reply to a report.
 
         @param confirmationAge  time since this VM's own view was confirmed to be current
-        @param knownRevision    store revision of the last change in that view
+        @param knownRevision    position in the store of the last change in that view
     */
     DigestReply makeReply(
-        Milliseconds now, const DigestReport& report, Milliseconds confirmationAge, std::int64_t knownRevision);
+        Milliseconds now, const DigestReport& report, Milliseconds confirmationAge, StorePosition knownRevision);
 
     /** Stores the figures of a reply. Returns no confirmation if the replier's own view is not confirmed. */
     std::optional<FreshnessConfirmation> noteReply(Milliseconds now, const DigestReply& reply);
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/limits/VmSelection.h"
 #include "gateway/limits/WindowCounter.h"
 #include "gateway/model/ServingConfiguration.h"
+#include "gateway/model/StorePosition.h"
 #include "gateway/placement/Placement.h"
 #include "gateway/quarantine/PromptQuarantine.h"
 #include "gateway/settings/GatewaySettings.h"
--- a/tests/gateway/DigestTest.cpp
+++ b/tests/gateway/DigestTest.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(testConfirmationsCoverTimeBetweenStoreReads);
     CPPUNIT_TEST(testUnconfirmedVmConfirmsNoOtherVm);
     CPPUNIT_TEST(testVmThatMissedAChangeIsNotConfirmed);
+    CPPUNIT_TEST(testConfirmationOfAnEarlierEraConfirmsNothing);
+    CPPUNIT_TEST(testVmOfAnEarlierEraIsBehind);
     CPPUNIT_TEST(testConfirmationIsNeverNewerThanTheReport);
     CPPUNIT_TEST(testSilentCollectorIsReplaced);
     CPPUNIT_TEST(testEveryVmLearnsTheLoadOfEachUpstream);
@@ -68,13 +70,40 @@
         // The collector received a later change, such as a withdrawn key, that the other VM's failed watch missed.
         // Confirming the other VM would keep the withdrawn key in use there.
         DigestFleet fleet({ "a" }, 2);
-        fleet.at("a-0").noteKnownRevision(70);
+        fleet.at("a-0").noteKnownRevision({ 0, 70 });
         fleet.at("a-0").noteConfigurationConfirmation(Milliseconds(11'000));
-        fleet.at("a-1").noteKnownRevision(69);
+        fleet.at("a-1").noteKnownRevision({ 0, 69 });
         fleet.runUntil(13'000);
         CPPUNIT_ASSERT(fleet.at("a-1").getConfigurationAge(Milliseconds(13'000)) > Milliseconds(60'000));
         CPPUNIT_ASSERT(fleet.at("a-1").isBehind(Milliseconds(13'000)));
-        fleet.at("a-1").noteKnownRevision(70);
+        fleet.at("a-1").noteKnownRevision({ 0, 70 });
+        fleet.runUntil(14'000);
+        CPPUNIT_ASSERT(!fleet.at("a-1").isBehind(Milliseconds(14'000)));
+        CPPUNIT_ASSERT(fleet.at("a-1").getConfigurationAge(Milliseconds(14'000)) < Milliseconds(4'000));
+    }
+
+    void testConfirmationOfAnEarlierEraConfirmsNothing()
+    {
+        DigestFleet fleet({ "a" }, 2);
+        fleet.at("a-0").noteKnownRevision({ 1, 69 });
+        fleet.at("a-0").noteConfigurationConfirmation(Milliseconds(11'000));
+        fleet.at("a-1").noteKnownRevision({ 2, 70 });
+        fleet.runUntil(13'000);
+        CPPUNIT_ASSERT(fleet.at("a-1").getConfigurationAge(Milliseconds(13'000)) > Milliseconds(60'000));
+        CPPUNIT_ASSERT(!fleet.at("a-1").isBehind(Milliseconds(13'000)));
+    }
+
+    void testVmOfAnEarlierEraIsBehind()
+    {
+        // The restored store has fewer changes than the copy that the other VM still knows.
+        DigestFleet fleet({ "a" }, 2);
+        fleet.at("a-0").noteKnownRevision({ 2, 40 });
+        fleet.at("a-0").noteConfigurationConfirmation(Milliseconds(11'000));
+        fleet.at("a-1").noteKnownRevision({ 1, 70 });
+        fleet.runUntil(13'000);
+        CPPUNIT_ASSERT(fleet.at("a-1").isBehind(Milliseconds(13'000)));
+        CPPUNIT_ASSERT(fleet.at("a-1").getConfigurationAge(Milliseconds(13'000)) > Milliseconds(60'000));
+        fleet.at("a-1").noteKnownRevision({ 2, 40 });
         fleet.runUntil(14'000);
         CPPUNIT_ASSERT(!fleet.at("a-1").isBehind(Milliseconds(14'000)));
         CPPUNIT_ASSERT(fleet.at("a-1").getConfigurationAge(Milliseconds(14'000)) < Milliseconds(4'000));
@@ -84,7 +113,7 @@
     {
         // The reply arrives four seconds late. The age must still count from the time the report was sent.
         GatewayCore core(makeSettings("a-1", "a"), "key", 1);
-        core.noteReply(Milliseconds(20'000), { VmId("a-0"), 16'000, 300, 0, {} });
+        core.noteReply(Milliseconds(20'000), { VmId("a-0"), 16'000, 300, {}, {} });
         CPPUNIT_ASSERT(Milliseconds(4'300) == core.getConfigurationAge(Milliseconds(20'000)));
     }
 
