Read everything again when the store comes back from an older copy

Callers got routes of an older configuration, and upstreams that were gone, for as long as the store's new revisions were below the old ones: versions acknowledged after a restoration were not in force in time. StoreFollower kept the highest revision of each key and passed over what was written again with a lower one; a watch that the new copy could answer skipped what lay between; and what the copy lacked was reported as removed.

The connections of a process now share the store's era (StoreEra). A reply of an era that is over is an error, so that it changes and confirms nothing. A higher era interrupts the pending watch and leads to a full read, also if the watch answered 200. The revisions of the earlier era are dropped first, all pages of a read are of one era, and what the copy lacks is reported as lost instead of removed. Revisions are confirmed together with their era. How configurations, evacuations and quarantines that were lost are treated is left as it was here.

--- a/tests/adapter/DecodingTest.cpp
+++ b/tests/adapter/DecodingTest.cpp
@@ -92,7 +92,7 @@
         CPPUNIT_ASSERT(item && item.value().value == "node-1" && item.value().revision == 412);
         const auto removed
             = decodeItem(boost::json::parse(R"({"key":"my/old","revision":413,"removed":true})").as_object());
-        CPPUNIT_ASSERT(removed && removed.value().isRemoved);
+        CPPUNIT_ASSERT(removed && removed.value().state == StoreItemState::Removed);
         CPPUNIT_ASSERT(!decodeItem(boost::json::parse(R"({"key":7})").as_object()));
     }
 
--- a/tests/adapter/QuarantinePublisherTest.cpp
+++ b/tests/adapter/QuarantinePublisherTest.cpp
@@ -37,7 +37,7 @@
     PublisherRun()
         : log(STDOUT_FILENO)
         , core(GatewaySettings {}, "key", 1)
-        , publisher(this->context.get_executor(), this->store.endpoint, this->core, this->log)
+        , publisher(this->context.get_executor(), this->store.endpoint, this->era, this->core, this->log)
     {
         asio::co_spawn(this->context, this->publisher.run(), asio::detached);
     }
@@ -53,6 +53,7 @@
 
     RecordingStore store;
     asio::io_context context;
+    StoreEra era;
     DecisionLog log;
     GatewayCore core;
     QuarantinePublisher publisher;
@@ -60,7 +61,8 @@
 
 StoreItem makeStoredItem(const std::string& key, bool isRemoved)
 {
-    return { key, isRemoved ? std::string() : encodePromptSignature(prompt), 5, isRemoved };
+    return { key, isRemoved ? std::string() : encodePromptSignature(prompt), 5,
+        isRemoved ? StoreItemState::Removed : StoreItemState::Written };
 }
 
 } // namespace
--- a/tests/adapter/RestorableStore.cpp
+++ b/tests/adapter/RestorableStore.cpp
@@ -57,6 +57,13 @@
     this->state.changes[++this->state.revision] = key;
 }
 
+std::int64_t RestorableStore::grantLease()
+{
+    const std::lock_guard lock(this->mutex);
+    this->state.leases.insert(++this->state.lastLease);
+    return this->state.lastLease;
+}
+
 void RestorableStore::saveCopy()
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/adapter/RestorableStore.h
+++ b/tests/adapter/RestorableStore.h
@@ -42,6 +42,9 @@
     std::int64_t write(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
+    /** Grants a lease to another VM. Returns its id. */
+    std::int64_t grantLease();
+
     /** Keeps the present state for restoreCopy(). */
     void saveCopy();
 
--- a/tests/adapter/StoreConnectionTest.cpp
+++ b/tests/adapter/StoreConnectionTest.cpp
@@ -49,7 +49,8 @@
 std::optional<Outcome<StoreReply>> callOnce(const Endpoint& store, Milliseconds timeout)
 {
     asio::io_context context;
-    StoreConnection connection(context.get_executor(), store);
+    StoreEra era;
+    StoreConnection connection(context.get_executor(), store, era);
     std::optional<Outcome<StoreReply>> reply;
     const auto run = [&]() -> asio::awaitable<void> {
         reply.emplace(co_await connection.call(boost::beast::http::verb::get, "/", std::nullopt, timeout));
--- a/tests/adapter/StoreFollowerTest.cpp
+++ b/tests/adapter/StoreFollowerTest.cpp
@@ -22,9 +22,9 @@
     explicit FollowerRun(RestorableStore& store, bool hasShortWatches = true)
         : logFile(::memfd_create("log", 0))
         , log(this->logFile)
-        , follower(this->context.get_executor(), store.getEndpoint(), "",
-              { [this](const StoreItem& item) { this->items.push_back(item); },
-                  [this](Milliseconds, std::int64_t revision) { this->confirmed.push_back(revision); },
+        , follower(this->context.get_executor(), store.getEndpoint(), this->era, "",
+              { [this](const StoreItem& item) { this->items.push_back(item); }, [](StorePosition) {},
+                  [this](Milliseconds, StorePosition position) { this->confirmed.push_back(position.revision); },
                   [hasShortWatches] { return hasShortWatches; } },
               this->log)
     {
@@ -63,10 +63,11 @@
     }
 
     std::vector<StoreItem> items;
-    std::vector<std::int64_t> confirmed;
+    std::vector<std::int64_t> confirmed; /**< Revisions. */
 
 private:
     asio::io_context context;
+    StoreEra era;
     int logFile;
     DecisionLog log;
 
@@ -79,6 +80,11 @@
 class StoreFollowerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(StoreFollowerTest);
     CPPUNIT_TEST(testLogTellsThatTheStoreWasRestored);
+    CPPUNIT_TEST(testConfigurationWrittenAgainWithLowerRevisionIsApplied);
+    CPPUNIT_TEST(testWatchThatAnswersAfterARestorationIsFollowedByAFullRead);
+    CPPUNIT_TEST(testLateReplyOfAnEarlierEraIsIgnored);
+    CPPUNIT_TEST(testPagesOfTwoErasAreNotOneRead);
+    CPPUNIT_TEST(testItemsLostWithTheCopyAreNotRemoved);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,6 +102,96 @@
         CPPUNIT_ASSERT(contains(run.readLog(), "\"store_restored\""));
         CPPUNIT_ASSERT(contains(run.readLog(), "\"era_before\":1,\"era\":2,\"revision_before\":32"));
     }
+
+    void testConfigurationWrittenAgainWithLowerRevisionIsApplied()
+    {
+        RestorableStore store;
+        store.write("op/config", "first");
+        store.saveCopy();
+        for (const char* version : { "second", "third", "fourth" })
+            store.write("op/config", version);
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        store.write("op/config", "fifth");
+        CPPUNIT_ASSERT(run.runUntil([&] { return run.hasReported("op/config", "fifth"); }));
+        store.write("op/config", "sixth");
+        CPPUNIT_ASSERT(run.runUntil([&] { return run.hasReported("op/config", "sixth"); }));
+    }
+
+    void testWatchThatAnswersAfterARestorationIsFollowedByAFullRead()
+    {
+        RestorableStore store;
+        store.saveCopy();
+        store.write("servers/one", "first");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        store.write("op/config", "within the revisions of the earlier era");
+        for (int number = 0; number < 5; ++number)
+            store.write("servers/two", "entry");
+        CPPUNIT_ASSERT(
+            run.runUntil([&] { return run.hasReported("op/config", "within the revisions of the earlier era"); }));
+    }
+
+    void testLateReplyOfAnEarlierEraIsIgnored()
+    {
+        RestorableStore store;
+        store.write("op/config", "current");
+        store.saveCopy();
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        CPPUNIT_ASSERT(run.runUntilConfirmed(2));
+        store.scriptReply("kv-watch",
+            { 1, 200, R"({"events":[{"key":"servers/x","value":"eA==","revision":90}],"store_revision":90})" });
+        CPPUNIT_ASSERT(run.runUntilConfirmed(2));
+        CPPUNIT_ASSERT(!run.hasReported("servers/x", "x"));
+        CPPUNIT_ASSERT(std::all_of(
+            run.confirmed.begin(), run.confirmed.end(), [](std::int64_t revision) { return revision < 90; }));
+    }
+
+    void testPagesOfTwoErasAreNotOneRead()
+    {
+        RestorableStore store;
+        store.saveCopy();
+        store.restoreCopy();
+        store.write("op/config", "current");
+        store.write("servers/a", "a");
+        store.scriptReply("kv-range",
+            { 1, 200,
+                R"({"items":[{"key":"servers/a","value":"eA==","revision":90}],"store_revision":90,"truncated":true})" });
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        CPPUNIT_ASSERT(run.hasReported("servers/a", "a"));
+        CPPUNIT_ASSERT(run.confirmed.front() < 90);
+    }
+
+    void testItemsLostWithTheCopyAreNotRemoved()
+    {
+        RestorableStore store;
+        store.saveCopy();
+        store.write("servers/one", "entry");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        CPPUNIT_ASSERT(run.runUntilConfirmed(2));
+        CPPUNIT_ASSERT(std::none_of(run.items.begin(), run.items.end(),
+            [](const StoreItem& item) { return item.state == StoreItemState::Removed; }));
+    }
+
+    void testPageWithUnreadableLastItemEnds()
+    {
+        RestorableStore store;
+        store.write("z/last", "entry");
+        store.scriptReply("kv-range",
+            { 1, 200,
+                R"({"items":[{"key":"op/config","value":"eA==","revision":3},{"key":"servers/x","value":7,"revision":4}],)"
+                R"("store_revision":31,"truncated":true})" });
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        CPPUNIT_ASSERT_EQUAL(1, store.countTargets("after=servers/x"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
