--- a/tests/adapter/StoreFollowerTest.cpp
+++ b/tests/adapter/StoreFollowerTest.cpp
@@ -85,6 +85,7 @@
     CPPUNIT_TEST(testLateReplyOfAnEarlierEraIsIgnored);
     CPPUNIT_TEST(testPagesOfTwoErasAreNotOneRead);
     CPPUNIT_TEST(testItemsLostWithTheCopyAreNotRemoved);
+    CPPUNIT_TEST(testPageWithUnreadableLastItemEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
