--- a/tests/adapter/QuarantinePublisherTest.cpp
+++ b/tests/adapter/QuarantinePublisherTest.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(testQuarantineOfAnotherVmIsNotStoredAgain);
     CPPUNIT_TEST(testUnconfirmedQuarantineIsNotStored);
     CPPUNIT_TEST(testDisprovedQuarantineIsRemovedFromTheStore);
+    CPPUNIT_TEST(testQuarantineLostWithTheCopyIsStoredAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +129,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, calls.size());
         CPPUNIT_ASSERT(calls[2].contains("\"remove\":[\"" + key + "\"]"));
     }
+
+    void testQuarantineLostWithTheCopyIsStoredAgain()
+    {
+        PublisherRun run;
+        const std::string key = "quarantine/engine/1";
+        run.publisher.applyItem(makeStoredItem(key, false));
+        run.publisher.applyItem({ key, {}, 5, StoreItemState::Lost });
+        CPPUNIT_ASSERT(
+            run.core.getQuarantine().getRemaining(Milliseconds(1'000), prompt.service, prompt.parts) > Milliseconds(0));
+        const std::vector<StandinRequest> calls = run.runUntilCalls(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, calls.size());
+        CPPUNIT_ASSERT(calls[1].contains(key) && calls[1].contains(encodeBase64(encodePromptSignature(prompt))));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantinePublisherTest);
