Trust no keys by a store that may have lost the newest configuration

Callers could use a withdrawn key, or be told that a new one is unknown: a read of a store that came back from an older copy counted as proof that the configuration is current, although the copy may lack versions that had been acknowledged. A VM that started on the older copy took its version for the newest.

The higher version stays in force, as before. Digests carry the version in force and the position where the store held it. A VM whose reads have passed that position without the version trusts no keys until it has it, or has not heard of it for 4 s; a version at a later position is only on its way and changes nothing, so that ordinary changes refuse nobody. A VM confirms nothing to one with a higher version.

Open: a VM that starts on the older copy trusts its keys until its first digest, up to half a second.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -37,6 +37,8 @@
 /** Time in which a VM that lost the store may regain it, or callers move to another VM. */
 constexpr Milliseconds storeRetryDelay { 500 };
 constexpr Milliseconds minimumWait { 50 };
+/** Time for which a notice of a later configuration counts; VMs repeat it with each digest. */
+constexpr Milliseconds noticeLifetime { 4'000 };
 
 /** Returns the regions that are in both lists; an empty list allows all regions. */
 std::vector<RegionId> intersectHomes(const std::vector<RegionId>& left, const std::vector<RegionId>& right)
@@ -105,6 +107,7 @@
     if (this->configuration && document.version <= this->configuration->getVersion())
         return false;
     this->configuration = std::make_shared<const ServingConfiguration>(std::move(document));
+    this->inForce = { this->configuration->getVersion(), {} };
     for (const ServingWorkspace& workspace : this->configuration->getDocument().workspaces) {
         const double slack = workspace.countsTokens ? this->settings.bounds.tokenSlack * tokenSlackFactor : 0;
         this->workspaceAllowances[workspace.id].setLimit({ workspace.unitsPerSecond, workspace.burstUnits, slack });
@@ -112,6 +115,38 @@
     return true;
 }
 
+void GatewayCore::noteConfigurationConfirmation(Milliseconds sentAt)
+{
+    if (this->storedConfiguration.isProvenBy(sentAt, this->getVersionInForce()))
+        this->freshness.noteConfirmation(sentAt);
+}
+
+void GatewayCore::noteStoredConfiguration(ConfigurationNotice stored)
+{
+    this->storedConfiguration.noteStored(stored);
+    if (stored.version == this->inForce.version)
+        this->inForce.storedAt = stored.storedAt;
+}
+
+void GatewayCore::noteConfigurationNotice(Milliseconds now, const ConfigurationNotice& notice)
+{
+    const bool isHeardExpired = now - this->heardAt >= noticeLifetime;
+    if (!isHeardExpired && notice.version < this->heard.version)
+        return;
+    const bool isRepeated = !isHeardExpired && notice.version == this->heard.version;
+    const StorePosition storedAt = isRepeated ? std::min(notice.storedAt, this->heard.storedAt) : notice.storedAt;
+    this->heard = { notice.version, storedAt };
+    this->heardAt = now;
+}
+
+bool GatewayCore::lacksConfiguration(Milliseconds now) const
+{
+    const bool isHeard = now - this->heardAt < noticeLifetime;
+    const bool isLater = this->heard.version > this->getVersionInForce();
+    // A later position means that the configuration is still on its way to this VM, whose reads prove what they prove.
+    return isHeard && isLater && this->heard.storedAt <= this->knownRevision;
+}
+
 void GatewayCore::tick(Milliseconds now)
 {
     if (!std::exchange(this->hasTicked, true))
@@ -159,6 +194,7 @@
     this->loadExchange.setOwnLoad(this->measureLoad(now));
     for (const VmAnnouncement* receiver : this->loadExchange.chooseReceivers(now, this->vms)) {
         DigestReport report = this->loadExchange.makeReport(now, receiver->region);
+        report.configuration = this->inForce;
         report.crashes = this->quarantine.makeEvidence(now);
         if (receiver->region == this->settings.region)
             report.statements = this->upstreams.getSharedStatements(now, this->settings.region);
@@ -170,10 +206,12 @@
 DigestReply GatewayCore::answerReport(Milliseconds now, const DigestReport& report)
 {
     this->loadExchange.noteReport(now, report);
+    this->noteConfigurationNotice(now, report.configuration);
     this->quarantine.noteEvidence(now, report.crashes);
     for (const SharedStatement& statement : report.statements)
         this->upstreams.noteStatement(now, statement);
     DigestReply reply = this->loadExchange.makeReply(now, report, this->freshness.getAge(now), this->knownRevision);
+    reply.configuration = this->inForce;
     reply.crashes = this->quarantine.makeEvidence(now);
     if (report.region == this->settings.region)
         reply.statements = this->upstreams.getSharedStatements(now, this->settings.region);
@@ -183,6 +221,7 @@
 void GatewayCore::noteReply(Milliseconds now, const DigestReply& reply)
 {
     this->quarantine.noteEvidence(now, reply.crashes);
+    this->noteConfigurationNotice(now, reply.configuration);
     for (const SharedStatement& statement : reply.statements)
         this->upstreams.noteStatement(now, statement);
     const std::optional<FreshnessConfirmation> confirmation = this->loadExchange.noteReply(now, reply);
@@ -192,6 +231,10 @@
         this->behindSince = this->behindSince.value_or(now);
         return;
     }
+    // A VM that knows only an older version cannot tell which keys the version in force here withdrew.
+    const bool isOlder = reply.configuration.version != 0 && reply.configuration.version < this->getVersionInForce();
+    if (isOlder)
+        return;
     // What was current in an earlier era may have been lost and written again in this one.
     if (confirmation->knownRevision.era < this->knownRevision.era)
         return;
@@ -202,14 +245,15 @@
 
 bool GatewayCore::mustQueryStore(Milliseconds now) const
 {
-    return this->loadExchange.isCollector() || this->freshness.getAge(now) > maximumConfirmationAge;
+    return this->loadExchange.isCollector() || this->freshness.getAge(now) > maximumConfirmationAge
+        || this->lacksConfiguration(now);
 }
 
 AdmissionDecision GatewayCore::admit(Milliseconds now, const AdmissionQuery& query)
 {
     if (!this->configuration)
         return Refusal { RefusalCause::NoConfiguration, storeRetryDelay };
-    const bool isFresh = this->freshness.isFresh(now);
+    const bool isFresh = this->isFresh(now);
     const ServingRoute* route = this->configuration->findRoute(query.host, query.path);
     if (!route) {
         return isFresh ? Refusal { RefusalCause::UnknownRoute, Milliseconds(0) }
@@ -338,7 +382,7 @@
 
 bool GatewayCore::isReady(Milliseconds now) const
 {
-    return this->configuration && !this->isStopping() && this->freshness.isFresh(now);
+    return this->configuration && !this->isStopping() && this->isFresh(now);
 }
 
 void GatewayCore::beginStopping(Milliseconds now)
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -6,6 +6,7 @@
 #include "gateway/limits/RecentMaximum.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
+#include "gateway/limits/StoredConfiguration.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/model/StorePosition.h"
 #include "gateway/placement/Placement.h"
@@ -89,8 +90,20 @@
     /** Applies a configuration if it is newer than the current one. Returns true if it was applied. */
     bool applyConfiguration(ServingDocument document);
 
-    /** Records that a store read sent at the given time returned every configuration change made before it. */
-    void noteConfigurationConfirmation(Milliseconds sentAt) { this->freshness.noteConfirmation(sentAt); }
+    /**
+        Records that a store read sent at the given time returned every change of the store made before it. It confirms
+        nothing while the store, after it came back from an older copy, may lack the newest configuration.
+    */
+    void noteConfigurationConfirmation(Milliseconds sentAt);
+
+    /** Records that the store came back from an older copy, and where it was at the first read. */
+    void noteStoreRestored(Milliseconds now, StorePosition position)
+    {
+        this->storedConfiguration.noteRestoration(now, position);
+    }
+
+    /** Records which configuration the store holds; version 0 if it came back from a copy that lacks it. */
+    void noteStoredConfiguration(ConfigurationNotice stored);
 
     /** Stores the latest status of a VM. */
     void putVm(VmAnnouncement status) { this->vms.put(std::move(status)); }
@@ -204,6 +217,11 @@
     const PromptQuarantine& getQuarantine() const { return this->quarantine; }
 
 private:
+    std::uint64_t getVersionInForce() const { return this->configuration ? this->configuration->getVersion() : 0; }
+    /** Returns true if another VM has a later configuration that the store, as far as this VM has read it, has lost. */
+    bool lacksConfiguration(Milliseconds now) const;
+    bool isFresh(Milliseconds now) const { return this->freshness.isFresh(now) && !this->lacksConfiguration(now); }
+    void noteConfigurationNotice(Milliseconds now, const ConfigurationNotice& notice);
     const ServiceId& chooseService(const ServingRoute& route);
     SharedRetryBudget& getRetryBudget(const ServiceId& service);
     double getExtraRetryShare(Milliseconds now) const;
@@ -218,6 +236,10 @@
     std::mt19937_64 random;
     std::shared_ptr<const ServingConfiguration> configuration;
     ConfigurationFreshness freshness;
+    StoredConfiguration storedConfiguration;
+    ConfigurationNotice inForce; /**< What this VM tells the others. */
+    ConfigurationNotice heard; /**< Latest configuration that another VM has told of. */
+    Milliseconds heardAt = Milliseconds(0) - Milliseconds::never();
     UpstreamTable upstreams;
     VmRegistry vms;
     LoadExchange loadExchange;
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -170,6 +170,22 @@
     return statements;
 }
 
+void encodeConfiguration(json::object& message, const ConfigurationNotice& notice)
+{
+    if (notice.version > 0)
+        message["config"] = json::array { notice.version, notice.storedAt.era, notice.storedAt.revision };
+}
+
+ConfigurationNotice decodeConfiguration(const json::object& message)
+{
+    const json::value* found = message.if_contains("config");
+    if (!found)
+        return {};
+    const json::array& fields = found->as_array();
+    return { fields.at(0).to_number<std::uint64_t>(),
+        { fields.at(1).to_number<std::int64_t>(), fields.at(2).to_number<std::int64_t>() } };
+}
+
 /** VMs of an earlier release state no era. */
 std::int64_t eraOr(const json::object& object)
 {
@@ -187,6 +203,7 @@
     report.sentAt = object.at("sent").to_number<std::int64_t>();
     report.crashes = decodeCrashes(object);
     report.statements = decodeStatements(object);
+    report.configuration = decodeConfiguration(object);
     return report;
 }
 
@@ -201,6 +218,7 @@
         reply.regions[RegionId(std::string(region.key()))] = decodeFigures(region.value().as_object());
     reply.crashes = decodeCrashes(object);
     reply.statements = decodeStatements(object);
+    reply.configuration = decodeConfiguration(object);
     return reply;
 }
 
@@ -229,6 +247,7 @@
         { "load", encodeFigures(report.figures) }, { "sent", report.sentAt } };
     encodeCrashes(message, report.crashes);
     encodeStatements(message, report.statements);
+    encodeConfiguration(message, report.configuration);
     return json::serialize(message);
 }
 
@@ -242,6 +261,7 @@
         { "change", reply.knownRevision.revision }, { "era", reply.knownRevision.era }, { "regions", regions } };
     encodeCrashes(message, reply.crashes);
     encodeStatements(message, reply.statements);
+    encodeConfiguration(message, reply.configuration);
     return json::serialize(message);
 }
 
--- a/modules/gateway/digest/Digest.h
+++ b/modules/gateway/digest/Digest.h
@@ -2,7 +2,7 @@
 
 #include "foundation/identity/Identifier.h"
 #include "foundation/outcomes/Outcome.h"
-#include "gateway/model/StorePosition.h"
+#include "gateway/limits/StoredConfiguration.h"
 #include "gateway/quarantine/CrashEvidence.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include <cstdint>
@@ -39,6 +39,7 @@
     CrashEvidence crashes = {}; /**< What the sender knows of upstreams that crashed under requests. */
     /** Statements of the upstreams of the sender's region. Exchanged within a region only. */
     std::vector<SharedStatement> statements = {};
+    ConfigurationNotice configuration = {}; /**< What the sender has in force. */
 
     bool operator==(const DigestReport&) const = default;
 };
@@ -54,6 +55,7 @@
     CrashEvidence crashes = {}; /**< What the sender knows of upstreams that crashed under requests. */
     /** Statements of the upstreams of the sender's region. Exchanged within a region only. */
     std::vector<SharedStatement> statements = {};
+    ConfigurationNotice configuration = {}; /**< What the sender has in force. */
 
     bool operator==(const DigestReply&) const = default;
 };
--- a/tests/gateway/DigestTest.cpp
+++ b/tests/gateway/DigestTest.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(testVmThatMissedAChangeIsNotConfirmed);
     CPPUNIT_TEST(testConfirmationOfAnEarlierEraConfirmsNothing);
     CPPUNIT_TEST(testVmOfAnEarlierEraIsBehind);
+    CPPUNIT_TEST(testStartingVmWithAnOlderConfigurationTrustsNoKeys);
+    CPPUNIT_TEST(testConfigurationOnItsWayLeavesKeysTrusted);
+    CPPUNIT_TEST(testVmWithAnOlderConfigurationConfirmsNothing);
     CPPUNIT_TEST(testConfirmationIsNeverNewerThanTheReport);
     CPPUNIT_TEST(testSilentCollectorIsReplaced);
     CPPUNIT_TEST(testEveryVmLearnsTheLoadOfEachUpstream);
@@ -109,6 +112,52 @@
         CPPUNIT_ASSERT(fleet.at("a-1").getConfigurationAge(Milliseconds(14'000)) < Milliseconds(4'000));
     }
 
+    void testStartingVmWithAnOlderConfigurationTrustsNoKeys()
+    {
+        // The store came back without version 7, and a VM that starts reads version 3 there.
+        DigestFleet fleet({ "a" }, 2);
+        GatewayCore& starting = fleet.at("a-1");
+        fleet.at("a-0").applyConfiguration(makeDocument(7));
+        fleet.at("a-0").noteStoredConfiguration({ 7, { 1, 34 } });
+        fleet.at("a-0").noteKnownRevision({ 1, 40 });
+        starting.applyConfiguration(makeDocument(3));
+        starting.noteStoredConfiguration({ 3, { 2, 32 } });
+        starting.noteKnownRevision({ 2, 33 });
+        starting.noteConfigurationConfirmation(Milliseconds(11'000));
+        fleet.runUntil(11'000);
+        CPPUNIT_ASSERT(!starting.isReady(Milliseconds(11'000)));
+        const AdmissionDecision decision
+            = starting.admit(Milliseconds(11'000), { "h.example", "/a/x", "first-key", {} });
+        CPPUNIT_ASSERT(std::get<Refusal>(decision).cause == RefusalCause::StaleConfiguration);
+        CPPUNIT_ASSERT(starting.mustQueryStore(Milliseconds(11'000)));
+        starting.applyConfiguration(makeDocument(7));
+        CPPUNIT_ASSERT(starting.isReady(Milliseconds(11'000)));
+    }
+
+    void testConfigurationOnItsWayLeavesKeysTrusted()
+    {
+        DigestFleet fleet({ "a" }, 2);
+        fleet.at("a-0").applyConfiguration(makeDocument(7));
+        fleet.at("a-0").noteStoredConfiguration({ 7, { 1, 34 } });
+        fleet.at("a-0").noteKnownRevision({ 1, 34 });
+        fleet.at("a-1").applyConfiguration(makeDocument(3));
+        fleet.at("a-1").noteStoredConfiguration({ 3, { 1, 32 } });
+        fleet.at("a-1").noteKnownRevision({ 1, 33 });
+        fleet.at("a-1").noteConfigurationConfirmation(Milliseconds(11'000));
+        fleet.runUntil(11'000);
+        CPPUNIT_ASSERT(fleet.at("a-1").isReady(Milliseconds(11'000)));
+    }
+
+    void testVmWithAnOlderConfigurationConfirmsNothing()
+    {
+        DigestFleet fleet({ "a" }, 2);
+        fleet.at("a-0").applyConfiguration(makeDocument(3));
+        fleet.at("a-0").noteConfigurationConfirmation(Milliseconds(11'000));
+        fleet.at("a-1").applyConfiguration(makeDocument(7));
+        fleet.runUntil(13'000);
+        CPPUNIT_ASSERT(fleet.at("a-1").getConfigurationAge(Milliseconds(13'000)) > Milliseconds(60'000));
+    }
+
     void testConfirmationIsNeverNewerThanTheReport()
     {
         // The reply arrives four seconds late. The age must still count from the time the report was sent.
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(testPublicRouteIsServedWithoutTheStore);
     CPPUNIT_TEST(testOlderConfigurationIsIgnored);
     CPPUNIT_TEST(testWithdrawnKeyIsUnknown);
+    CPPUNIT_TEST(testStoreWithAnOlderConfigurationConfirmsNothing);
+    CPPUNIT_TEST(testRestoredStoreConfirmsOnlyWhatIsWrittenAgain);
     CPPUNIT_TEST(testRouteAndWorkspaceHomesAreIntersected);
     CPPUNIT_TEST(testDisjointHomesAllowNoRegion);
     CPPUNIT_TEST(testHomesOfHostAreThoseOfMostRoutes);
@@ -93,6 +95,37 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 12 }, core.getConfiguration()->getVersion());
     }
 
+    void testStoreWithAnOlderConfigurationConfirmsNothing()
+    {
+        const auto core = this->makeCore(makeDocument(7));
+        const Milliseconds later = now + Milliseconds::fromSeconds(60);
+        core->noteStoredConfiguration({ 3, { 2, 32 } });
+        core->noteConfigurationConfirmation(later);
+        CPPUNIT_ASSERT(!core->isReady(later));
+        core->noteStoredConfiguration({ 7, { 2, 40 } });
+        core->noteConfigurationConfirmation(later);
+        CPPUNIT_ASSERT(core->isReady(later));
+    }
+
+    void testRestoredStoreConfirmsOnlyWhatIsWrittenAgain()
+    {
+        // The copy may lack a version that this VM has not read either.
+        const auto core = this->makeCore(makeDocument(7));
+        const Milliseconds later = now + Milliseconds::fromSeconds(60);
+        core->noteStoreRestored(later, { 2, 35 });
+        core->noteStoredConfiguration({ 7, { 2, 32 } });
+        core->noteConfigurationConfirmation(later + Milliseconds(10));
+        CPPUNIT_ASSERT(!core->isReady(later + Milliseconds(10)));
+        core->noteConfigurationConfirmation(later + StoredConfiguration::rewriteTime);
+        CPPUNIT_ASSERT(core->isReady(later + StoredConfiguration::rewriteTime));
+
+        const Milliseconds nextDay = later + Milliseconds::fromSeconds(86'400);
+        core->noteStoreRestored(nextDay, { 3, 35 });
+        core->noteStoredConfiguration({ 7, { 3, 36 } });
+        core->noteConfigurationConfirmation(nextDay + Milliseconds(10));
+        CPPUNIT_ASSERT(core->isReady(nextDay + Milliseconds(10)));
+    }
+
     void testWithdrawnKeyIsUnknown()
     {
         const auto owned = this->makeCore(makeDocument(1));
