--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -28,7 +28,7 @@
 #include "gateway/quarantine/PromptQuarantine.h"
 #include "gateway/settings/GatewaySettings.h"
 #include "gateway/streams/EventSplitter.h"
-#include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/upstreams/EvacuationList.h"
+#include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmAnnouncement.h"
 #include "gateway/vms/VmRegistry.h"
