--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -7,7 +7,9 @@
 #include "gateway/limits/ReturnSchedule.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
+#include "gateway/limits/StoredConfiguration.h"
 #include "gateway/model/ServingConfiguration.h"
+#include "gateway/model/StorePosition.h"
 #include "gateway/placement/Placement.h"
 #include "gateway/quarantine/PromptQuarantine.h"
 #include "gateway/settings/GatewaySettings.h"
@@ -90,8 +92,20 @@
     /** Applies a configuration if it is newer than the current one. Returns true if it was applied. */
     bool applyConfiguration(ServingDocument document);
 
-    /** Records that a store read sent at the given time returned every configuration change made before it. */
-    void noteConfigurationConfirmation(Milliseconds sentAt) { this->freshness.noteConfirmation(sentAt); }
+    /**
+        Records that a store read sent at the given time returned every change of the store made before it. It confirms
+        nothing while the store, after it came back from an older copy, may lack the newest configuration.
+    */
+    void noteConfigurationConfirmation(Milliseconds sentAt);
+
+    /** Records that the store came back from an older copy, and where it was at the first read. */
+    void noteStoreRestored(Milliseconds now, StorePosition position)
+    {
+        this->storedConfiguration.noteRestoration(now, position);
+    }
+
+    /** Records which configuration the store holds; version 0 if it came back from a copy that lacks it. */
+    void noteStoredConfiguration(ConfigurationNotice stored);
 
     /** Stores the latest status of a VM. Returns the last known sequence if the status is older; see VmRegistry. */
     std::optional<std::int64_t> putVm(VmAnnouncement status) { return this->vms.put(std::move(status)); }
@@ -99,8 +113,8 @@
     /** Records that a VM's status has disappeared from the store. The VM still counts until the given time. */
     void removeVm(const VmId& vm, Milliseconds keepUntil) { this->vms.remove(vm, keepUntil); }
 
-    /** Records the store revision up to which this VM has received every change. */
-    void noteKnownRevision(std::int64_t revision) { this->knownRevision = std::max(this->knownRevision, revision); }
+    /** Records the position in the store up to which this VM has received every change. */
+    void noteKnownRevision(StorePosition position) { this->knownRevision = std::max(this->knownRevision, position); }
 
     /** Returns the reports to send now, with their receivers. Call once per LoadExchange::reportInterval. */
     std::vector<std::pair<const VmAnnouncement*, DigestReport>> makeReports(Milliseconds now);
@@ -217,6 +231,11 @@
     const PromptQuarantine& getQuarantine() const { return this->quarantine; }
 
 private:
+    std::uint64_t getVersionInForce() const { return this->configuration ? this->configuration->getVersion() : 0; }
+    /** Returns true if another VM has a later configuration that the store, as far as this VM has read it, has lost. */
+    bool lacksConfiguration(Milliseconds now) const;
+    bool isFresh(Milliseconds now) const { return this->freshness.isFresh(now) && !this->lacksConfiguration(now); }
+    void noteConfigurationNotice(Milliseconds now, const ConfigurationNotice& notice);
     const ServiceId& chooseService(const ServingRoute& route);
     SharedRetryBudget& getRetryBudget(const ServiceId& service);
     double getExtraRetryShare(Milliseconds now) const;
@@ -231,12 +250,16 @@
     std::mt19937_64 random;
     std::shared_ptr<const ServingConfiguration> configuration;
     ConfigurationFreshness freshness;
+    StoredConfiguration storedConfiguration;
+    ConfigurationNotice inForce; /**< What this VM tells the others. */
+    ConfigurationNotice heard; /**< Latest configuration that another VM has told of. */
+    Milliseconds heardAt = Milliseconds(0) - Milliseconds::never();
     UpstreamTable upstreams;
     VmRegistry vms;
     LoadExchange loadExchange;
     PromptQuarantine quarantine;
     Placement placement;
-    std::int64_t knownRevision = 0;
+    StorePosition knownRevision;
     std::optional<Milliseconds> behindSince; /**< Since when another VM has reported a later revision. */
     std::map<WorkspaceId, SharedAllowance> workspaceAllowances;
     std::map<ServiceId, SharedAllowance> prefillAllowances; /**< This VM's share of its region's prefill capacity. */
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -176,6 +176,29 @@
     return statements;
 }
 
+void encodeConfiguration(json::object& message, const ConfigurationNotice& notice)
+{
+    if (notice.version > 0)
+        message["config"] = json::array { notice.version, notice.storedAt.era, notice.storedAt.revision };
+}
+
+ConfigurationNotice decodeConfiguration(const json::object& message)
+{
+    const json::value* found = message.if_contains("config");
+    if (!found)
+        return {};
+    const json::array& fields = found->as_array();
+    return { fields.at(0).to_number<std::uint64_t>(),
+        { fields.at(1).to_number<std::int64_t>(), fields.at(2).to_number<std::int64_t>() } };
+}
+
+/** VMs of an earlier release state no era. */
+std::int64_t eraOr(const json::object& object)
+{
+    const json::value* era = object.if_contains("era");
+    return era ? era->to_number<std::int64_t>() : 0;
+}
+
 DigestReport decodeReport(const json::object& object)
 {
     DigestReport report;
@@ -186,6 +209,7 @@
     report.sentAt = object.at("sent").to_number<std::int64_t>();
     report.crashes = decodeCrashes(object);
     report.statements = decodeStatements(object);
+    report.configuration = decodeConfiguration(object);
     return report;
 }
 
@@ -195,11 +219,12 @@
     reply.from = VmId(textAt(object, "vm"));
     reply.sentAt = object.at("sent").to_number<std::int64_t>();
     reply.confirmationAge = object.at("age").to_number<std::int64_t>();
-    reply.knownRevision = object.at("change").to_number<std::int64_t>();
+    reply.knownRevision = { eraOr(object), object.at("change").to_number<std::int64_t>() };
     for (const auto& region : object.at("regions").as_object())
         reply.regions[RegionId(std::string(region.key()))] = decodeFigures(region.value().as_object());
     reply.crashes = decodeCrashes(object);
     reply.statements = decodeStatements(object);
+    reply.configuration = decodeConfiguration(object);
     return reply;
 }
 
@@ -228,6 +253,7 @@
         { "load", encodeFigures(report.figures) }, { "sent", report.sentAt } };
     encodeCrashes(message, report.crashes);
     encodeStatements(message, report.statements);
+    encodeConfiguration(message, report.configuration);
     return json::serialize(message);
 }
 
@@ -238,9 +264,10 @@
         regions[region.string()] = encodeFigures(figures);
     json::object message { { "schema", schemaVersion }, { "kind", "reply" }, { "key", key },
         { "vm", reply.from.string() }, { "sent", reply.sentAt }, { "age", reply.confirmationAge },
-        { "change", reply.knownRevision }, { "regions", regions } };
+        { "change", reply.knownRevision.revision }, { "era", reply.knownRevision.era }, { "regions", regions } };
     encodeCrashes(message, reply.crashes);
     encodeStatements(message, reply.statements);
+    encodeConfiguration(message, reply.configuration);
     return json::serialize(message);
 }
 
--- /dev/null
+++ b/tests/adapter/StoreFollowerTest.cpp
@@ -0,0 +1,200 @@
+#include "adapter/StoreFollower.h"
+
+#include "adapter/RestorableStore.h"
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+namespace papayashelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::seconds implausibleWait { 6 };
+
+/** Runs a follower against a store and keeps what it reports. */
+class FollowerRun {
+public:
+    explicit FollowerRun(RestorableStore& store, bool hasShortWatches = true)
+        : logFile(::memfd_create("log", 0))
+        , log(this->logFile)
+        , follower(this->context.get_executor(), store.getEndpoint(), this->era, "",
+              { [this](const StoreItem& item) { this->items.push_back(item); }, [](StorePosition) {},
+                  [this](Milliseconds, StorePosition position) { this->confirmed.push_back(position.revision); },
+                  [hasShortWatches] { return hasShortWatches; } },
+              this->log)
+    {
+        asio::co_spawn(this->context, this->follower.run(), asio::detached);
+    }
+
+    ~FollowerRun() { ::close(this->logFile); }
+
+    /** Returns false if the condition does not come true in an implausibly long time. */
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + implausibleWait;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            this->context.run_for(std::chrono::milliseconds(20));
+        return condition();
+    }
+
+    bool runUntilConfirmed(std::size_t times = 1)
+    {
+        const std::size_t count = this->confirmed.size() + times;
+        return this->runUntil([&] { return this->confirmed.size() >= count; });
+    }
+
+    bool hasReported(const std::string& key, const std::string& value) const
+    {
+        return std::any_of(this->items.begin(), this->items.end(),
+            [&](const StoreItem& item) { return item.key == key && item.value == value; });
+    }
+
+    std::string readLog()
+    {
+        this->log.flush();
+        std::string text(static_cast<std::size_t>(::lseek(this->logFile, 0, SEEK_END)), '\0');
+        text.resize(static_cast<std::size_t>(::pread(this->logFile, text.data(), text.size(), 0)));
+        return text;
+    }
+
+    std::vector<StoreItem> items;
+    std::vector<std::int64_t> confirmed; /**< Revisions. */
+
+private:
+    asio::io_context context;
+    StoreEra era;
+    int logFile;
+    DecisionLog log;
+
+public:
+    StoreFollower follower;
+};
+
+} // namespace
+
+class StoreFollowerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StoreFollowerTest);
+    CPPUNIT_TEST(testLogTellsThatTheStoreWasRestored);
+    CPPUNIT_TEST(testConfigurationWrittenAgainWithLowerRevisionIsApplied);
+    CPPUNIT_TEST(testWatchThatAnswersAfterARestorationIsFollowedByAFullRead);
+    CPPUNIT_TEST(testLateReplyOfAnEarlierEraIsIgnored);
+    CPPUNIT_TEST(testPagesOfTwoErasAreNotOneRead);
+    CPPUNIT_TEST(testItemsLostWithTheCopyAreNotRemoved);
+    CPPUNIT_TEST(testPageWithUnreadableLastItemEnds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testLogTellsThatTheStoreWasRestored()
+    {
+        RestorableStore store;
+        store.write("op/config", "old");
+        store.saveCopy();
+        store.write("op/config", "new");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        store.write("servers/other", "entry");
+        CPPUNIT_ASSERT(run.runUntilConfirmed(2));
+        CPPUNIT_ASSERT(contains(run.readLog(), "\"store_restored\""));
+        CPPUNIT_ASSERT(contains(run.readLog(), "\"era_before\":1,\"era\":2,\"revision_before\":32"));
+    }
+
+    void testConfigurationWrittenAgainWithLowerRevisionIsApplied()
+    {
+        RestorableStore store;
+        store.write("op/config", "first");
+        store.saveCopy();
+        for (const char* version : { "second", "third", "fourth" })
+            store.write("op/config", version);
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        store.write("op/config", "fifth");
+        CPPUNIT_ASSERT(run.runUntil([&] { return run.hasReported("op/config", "fifth"); }));
+        store.write("op/config", "sixth");
+        CPPUNIT_ASSERT(run.runUntil([&] { return run.hasReported("op/config", "sixth"); }));
+    }
+
+    void testWatchThatAnswersAfterARestorationIsFollowedByAFullRead()
+    {
+        RestorableStore store;
+        store.saveCopy();
+        store.write("servers/one", "first");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        store.write("op/config", "within the revisions of the earlier era");
+        for (int number = 0; number < 5; ++number)
+            store.write("servers/two", "entry");
+        CPPUNIT_ASSERT(
+            run.runUntil([&] { return run.hasReported("op/config", "within the revisions of the earlier era"); }));
+    }
+
+    void testLateReplyOfAnEarlierEraIsIgnored()
+    {
+        RestorableStore store;
+        store.write("op/config", "current");
+        store.saveCopy();
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        CPPUNIT_ASSERT(run.runUntilConfirmed(2));
+        store.scriptReply("kv-watch",
+            { 1, 200, R"({"events":[{"key":"servers/x","value":"eA==","revision":90}],"store_revision":90})" });
+        CPPUNIT_ASSERT(run.runUntilConfirmed(2));
+        CPPUNIT_ASSERT(!run.hasReported("servers/x", "x"));
+        CPPUNIT_ASSERT(std::all_of(
+            run.confirmed.begin(), run.confirmed.end(), [](std::int64_t revision) { return revision < 90; }));
+    }
+
+    void testPagesOfTwoErasAreNotOneRead()
+    {
+        RestorableStore store;
+        store.saveCopy();
+        store.restoreCopy();
+        store.write("op/config", "current");
+        store.write("servers/a", "a");
+        store.scriptReply("kv-range",
+            { 1, 200,
+                R"({"items":[{"key":"servers/a","value":"eA==","revision":90}],"store_revision":90,"truncated":true})" });
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        CPPUNIT_ASSERT(run.hasReported("servers/a", "a"));
+        CPPUNIT_ASSERT(run.confirmed.front() < 90);
+    }
+
+    void testItemsLostWithTheCopyAreNotRemoved()
+    {
+        RestorableStore store;
+        store.saveCopy();
+        store.write("servers/one", "entry");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.restoreCopy();
+        CPPUNIT_ASSERT(run.runUntilConfirmed(2));
+        CPPUNIT_ASSERT(std::none_of(run.items.begin(), run.items.end(),
+            [](const StoreItem& item) { return item.state == StoreItemState::Removed; }));
+    }
+
+    void testPageWithUnreadableLastItemEnds()
+    {
+        RestorableStore store;
+        store.write("z/last", "entry");
+        store.scriptReply("kv-range",
+            { 1, 200,
+                R"({"items":[{"key":"op/config","value":"eA==","revision":3},{"key":"servers/x","value":7,"revision":4}],)"
+                R"("store_revision":31,"truncated":true})" });
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        CPPUNIT_ASSERT_EQUAL(1, store.countTargets("after=servers/x"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
+
+} // namespace papayashelf
