Soak: hold the ports of the gateway processes

Two soaks side by side could choose the same port: it was bound to be found, and released at once. A process that restarts could lose its port to any connection too.

Each port stays bound, without listening, with SO_REUSEADDR. The program binds with the same option, so it alone gets it.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,20 +13,20 @@
 PORT_NAMES = ("callers", "readiness", "entries", "relays", "metrics")
 
 
-def free_ports(count):
+def hold_ports(count):
+    """Returns sockets that keep ports from everyone but servers that bind with SO_REUSEADDR, as the program does."""
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
+        each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    return sockets
 
 
 class Vm:
     def __init__(self, name, region, world):
         self.name, self.region, self.world = name, region, world
-        self.ports = dict(zip(PORT_NAMES, free_ports(len(PORT_NAMES))))
+        self.held_ports = hold_ports(len(PORT_NAMES))
+        self.ports = {name: held.getsockname()[1] for name, held in zip(PORT_NAMES, self.held_ports)}
         self.incarnation = 0
         self.process = None
         self.store = None
