--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -67,6 +67,8 @@
                 return
             pause, self.extra_pause = RESTART_S + self.extra_pause, 0.0
             await asyncio.sleep(pause)
+            if not self.is_wanted:
+                return
 
     # ---- Signals. Each returns when the system has dealt with it.
 
