Soak: the store comes back as an older copy

restore_store puts the store away for up to 2 s and back as a copy 3 to 10 s old: items, leases, revisions and the next number of a lease go back, every answer carries Store-Era, a watch from a revision that the copy lacks gets 410, and waiting watches are cut. What the operator and the upstreams wrote is written again within 1.8 s. Changes come before, between and after; VMs restart while the store is behind. New promises: VMs stay ready and listed (ready, listed); a removed route does not come back in one process (configuration); a VM that has heard of a leaving keeps to it whatever happens to the store later (leaving). Upstreams now serve on for 6 to 12 s after they said that they leave, so that this time overlaps with more. The end of a process counts as something done to its VM until the next start: a VM that was down for longer than contact was taken for calm.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,6 +21,7 @@
     check_retries(ledger, bounds)
     check_routes(ledger, bounds)
     check_stops(ledger, bounds, runs_of)
+    check_looks(ledger, bounds, world)
     check_left(ledger, bounds, world)
     check_recovery(ledger, bounds, world)
 
@@ -59,11 +60,21 @@
     return not ledger.is_calm(vms, run.at - bounds.contact, run.at)
 
 
+def had_heard(ledger, bounds, world, run, sent, since):
+    """True if the VMs that may have sent the run have heard of the leaving in time, and nothing was done to them since."""
+    vms = {vm.name for vm in world.vms if vm.region == run.region} | {sent.vm, run.upstream}
+    is_undisturbed = ledger.is_calm(vms, since - bounds.contact, run.at)
+    return is_undisturbed and ledger.is_calm({"store"}, since - bounds.contact, since + bounds.leaving)
+
+
 def check_leaving(ledger, bounds, world):
+    """What happens to the store later excuses no VM that has heard that an upstream leaves."""
     for run in ledger.runs:
         since = ledger.leaving.get(run.upstream)
         sent = ledger.sent.get(run.attempt)
-        if sent and since and run.at > since + bounds.leaving and not is_held_up(ledger, bounds, world, run, sent):
+        if not sent or not since or run.at <= since + bounds.leaving:
+            continue
+        if had_heard(ledger, bounds, world, run, sent, since) or not is_held_up(ledger, bounds, world, run, sent):
             ledger.violate("leaving", f"{run.attempt}: reached {run.upstream} {run.at - since:.2f} s after it said that it leaves")
 
 
@@ -129,11 +140,13 @@
 
 
 def check_routes(ledger, bounds):
-    served = {}
+    served, gone = {}, {}
     for outcome in sorted(ledger.outcomes, key=lambda each: each.sent.at):
         sent, status = outcome.sent, outcome.answer.status
         path = sent.kind.path
         added, removed = ledger.routes_added.get(path), ledger.routes_removed.get(path)
+        if removed is not None and sent.at > removed and status == 404:
+            gone.setdefault((sent.vm, sent.incarnation, path), outcome.answer.ended_at)
         if added is None or removed is not None and sent.at > removed - 0.001:
             continue
         place = (sent.vm, sent.incarnation, path)
@@ -147,6 +160,9 @@
     for run in ledger.runs:
         sent = ledger.sent.get(run.attempt)
         removed = ledger.routes_removed.get(sent.kind.path) if sent else None
+        gone_at = gone.get((sent.vm, sent.incarnation, sent.kind.path)) if sent else None
+        if gone_at and sent.at > gone_at + bounds.rollback:
+            ledger.violate("configuration", f"{run.attempt}: {sent.vm} went back to before the removal of {sent.kind.path}")
         if removed and sent.at > removed + bounds.configuration:
             if ledger.is_calm({sent.vm, "store"}, sent.at - bounds.contact, sent.at + 0.1):
                 ledger.violate("configuration", f"{run.attempt}: ran on {sent.kind.path} after its removal")
@@ -169,6 +185,29 @@
             ledger.violate("stops", f"{sent.attempt}: cut by the stop of {sent.vm}: {answer.failure}")
 
 
+def check_looks(ledger, bounds, world):
+    """A VM to which nothing was done is ready and lists its like, also while the store is restored."""
+    callers = {vm.name: vm.ports["callers"] for vm in world.vms}
+    calm_looks = 0
+    for look in ledger.looks:
+        since = look.at - bounds.contact
+        if look.at < world.begun_at + bounds.contact or not ledger.is_calm({look.vm}, since, look.ended_at):
+            continue
+        if not ledger.is_calm({"store"}, since, look.ended_at, except_for=("restored",)):
+            continue
+        calm_looks += 1
+        if not look.is_ready:
+            ledger.violate("ready", f"{look.vm} at {look.at:.3f}")
+        if look.listed is None:
+            ledger.violate("listed", f"{look.vm} at {look.at:.3f}: no list")
+            continue
+        for vm in world.vms:
+            is_like = vm.region == look.region and ledger.is_calm({vm.name}, since, look.ended_at)
+            if is_like and callers[vm.name] not in look.listed:
+                ledger.violate("listed", f"{look.vm} at {look.at:.3f}: {vm.name} is missing")
+    world.figures["calm_looks"] = calm_looks
+
+
 def check_left(ledger, bounds, world):
     """Upstreams stop work that its caller has left."""
     left_at = {each.sent.attempt: each for each in ledger.outcomes if each.left_at}
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -73,9 +73,10 @@
     serial: int = 0
     rate_factor: float = 1  # Sabotage: the document names another limit than the checks believe.
 
-    def encode(self):
+    def encode(self, kinds=None):
+        """The next version, with the newest routes or with others."""
         self.version += 1 + self.version % 3
-        routes = [self._route(kind) for kind in self.routes]
+        routes = [self._route(kind) for kind in kinds or self.routes]
         services = [{"name": name, "health_path": "/health", "cold_per_s": COLD_PER_SECOND,
                      "engine": {"slots": 32, "kv_capacity": 400000}} for name in SERVICES]
         tenants = [{"name": "farm", "api_keys": self.keys["farm"]},
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 from upstream import Fault
 
 MEAN_GAP_S = 0.9
+REWRITE_S = 1.8  # The operator and the upstreams write again within that time after a restore.
 
 
 @dataclass(frozen=True)
@@ -21,7 +22,7 @@
 
 def draw_plan(random, begin, end, names=None):
     plan, at = [], begin
-    choices = names or list(FAULTS)
+    choices = names or [name for name in FAULTS if name not in ON_REQUEST]
     while True:
         at += random.expovariate(1 / MEAN_GAP_S)
         if at >= end:
@@ -95,6 +96,36 @@
         await asyncio.sleep(random.uniform(0, 0.5))
 
 
+async def restore_store(world, random):
+    """The store is away and comes back as an older copy, after changes that the copy lacks; then VMs start on it."""
+    if world.ledger.now() < world.next_restore_at:
+        return
+    world.next_restore_at = float("inf")
+    changes = random.sample((withdraw_key, change_routes, replace_upstream), 2)
+    others = [asyncio.create_task(change(world, random)) for change in changes]
+    await asyncio.sleep(random.uniform(0.2, 5))
+    span = world.ledger.begin("store", "restored")
+    world.store.trouble = Trouble.OUT
+    await asyncio.sleep(random.uniform(0.2, 2))
+    if random.random() < 0.6:
+        others.append(asyncio.create_task(random.choice((kill_vm, kill_region, roll_vms))(world, random)))
+    world.note_restore(world.store.restore(random.uniform(3, 10)))
+    world.store.trouble = Trouble.NONE
+    keys = world.store.outside_keys()
+    await asyncio.gather(*(rewrite(world, key, random.uniform(0.1, REWRITE_S)) for key in keys))
+    span.end = world.ledger.now()
+    world.next_restore_at = span.end + random.uniform(4, 12)
+    await asyncio.sleep(random.uniform(0, 4))
+    await change_routes(world, random)
+    await asyncio.gather(*others)
+
+
+async def rewrite(world, key, after):
+    await asyncio.sleep(after)
+    await world.wait_for_store()
+    world.store.rewrite(key)
+
+
 async def cut_from_store(world, random):
     vm = random.choice(world.vms)
     span = world.ledger.begin(vm.name, "cut_from_store")
@@ -140,7 +171,7 @@
               and each.region == upstream.region and each.is_up and not each.is_leaving]
     if not others:
         return
-    await upstream.leave()
+    await upstream.leave(random.uniform(6, 12))
     await asyncio.sleep(random.uniform(0.1, 2))
     upstream.proxy = None  # Another address: the old one must not be used any more.
     await upstream.start()
@@ -237,5 +268,6 @@
 
 FAULTS = {each.__name__: each for each in (
     stop_vm, kill_vm, freeze_vm, reload_vm, roll_vms, kill_region, kill_all, trouble_store, slow_store, drop_history,
-    cut_from_store, silence_store_connections, forge_entries, crash_upstream, replace_upstream, break_upstreams,
+    restore_store, cut_from_store, silence_store_connections, forge_entries, crash_upstream, replace_upstream, break_upstreams,
     fail_service, harm_upstream_links, reset_connections, withdraw_key, change_routes, evacuate)}
+ON_REQUEST = ("restore_store",)  # Faults that a plan without names leaves out.
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -49,6 +49,7 @@
 
     async def _supervise(self, settings):
         """Runs the program, and again after each end, as the platform does."""
+        down = None
         for self.incarnation in itertools.count(self.incarnation + 1):
             span = self.world.ledger.begin(self.name, "start")
             log = (self.world.folder / f"{self.name}.log").open("ab")
@@ -58,9 +59,11 @@
             self.expected_end = False
             self.is_up = True
             span.end = self.world.ledger.now()
+            if down:
+                down.end = span.end
             status = await self.process.wait()
             self.is_up = False
-            self.world.ledger.note(self.name, "end")
+            down = self.world.ledger.begin(self.name, "end")
             if not self.expected_end:
                 self.world.ledger.violate("exits", f"{self.name}: ended by itself with {status}")
             if not self.is_wanted:
@@ -103,7 +106,8 @@
     async def freeze(self, seconds):
         if not self.is_up:
             return
-        span, process = self.world.ledger.begin(self.name, "freeze"), self.process
+        subject = "nobody" if self.world.sabotage == "freeze_unseen" else self.name
+        span, process = self.world.ledger.begin(subject, "freeze"), self.process
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         if process.returncode is None:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -42,6 +42,18 @@
     left_at: float = 0.0
 
 
+@dataclass(frozen=True)
+class Look:
+    """What a VM said of itself and of the VMs of its region."""
+
+    vm: str
+    region: str
+    at: float
+    ended_at: float
+    is_ready: bool
+    listed: object  # Ports that callers may use; None without an answer.
+
+
 @dataclass
 class Span:
     """A time in which something was done to a VM, an upstream or the store."""
@@ -58,6 +70,7 @@
     runs: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)  # (time, service, attempt), refused ones too.
     outcomes: list = field(default_factory=list)
+    looks: list = field(default_factory=list)
     spans: list = field(default_factory=list)
     violations: list = field(default_factory=list)
     withdrawn: dict = field(default_factory=dict)  # Key -> when the store had taken the configuration without it.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,16 +15,19 @@
 import checks
 import faults
 from callers import Caller
-from deployment import REGIONS, Bounds, Governance
+from deployment import HOST, REGIONS, Bounds, Governance
 from fleet import Vm
-from http1 import ClientConnection
-from ledger import Ledger
+from http1 import Answer, ClientConnection
+from ledger import Ledger, Look
 from proxy import Mode
 from store import MetadataStore, Trouble
 from upstream import Upstream
 
 SETTLE_S = 3.0  # Traffic before the first fault.
 CALM_END_S = 18.0  # The recovery time and some seconds in which all must be served.
+ANSWER_LIMIT_S = 1.0  # As the platform's own question for readiness.
+LOOK_EVERY_S = 0.5
+LOOKS = 6  # VMs a time.
 UPSTREAMS_PER_REGION = {"assistant": 2, "desk": 2}
 
 
@@ -46,6 +49,9 @@
     "mix_regions": Sabotage("homes", ("reload_vm",)),
     "run_refused": Sabotage("twice", ("break_upstreams",)),
     "skip_event": Sabotage("order", ("reload_vm",)),
+    "rewrite_older": Sabotage("configuration", ("restore_store",), callers=60),
+    "hide_status": Sabotage("listed", ("reload_vm",)),
+    "freeze_unseen": Sabotage("ready", ("freeze_vm",)),
     "loose_limit": Sabotage("limit", ("reload_vm",), callers=60),
     "loose_retries": Sabotage("retries", ("fail_service",), callers=40),
     "stop_at_once": Sabotage("stops", ("stop_vm",)),
@@ -72,8 +78,9 @@
         self.vms, self.upstreams = [], []
         self.removed_routes, self.withdrawn_keys, self.new_keys = [], [], {}
         self.route_serial, self.key_serial = 0, 0
+        self.next_restore_at = 0.0
         self.is_over = False
-        self.healed_at = 0.0
+        self.begun_at, self.healed_at = 0.0, 0.0
         self.figures = {}
         self.random = random.Random(arguments.seed)
 
@@ -81,6 +88,9 @@
         await self.store.start()
         await self.publish()
         self.store.hides = self._hides
+        if self.sabotage == "rewrite_older":
+            first = self.governance.routes[:]
+            self.store.alters_rewritten = lambda key, value: self.governance.encode(first) if key == "op/config" else value
         for region in REGIONS:
             for service, count in UPSTREAMS_PER_REGION.items():
                 for _ in range(count):
@@ -98,6 +108,8 @@
             return self.sabotage in ("keep_withdrawn", "hide_routes")
         if key.startswith("op/evacuate/"):
             return self.sabotage == "hide_evacuation"
+        if key.startswith("vm/"):
+            return self.sabotage == "hide_status"
         return self.sabotage == "hide_leaving" and b'"draining"' in value
 
     # ---- The operator.
@@ -142,19 +154,43 @@
 
     # ---- The day.
 
-    async def ask_readiness(self, vm):
+    @staticmethod
+    async def _get(port, target):
+        """Returns the answer; one without a status if none came in time."""
         try:
-            connection = await ClientConnection.open(vm.ports["readiness"], 1)
+            connection = await ClientConnection.open(port, ANSWER_LIMIT_S)
         except (OSError, asyncio.TimeoutError):
-            return False
-        answer = await connection.exchange("GET", "/-/ready", [("Host", "vm"), ("Connection", "close")], b"")
-        connection.close()
-        return answer.status == 200
+            return Answer()
+        try:
+            headers = [("Host", "vm"), ("Connection", "close")]
+            return await asyncio.wait_for(connection.exchange("GET", target, headers, b""), ANSWER_LIMIT_S)
+        except asyncio.TimeoutError:
+            return Answer()
+        finally:
+            connection.close()
+
+    async def ask_readiness(self, vm):
+        return (await self._get(vm.ports["readiness"], "/-/ready")).status == 200
+
+    async def look_at_vms(self):
+        while not self.is_over:
+            await asyncio.gather(*(self._look_at(vm) for vm in random.sample(self.vms, min(LOOKS, len(self.vms)))))
+            await asyncio.sleep(LOOK_EVERY_S)
+
+    async def _look_at(self, vm):
+        at = self.ledger.now()
+        is_ready = await self.ask_readiness(vm)
+        answer = await self._get(vm.ports["entries"], f"/-/resolve?name={HOST}&region={vm.region}&zone={vm.region}-a")
+        listed = None
+        if answer.status == 200 and answer.is_complete:
+            listed = frozenset(int(address.rsplit(":", 1)[1]) for address in json.loads(answer.body)["addresses"])
+        self.ledger.looks.append(Look(vm.name, vm.region, at, self.ledger.now(), is_ready, listed))
 
     async def play(self, seconds, callers, names):
         crowd = [Caller(self, random.Random(self.random.getrandbits(32))) for _ in range(callers)]
         asking = [asyncio.create_task(caller.run()) for caller in crowd]
-        begin = self.ledger.now()
+        asking.append(asyncio.create_task(self.look_at_vms()))
+        begin = self.begun_at = self.ledger.now()
         plan = faults.draw_plan(self.random, SETTLE_S, seconds - CALM_END_S, names)
         tasks = []
         for planned in plan:
@@ -174,6 +210,11 @@
         with (self.folder / "faults.jsonl").open("a") as file:
             file.write(json.dumps({"t_ms": int(time.time() * 1000), "now": self.ledger.now(), "fault": planned.name}) + "\n")
 
+    def note_restore(self, age):
+        with (self.folder / "faults.jsonl").open("a") as file:
+            file.write(json.dumps({"t_ms": int(time.time() * 1000), "now": self.ledger.now(), "restored_copy_age": round(age, 2),
+                                   "era": self.store.era, "revision": self.store.revision}) + "\n")
+
     def heal(self):
         self.store.trouble, self.store.delay = Trouble.NONE, 0
         for each in [*(vm.store for vm in self.vms), *(upstream.proxy for upstream in self.upstreams)]:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import base64
+import collections
+import copy
 import enum
-import itertools
 import json
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
@@ -13,6 +14,9 @@
 PAGE_ITEMS = 50  # Small, so that readers meet more than one page.
 HISTORY = 5000
 LEASE_LOOK_S = 0.1
+COPY_EVERY_S = 0.5
+COPIES = 24
+OUTSIDE_PREFIXES = ("op/", "servers/")  # What the operator and the upstreams write.
 
 
 class Trouble(enum.Enum):
@@ -42,19 +46,36 @@
     ends_at: float
 
 
+@dataclass(frozen=True)
+class Copy:
+    """The store as it was at one moment."""
+
+    taken_at: float
+    items: dict
+    revision: int
+    history: list
+    history_start: int
+    leases: dict
+    next_lease: int
+
+
 class MetadataStore:
     def __init__(self):
         self.items = {}
         self.revision = 7
+        self.era = 1
         self.trouble = Trouble.NONE
         self.delay = 0.0
         self.leases_pause = False  # What becomes of leases while the store is out.
         self.hides = lambda key, value: False  # Sabotage: items that no reader sees.
+        self.alters_rewritten = lambda key, value: value  # Sabotage: what is written again after a restore.
         self.port = 0
+        self._outside = {}  # Newest values of the operator and the upstreams, by key.
         self._history = []
         self._history_start = self.revision
         self._leases = {}
-        self._numbers = itertools.count(11)
+        self._next_lease = 11
+        self._copies = collections.deque(maxlen=COPIES)
         self._changed = asyncio.Condition()
 
     async def start(self):
@@ -68,6 +89,8 @@
         """Writes an item. Returns its revision."""
         if self.hides(key, value):
             return self.revision
+        if key.startswith(OUTSIDE_PREFIXES):
+            self._outside[key] = value
         self.revision += 1
         old = self.items.get(key)
         item = Item(key, value, self.revision, old.create_rev if old else self.revision, lease)
@@ -76,6 +99,7 @@
         return self.revision
 
     def remove(self, key):
+        self._outside.pop(key, None)
         if key not in self.items:
             return
         del self.items[key]
@@ -86,6 +110,35 @@
         self._history.clear()
         self._history_start = self.revision
 
+    def restore(self, age):
+        """Goes back to the copy that is nearest to that age: revisions and lease numbers are given out again."""
+        now = asyncio.get_running_loop().time()
+        kept = min(self._copies, key=lambda each: abs(now - age - each.taken_at))
+        self.items, self.revision = dict(kept.items), kept.revision
+        self._history, self._history_start = list(kept.history), kept.history_start
+        self._leases = {n: Lease(each.ttl, now + each.ends_at - kept.taken_at) for n, each in kept.leases.items()}
+        self._next_lease = kept.next_lease
+        self._copies = collections.deque((each for each in self._copies if each.taken_at < kept.taken_at), COPIES)
+        self._copies.append(self._copy())
+        self.era += 1
+        asyncio.get_running_loop().create_task(self._wake())
+        return now - kept.taken_at
+
+    def outside_keys(self):
+        """Keys that the operator and the upstreams have to write again, or to remove, after a restore."""
+        return sorted(set(self._outside) | {key for key in self.items if key.startswith(OUTSIDE_PREFIXES)})
+
+    def rewrite(self, key):
+        """Writes or removes the item again, as it is by now."""
+        if key in self._outside:
+            self.put(key, self.alters_rewritten(key, self._outside[key]))
+        else:
+            self.remove(key)
+
+    def _copy(self):
+        return Copy(asyncio.get_running_loop().time(), dict(self.items), self.revision, list(self._history),
+                    self._history_start, copy.deepcopy(self._leases), self._next_lease)
+
     def is_stable(self):
         return self.trouble is Trouble.NONE and self.delay == 0
 
@@ -103,6 +156,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(LEASE_LOOK_S)
+            if not self._copies or loop.time() >= self._copies[-1].taken_at + COPY_EVERY_S:
+                self._copies.append(self._copy())
             if self.trouble is not Trouble.NONE and self.leases_pause:
                 for lease in self._leases.values():
                     lease.ends_at += LEASE_LOOK_S
@@ -121,15 +176,16 @@
             await connection.peer_gone.wait()
             return
         if self.trouble in (Trouble.OUT, Trouble.BUSY):
-            await self._reply(connection, 503 if self.trouble is Trouble.OUT else 429, {})
+            await self._reply(connection, 503 if self.trouble is Trouble.OUT else 429, {}, self.era)
             return
+        era = self.era
         status, body = await self._perform(request)
-        if self.trouble is Trouble.LOSES_ANSWERS:
+        if self.trouble is Trouble.LOSES_ANSWERS or status is None:
             connection.abort()
             return
         if self.delay:
             await asyncio.sleep(self.delay)
-        await self._reply(connection, status, body)
+        await self._reply(connection, status, body, era)
 
     async def _perform(self, request):
         parts = urlsplit(request.target)
@@ -161,8 +217,11 @@
         prefix, after = query.get("path_prefix", ""), int(query["after"])
         loop = asyncio.get_running_loop()
         end = loop.time() + int(query["wait_ms"]) / 1000
+        era = self.era
         while True:
-            if after < self._history_start:
+            if self.era != era:
+                return None, {}  # A watch that waits while the store is away is cut.
+            if after < self._history_start or after > self.revision:
                 return 410, {}
             events = [e for e in self._history if e["revision"] > after and e["key"].startswith(prefix)]
             left = end - loop.time()
@@ -192,7 +251,8 @@
         return 200, {"revision": self.revision}
 
     def _grant(self, body):
-        number, ttl = next(self._numbers), body["ttl_ms"] / 1000
+        number, ttl = self._next_lease, body["ttl_ms"] / 1000
+        self._next_lease += 1
         self._leases[number] = Lease(ttl, asyncio.get_running_loop().time() + ttl)
         return 200, {"lease": number, "ttl_ms": body["ttl_ms"]}
 
@@ -203,5 +263,7 @@
         lease.ends_at = asyncio.get_running_loop().time() + lease.ttl
         return 200, {"ttl_ms": int(lease.ttl * 1000)}
 
-    async def _reply(self, connection, status, body):
-        await connection.answer(status, [("Content-Type", "application/json")], json.dumps(body).encode())
+    @staticmethod
+    async def _reply(connection, status, body, era):
+        headers = [("Content-Type", "application/json"), ("Store-Era", str(era))]
+        await connection.answer(status, headers, json.dumps(body).encode())
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -87,14 +87,14 @@
             self.sequence += 1
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def leave(self):
+    async def leave(self, serve_on):
         """Says that it leaves, serves on for a while, and ends."""
         while not self.store.is_stable():
             await asyncio.sleep(0.1)
         self.is_leaving = True
         self._register()
         self.ledger.leaving[self.id] = self.ledger.now()
-        await asyncio.sleep(6)
+        await asyncio.sleep(serve_on)
         self.stop()
         self.store.remove("servers/" + self.id)
 
