Soak: sound upstreams that are silent for a moment

silence_upstreams lets one to three upstreams say nothing for 0.8 to 1.8 s, within streams too, and go on. The promise unbroken: an answer whose upstreams, VMs and store had nothing else done to them is not cut and does not end with 502 or 504.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,6 +21,7 @@
     check_retries(ledger, bounds)
     check_routes(ledger, bounds)
     check_stops(ledger, bounds, runs_of)
+    check_silence(ledger, bounds, world, runs_of)
     check_looks(ledger, bounds, world)
     check_left(ledger, bounds, world)
     check_recovery(ledger, bounds, world)
@@ -185,6 +186,26 @@
             ledger.violate("stops", f"{sent.attempt}: cut by the stop of {sent.vm}: {answer.failure}")
 
 
+def check_silence(ledger, bounds, world, runs_of):
+    """An upstream that is silent for a moment, and to which nothing else was done, costs no answer."""
+    struck = 0
+    for outcome in ledger.outcomes:
+        sent, answer = outcome.sent, outcome.answer
+        used = {run.upstream: run.region for run in runs_of.get(sent.attempt, ())}
+        if outcome.left_at or ledger.is_calm(used, sent.at, answer.ended_at):
+            continue
+        vms = {vm.name for vm in world.vms if vm.region in used.values()} | {sent.vm}
+        if not ledger.is_calm({*used, *vms}, sent.at - bounds.contact, answer.ended_at, except_for=("silent", "reload")):
+            continue
+        if any(upstream in used and sent.at <= at <= answer.ended_at for upstream, at in ledger.upstream_ends):
+            continue
+        struck += 1
+        is_broken = not answer.is_complete or answer.status in (502, 504)
+        if is_broken and answer.ended_at < sent.at + sent.kind.timeout:
+            ledger.violate("unbroken", f"{sent.attempt}: {answer.status} {answer.failure} beside a silence of {sorted(used)}")
+    world.figures["beside_silence"] = struck
+
+
 def check_looks(ledger, bounds, world):
     """A VM to which nothing was done is ready and lists its like, also while the store is restored."""
     callers = {vm.name: vm.ports["callers"] for vm in world.vms}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -190,6 +190,18 @@
         span.end = world.ledger.now()
 
 
+async def silence_upstreams(world, random):
+    """Sound upstreams say nothing for a moment and go on."""
+    struck = random.sample(world.upstreams, random.randint(1, 3))
+    spans = [world.ledger.begin(upstream.id, "silent") for upstream in struck]
+    until = world.ledger.now() + random.uniform(0.8, 1.8)
+    for upstream in struck:
+        upstream.silent_until = until
+    await asyncio.sleep(until - world.ledger.now())
+    for span in spans:
+        span.end = world.ledger.now()
+
+
 async def fail_service(world, random):
     """Every upstream of a service fails every request: nothing but the retry budget bounds what they get."""
     service = random.choice(SERVICES)
@@ -269,5 +281,5 @@
 FAULTS = {each.__name__: each for each in (
     stop_vm, kill_vm, freeze_vm, reload_vm, roll_vms, kill_region, kill_all, trouble_store, slow_store, drop_history,
     restore_store, cut_from_store, silence_store_connections, forge_entries, crash_upstream, replace_upstream, break_upstreams,
-    fail_service, harm_upstream_links, reset_connections, withdraw_key, change_routes, evacuate)}
+    silence_upstreams, fail_service, harm_upstream_links, reset_connections, withdraw_key, change_routes, evacuate)}
 ON_REQUEST = ("restore_store",)  # Faults that a plan without names leaves out.
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -79,6 +79,7 @@
     evacuations: list = field(default_factory=list)  # (domain, begin, end)
     routes_added: dict = field(default_factory=dict)  # Path -> when in force at the store.
     routes_removed: dict = field(default_factory=dict)
+    upstream_ends: list = field(default_factory=list)  # (upstream, time)
     stops: list = field(default_factory=list)  # (vm, time of SIGTERM)
 
     def now(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -52,6 +52,7 @@
     "rewrite_older": Sabotage("configuration", ("restore_store",), callers=60),
     "hide_status": Sabotage("listed", ("reload_vm",)),
     "freeze_unseen": Sabotage("ready", ("freeze_vm",)),
+    "break_silent": Sabotage("unbroken", ("silence_upstreams",)),
     "loose_limit": Sabotage("limit", ("reload_vm",), callers=60),
     "loose_retries": Sabotage("retries", ("fail_service",), callers=40),
     "stop_at_once": Sabotage("stops", ("stop_vm",)),
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -43,6 +43,7 @@
         self.service, self.region, self.domain = service, region, region + "-a"
         self.store, self.ledger, self.kinds, self.random = store, ledger, kinds, random
         self.fault, self.fault_share = Fault.NONE, 0.0
+        self.silent_until = 0.0
         self.sabotage = ""
         self.is_up = False
         self.proxy = None
@@ -109,6 +110,7 @@
     def stop(self):
         self.is_up = False
         self._beat.cancel()
+        self.ledger.upstream_ends.append((self.id, self.ledger.now()))
         self.server.close()
         self.proxy.reset()
         for task in list(self._tasks):
@@ -206,11 +208,17 @@
                 await connection.send(event(attempt, number))
         await connection.finish()
 
-    @staticmethod
-    async def _sleep(connection, seconds):
-        """Returns true if the peer left meanwhile."""
-        try:
-            await asyncio.wait_for(connection.peer_gone.wait(), seconds)
-            return True
-        except asyncio.TimeoutError:
-            return False
+    async def _sleep(self, connection, seconds):
+        """Returns true if the peer left meanwhile. Lasts longer while the upstream is silent."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while (left := max(end, self.silent_until) - loop.time()) > 0:
+            was_silent = self.silent_until > end
+            try:
+                await asyncio.wait_for(connection.peer_gone.wait(), left)
+                return True
+            except asyncio.TimeoutError:
+                if was_silent and self.sabotage == "break_silent":
+                    connection.abort()
+                    return True
+        return False
