--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -24,6 +24,7 @@
     check_silence(ledger, bounds, world, runs_of)
     check_looks(ledger, bounds, world)
     check_left(ledger, bounds, world)
+    check_used(ledger, bounds, world)
     check_recovery(ledger, bounds, world)
 
 
@@ -250,6 +251,19 @@
         ledger.violate("left", f"upstreams worked on after {len(late)} of {counted} callers had left: {late[:5]}")
 
 
+def check_used(ledger, bounds, world):
+    """Whatever stands beside their entries, all upstreams are used once the faults are over."""
+    begin = world.healed_at + bounds.contact
+    used = {upstream.id: 0 for upstream in world.upstreams}
+    for run in ledger.runs:
+        if run.at >= begin and run.upstream in used:
+            used[run.upstream] += 1
+    world.figures["fewest_runs_of_an_upstream"] = min(used.values())
+    for upstream, count in used.items():
+        if not count:
+            ledger.violate("used", f"{upstream}: no run from {bounds.contact} s after the faults on")
+
+
 def check_recovery(ledger, bounds, world):
     """All is served again once the faults are over."""
     since = world.healed_at + bounds.recovery
