Soak: upstreams that state leaving, reject for a time or name a limit

An upstream states what it knows of itself in its answers: Server-Leaving while it leaves (state_leaving: without an entry in the store), Retry-After beside 503 (reject_for_a_time), Server-Limit (name_limits). The promises stated_leaving, rejecting and limited count what each VM sent: the proxy before an upstream knows both ports of a connection, the kernel tells its inode, and the VM is the process that has it open.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,6 +21,9 @@
     check_retries(ledger, bounds)
     check_routes(ledger, bounds)
     check_stops(ledger, bounds, runs_of)
+    check_stated(ledger, bounds)
+    check_rejecting(ledger, bounds)
+    check_stated_limits(ledger, bounds)
     check_silence(ledger, bounds, world, runs_of)
     check_looks(ledger, bounds, world)
     check_left(ledger, bounds, world)
@@ -187,6 +190,80 @@
             ledger.violate("stops", f"{sent.attempt}: cut by the stop of {sent.vm}: {answer.failure}")
 
 
+CUTS = ("cut_from_store", "silenced")
+RESTARTS = ("start", "end", "kill", "freeze")
+
+
+def was_struck(ledger, vm, since, until, kinds):
+    return any(span.subject == vm and span.what in kinds and span.begin <= until and span.end >= since for span in ledger.spans)
+
+
+def passed_on(ledger, what):
+    """When each VM first passed an answer on in which a start of an upstream stated that, by VM, start and value."""
+    ended = {each.sent.attempt: each.answer.ended_at for each in ledger.outcomes
+             if each.answer.status == 200 and each.answer.is_complete}
+    first = {}
+    for statement in ledger.statements:
+        offer = statement.offer
+        if statement.what == what and offer.attempt in ended and offer.sender:
+            place = (offer.sender, offer.start, statement.value)
+            first[place] = min(first.get(place, float("inf")), ended[offer.attempt])
+    return first
+
+
+def check_stated(ledger, bounds):
+    """In touch or not, a VM that passed on that an upstream leaves sends it nothing more."""
+    first = passed_on(ledger, "leaving")
+    for offer in ledger.offers:
+        since = first.get((offer.sender, offer.start, 1.0))
+        sent = ledger.sent.get(offer.attempt)
+        if since is None or not sent or sent.at <= since + bounds.leaving:
+            continue
+        if not was_struck(ledger, offer.sender, since, offer.at, RESTARTS):
+            ledger.violate("stated_leaving", f"{offer.attempt}: reached {offer.upstream} from {offer.sender} "
+                           f"{sent.at - since:.2f} s after it had passed on that it leaves")
+
+
+def check_rejecting(ledger, bounds):
+    """A VM leaves an upstream alone for as long as that has asked for."""
+    offers = defaultdict(list)
+    for offer in ledger.offers:
+        if offer.attempt in ledger.sent:
+            offers[offer.sender, offer.start].append(offer.at)
+    for statement in ledger.statements:
+        offer, end = statement.offer, statement.at + statement.value
+        if statement.what != "rejects" or not offer.sender:
+            continue
+        if was_struck(ledger, offer.sender, statement.at, end, (*RESTARTS, *CUTS)):
+            continue
+        count = sum(1 for at in offers[offer.sender, offer.start] if statement.at + bounds.heard < at < end)
+        if count > bounds.most_rejected:
+            ledger.violate("rejecting", f"{offer.upstream} got {count} requests of {offer.sender} within the {statement.value} s "
+                           f"from {statement.at:.3f} on, {bounds.most_rejected} allowed")
+
+
+def check_stated_limits(ledger, bounds):
+    """An upstream that names a limit gets no more than that of all VMs that know it."""
+    first_named, last_named = {}, {}
+    for statement in ledger.statements:
+        if statement.what == "limit":
+            place = (statement.offer.start, statement.value)
+            first_named.setdefault(place, statement.at)
+            last_named[place] = statement.at
+    known = passed_on(ledger, "limit")
+    for (start, limit), begin in first_named.items():
+        times = [offer.at for offer in ledger.offers
+                 if offer.start == start and begin + bounds.contact <= offer.at <= last_named[start, limit]
+                 and known.get((offer.sender, start, limit), float("inf")) + bounds.heard <= offer.at
+                 and not was_struck(ledger, offer.sender, offer.at - bounds.contact, offer.at, (*RESTARTS, *CUTS))]
+        most = limit * bounds.stated_window * bounds.stated_overshoot + bounds.stated_slack
+        for at in times:
+            count = sum(1 for other in times if at <= other < at + bounds.stated_window)
+            if count > most:
+                ledger.violate("limited", f"{start}: {count} requests in {bounds.stated_window} s, {most:.1f} allowed by {limit}")
+                break
+
+
 def check_silence(ledger, bounds, world, runs_of):
     """An upstream that is silent for a moment, and to which nothing else was done, costs no answer."""
     struck = 0
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -29,6 +29,11 @@
     cold_overshoot: float = 1.5
     cold_slack: float = 3
     caller_left: float = 0.5
+    heard: float = 0.5  # From an answer on, a VM acts on what it states.
+    most_rejected: int = 2  # Requests that reach an upstream while it has asked for none.
+    stated_window: float = 4.0
+    stated_overshoot: float = 1.5
+    stated_slack: float = 5
 
 
 @dataclass(frozen=True)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -190,20 +190,45 @@
     await gone
 
 
-async def replace_upstream(world, random):
-    upstream = random.choice(world.upstreams)
-    if not upstream.is_up or upstream.is_leaving:
-        return
+async def replace(upstream, world, random, is_listed):
     others = [each for each in world.upstreams if each is not upstream and each.service == upstream.service
               and each.region == upstream.region and each.is_up and not each.is_leaving]
-    if not others:
+    if not upstream.is_up or upstream.is_leaving or not others:
         return
-    await upstream.leave(random.uniform(6, 12))
+    await upstream.leave(random.uniform(6, 12), is_listed)
     await asyncio.sleep(random.uniform(0.1, 2))
     upstream.proxy = None  # Another address: the old one must not be used any more.
     await upstream.start()
 
 
+async def replace_upstream(world, random):
+    await replace(random.choice(world.upstreams), world, random, is_listed=True)
+
+
+async def state_leaving(world, random):
+    """An upstream tells of its leaving in its answers only."""
+    await replace(random.choice(world.upstreams), world, random, is_listed=False)
+
+
+async def reject_for_a_time(world, random):
+    struck = random.sample(world.upstreams, random.randint(1, 3))
+    for upstream in struck:
+        upstream.retry_after = random.choice((1, 1.5, 2, 3))
+    await asyncio.sleep(random.uniform(2, 7))
+    for upstream in struck:
+        upstream.retry_after = 0.0
+
+
+async def name_limits(world, random):
+    """Some upstreams name the requests a second that they take from all VMs together."""
+    struck = [upstream for upstream in random.sample(world.upstreams, random.randint(1, 4)) if not upstream.limit]
+    for upstream in struck:
+        upstream.limit = round(random.uniform(0.2, 1.5), 2)
+    await asyncio.sleep(random.uniform(9, 14))
+    for upstream in struck:
+        upstream.limit = 0.0
+
+
 async def break_upstreams(world, random):
     fault = random.choice([each for each in Fault if each is not Fault.NONE])
     struck = random.sample(world.upstreams, random.randint(1, 3))
@@ -307,6 +332,7 @@
 
 FAULTS = {each.__name__: each for each in (
     stop_vm, kill_vm, freeze_vm, reload_vm, roll_vms, kill_region, kill_all, trouble_store, slow_store, drop_history,
-    restore_store, cut_from_store, silence_store_connections, forge_entries, leave_odd_entries, crash_upstream, replace_upstream, break_upstreams,
-    silence_upstreams, fail_service, harm_upstream_links, reset_connections, withdraw_key, change_routes, evacuate)}
+    restore_store, cut_from_store, silence_store_connections, forge_entries, leave_odd_entries, crash_upstream,
+    replace_upstream, break_upstreams, silence_upstreams, state_leaving, reject_for_a_time, name_limits, fail_service,
+    harm_upstream_links, reset_connections, withdraw_key, change_routes, evacuate)}
 ON_REQUEST = ("restore_store", "leave_odd_entries")  # Faults that a plan without names leaves out.
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,15 +1,20 @@
 """The gateway processes: real programs that are started, stopped, paused and killed by their own process ids."""
 
 import asyncio
+import contextlib
 import itertools
+import os
 import signal
 import socket
+import struct
 
 from deployment import REGIONS, settings_text
 from proxy import FaultProxy
 
 RESTART_S = 0.4
 READY_LIMIT_S = 20
+NETLINK_SOCK_DIAG, SOCK_DIAG_BY_FAMILY, NETLINK_REQUEST = 4, 20, 1
+INODE_OFFSET = 84  # Behind the heads of netlink and inet_diag, the ends and four counters.
 PORT_NAMES = ("callers", "readiness", "entries", "relays", "metrics")
 
 
@@ -22,6 +27,25 @@
     return sockets
 
 
+def socket_number(port, peer_port):
+    """Returns the inode of the loopback connection with that port and peer, 0 if there is none; see sock_diag(7)."""
+    loopback = socket.inet_aton("127.0.0.1")
+    ends = struct.pack("!HH4s12x4s12x4x8s", port, peer_port, loopback, loopback, b"\xff" * 8)
+    query = struct.pack("=BBBxI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0xFFFFFFFF) + ends
+    head = struct.pack("=IHHII", 16 + len(query), SOCK_DIAG_BY_FAMILY, NETLINK_REQUEST, 0, 0)
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_DGRAM, NETLINK_SOCK_DIAG) as link:
+        link.send(head + query)
+        reply = link.recv(4096)
+    is_found = struct.unpack_from("=H", reply, 4)[0] == SOCK_DIAG_BY_FAMILY
+    return struct.unpack_from("=I", reply, INODE_OFFSET)[0] if is_found else 0
+
+
+def owner_of(port, peer_port, vms):
+    """Returns the name of the VM whose process holds this end of a connection, or an empty text."""
+    number = socket_number(port, peer_port)
+    return next((vm.name for vm in vms if number and vm.is_up and f"socket:[{number}]" in vm.open_files()), "")
+
+
 class Vm:
     def __init__(self, name, region, world):
         self.name, self.region, self.world = name, region, world
@@ -73,6 +97,15 @@
             if not self.is_wanted:
                 return
 
+    def open_files(self):
+        """Targets of the links in the process's folder of descriptors."""
+        folder, targets = f"/proc/{self.process.pid}/fd", set()
+        with contextlib.suppress(OSError):  # The process or a descriptor has gone meanwhile.
+            for name in os.listdir(folder):
+                with contextlib.suppress(OSError):
+                    targets.add(os.readlink(f"{folder}/{name}"))
+        return targets
+
     # ---- Signals. Each returns when the system has dealt with it.
 
     async def stop(self):
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -35,6 +35,27 @@
     is_whole: bool = False
 
 
+@dataclass(frozen=True)
+class Offer:
+    """One arrival at an upstream, run or refused."""
+
+    attempt: str
+    at: float
+    upstream: str
+    start: str  # One for each start of an upstream.
+    sender: str  # The VM whose process holds the connection.
+
+
+@dataclass(frozen=True)
+class Statement:
+    """What an upstream stated of itself in the answer to an offer."""
+
+    what: str  # "leaving", "rejects" or "limit".
+    offer: Offer
+    at: float
+    value: float
+
+
 @dataclass
 class Outcome:
     sent: Sent
@@ -69,6 +90,8 @@
     sent: dict = field(default_factory=dict)
     runs: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)  # (time, service, attempt), refused ones too.
+    offers: list = field(default_factory=list)
+    statements: list = field(default_factory=list)
     outcomes: list = field(default_factory=list)
     looks: list = field(default_factory=list)
     spans: list = field(default_factory=list)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -21,6 +21,9 @@
         self.delay = 0.0
         self.port = 0
         self.keeps_server_side = False  # Sabotage: the server does not learn that its caller left.
+        self.identify = lambda port, peer_port: ""  # Names the owner of a connection.
+        self._peers = {}  # Port of the connection to the server -> port of the client.
+        self._senders = {}  # The same -> name of the client, once asked for.
         self._pairs = set()
         self._stuck = set()  # Connections that lost bytes while silent: they never work again.
         self._server = None
@@ -37,6 +40,12 @@
         if mode is Mode.REFUSE:
             self.reset()
 
+    def sender(self, port):
+        """Returns the owner of the connection that arrives at the server from this port."""
+        if port in self._peers and port not in self._senders:
+            self._senders[port] = self.identify(self._peers[port], self.port)
+        return self._senders.get(port, "")
+
     def reset(self):
         """Resets every open connection."""
         for writers in list(self._pairs):
@@ -56,6 +65,8 @@
         except ConnectionError:
             writer.transport.abort()
             return
+        own_port = server_writer.get_extra_info("sockname")[1]
+        self._peers[own_port] = writer.get_extra_info("peername")[1]
         pair = (writer, server_writer)
         self._pairs.add(pair)
         ways = [
@@ -69,6 +80,8 @@
         for way in ways:
             way.cancel()
         await asyncio.gather(*ways, return_exceptions=True)
+        for known in (self._peers, self._senders):
+            known.pop(own_port, None)
         self._pairs.discard(pair)
         self._stuck.discard(pair)
         for each in pair:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,7 @@
 import faults
 from callers import Caller
 from deployment import HOST, REGIONS, Bounds, Governance
-from fleet import Vm
+from fleet import Vm, owner_of
 from http1 import Answer, ClientConnection
 from ledger import Ledger, Look
 from proxy import Mode
@@ -55,6 +55,9 @@
     "break_silent": Sabotage("unbroken", ("silence_upstreams",)),
     "end_unasked": Sabotage("exits", ("kill_vm",)),
     "hide_upstream": Sabotage("used", ("reload_vm",)),
+    "unstate_leaving": Sabotage("stated_leaving", ("state_leaving",)),
+    "unstate_rejects": Sabotage("rejecting", ("reject_for_a_time",), callers=100),
+    "unstate_limit": Sabotage("limited", ("name_limits",), callers=100),
     "loose_limit": Sabotage("limit", ("reload_vm",), callers=60),
     "loose_retries": Sabotage("retries", ("fail_service",), callers=40),
     "stop_at_once": Sabotage("stops", ("stop_vm",)),
@@ -100,6 +103,7 @@
                     upstream = Upstream(service, region, self.store, self.ledger, self.governance.routes,
                                         random.Random(self.random.getrandbits(32)))
                     upstream.sabotage = self.sabotage
+                    upstream.identify = lambda port, peer_port: owner_of(port, peer_port, self.vms)
                     self.upstreams.append(await upstream.start(is_cold=False))
         self.vms = [Vm(f"{REGIONS[i % 3]}-{i // 3 + 1}", REGIONS[i % 3], self) for i in range(vms)]
         await asyncio.gather(*(vm.start() for vm in self.vms))
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -8,7 +8,7 @@
 import time
 
 import http1
-from ledger import Run
+from ledger import Offer, Run, Statement
 from proxy import FaultProxy
 
 HEARTBEAT_S = 1.2
@@ -44,6 +44,9 @@
         self.store, self.ledger, self.kinds, self.random = store, ledger, kinds, random
         self.fault, self.fault_share = Fault.NONE, 0.0
         self.silent_until = 0.0
+        self.identify = lambda port, peer_port: ""
+        self.retry_after = 0.0  # Above 0: rejects every request for so long.
+        self.limit = 0.0  # Above 0: the requests a second that it takes.
         self.sabotage = ""
         self.is_up = False
         self.proxy = None
@@ -58,10 +61,12 @@
             self.proxy.target_port = port
         else:
             self.proxy = await FaultProxy(port).start()
+            self.proxy.identify = self.identify
             self.proxy.keeps_server_side = self.sabotage == "keep_runs"
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.is_up, self.is_leaving = True, False
+        self.is_up, self.is_leaving, self.lists_leaving = True, False, False
+        self.has_stated = False
         self.cold_end = self.ledger.now() + (COLD_S if is_cold else 0)
         self.ledger.cold.setdefault(self.id, []).append((self.ledger.now(), self.cold_end))
         self.ledger.leaving.pop(self.id, None)
@@ -70,7 +75,7 @@
 
     def entry(self):
         cold_left = max(0.0, self.cold_end - self.ledger.now())
-        state = "draining" if self.is_leaving else "ready"
+        state = "draining" if self.lists_leaving else "ready"
         entry = {"service": self.service, "address": f"127.0.0.1:{self.proxy.port}", "zone": self.domain, "version": "v1",
                  "slots": SLOTS, "state": state, "seq": self.sequence, "born": self.born,
                  "cold_left_ms": 0 if self.sabotage == "hide_cold" else int(cold_left * 1000)}
@@ -84,20 +89,22 @@
         """Writes the entry while alive; a dead one's entry ends after three intervals."""
         shown = None
         while self.is_up and self.id == own_id:
-            state = (self.is_leaving, self.cold_end > self.ledger.now())
+            state = (self.lists_leaving, self.cold_end > self.ledger.now())
             if self.store.is_stable() and (state != shown or self.sequence % 5 == 0):
                 self._register()
                 shown = state
             self.sequence += 1
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def leave(self, serve_on):
-        """Says that it leaves, serves on for a while, and ends."""
-        while not self.store.is_stable():
-            await asyncio.sleep(0.1)
-        self.is_leaving = True
-        self._register()
-        self.ledger.leaving[self.id] = self.ledger.now()
+    async def leave(self, serve_on, is_listed=True):
+        """Says that it leaves, in the store or only in its answers, serves on for a while, and ends."""
+        if is_listed:
+            while not self.store.is_stable():
+                await asyncio.sleep(0.1)
+        self.is_leaving, self.lists_leaving = True, is_listed
+        if is_listed:
+            self._register()
+            self.ledger.leaving[self.id] = self.ledger.now()
         await asyncio.sleep(serve_on)
         self.stop()
         self.store.remove("servers/" + self.id)
@@ -134,18 +141,41 @@
         if request.header("expect-instance") != self.id:
             await connection.answer(421, [("Not-Executed", "1")], b"")
             return
+        stated = self._state(attempt, connection) if self._states() else []
+        if self.retry_after:
+            await connection.answer(503, [("Attempt-Id", attempt), ("Not-Executed", "1"), *stated], b"not now")
+            return
         fault = self.fault if self.random.random() < self.fault_share else Fault.NONE
         if fault is Fault.REFUSES:
             if self.sabotage == "run_refused":
                 self._begin_run(request, attempt)
-            await connection.answer(503, [("Not-Executed", "1")], b"full")
+            await connection.answer(503, [("Not-Executed", "1"), *stated], b"full")
             return
         run = self._begin_run(request, attempt)
         try:
-            await self._work(request, connection, attempt, fault, run)
+            await self._work(request, connection, attempt, fault, run, stated)
         finally:
             run.ended_at = self.ledger.now()
 
+    def _states(self):
+        """True from the first statement of this start on. Senders are looked up only then: it takes some milliseconds."""
+        self.has_stated = self.has_stated or self.is_leaving or self.retry_after > 0 or self.limit > 0
+        return self.has_stated
+
+    def _state(self, attempt, connection):
+        """Notes the offer. Returns the headers by which the answer tells of the upstream; a sabotaged one keeps them to itself."""
+        sender = self.proxy.sender(connection.writer.get_extra_info("peername")[1])
+        offer = Offer(attempt, self.ledger.now(), self.id, f"{self.id}/{self.born}", sender)
+        self.ledger.offers.append(offer)
+        headers = []
+        for what, value, name in (("leaving", float(self.is_leaving), "Server-Leaving"),
+                                  ("rejects", self.retry_after, "Retry-After"), ("limit", self.limit, "Server-Limit")):
+            if value:
+                self.ledger.statements.append(Statement(what, offer, self.ledger.now(), value))
+                if self.sabotage not in ("hide_" + what, "unstate_" + what):
+                    headers.append((name, f"{value:g}"))
+        return headers
+
     def _begin_run(self, request, attempt):
         resumed = request.header("last-event-id")
         run = Run(attempt, self.ledger.now(), self.id, self.region, self.service, int(resumed or 0))
@@ -172,7 +202,7 @@
             if request.header(name) != sent.headers.get(name, ""):
                 self.ledger.violate("unasked", f"{attempt}: {name} changed")
 
-    async def _work(self, request, connection, attempt, fault, run):
+    async def _work(self, request, connection, attempt, fault, run, stated):
         if fault is Fault.STALLS:
             await connection.peer_gone.wait()
             return
@@ -182,7 +212,7 @@
             connection.abort()
             return
         kind = next((kind for kind in self.kinds if request.target.startswith(kind.path)), None)
-        own = [("Attempt-Id", attempt), ("Server-Load", f"{len(self._tasks)},0,{SLOTS}")]
+        own = [("Attempt-Id", attempt), ("Server-Load", f"{len(self._tasks)},0,{SLOTS}"), *stated]
         if fault is Fault.EARLY_BYTES:
             other = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: x\r\nContent-Length: 5\r\n\r\nother"
             connection.writer.write(other)
