--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,7 +21,13 @@
     check_retries(ledger, bounds)
     check_routes(ledger, bounds)
     check_stops(ledger, bounds, runs_of)
+    check_stated(ledger, bounds)
+    check_rejecting(ledger, bounds)
+    check_stated_limits(ledger, bounds)
+    check_silence(ledger, bounds, world, runs_of)
+    check_looks(ledger, bounds, world)
     check_left(ledger, bounds, world)
+    check_used(ledger, bounds, world)
     check_recovery(ledger, bounds, world)
 
 
@@ -59,11 +65,21 @@
     return not ledger.is_calm(vms, run.at - bounds.contact, run.at)
 
 
+def had_heard(ledger, bounds, world, run, sent, since):
+    """True if the VMs that may have sent the run have heard of the leaving in time, and nothing was done to them since."""
+    vms = {vm.name for vm in world.vms if vm.region == run.region} | {sent.vm, run.upstream}
+    is_undisturbed = ledger.is_calm(vms, since - bounds.contact, run.at)
+    return is_undisturbed and ledger.is_calm({"store"}, since - bounds.contact, since + bounds.leaving)
+
+
 def check_leaving(ledger, bounds, world):
+    """What happens to the store later excuses no VM that has heard that an upstream leaves."""
     for run in ledger.runs:
         since = ledger.leaving.get(run.upstream)
         sent = ledger.sent.get(run.attempt)
-        if sent and since and run.at > since + bounds.leaving and not is_held_up(ledger, bounds, world, run, sent):
+        if not sent or not since or run.at <= since + bounds.leaving:
+            continue
+        if had_heard(ledger, bounds, world, run, sent, since) or not is_held_up(ledger, bounds, world, run, sent):
             ledger.violate("leaving", f"{run.attempt}: reached {run.upstream} {run.at - since:.2f} s after it said that it leaves")
 
 
@@ -129,11 +145,13 @@
 
 
 def check_routes(ledger, bounds):
-    served = {}
+    served, gone = {}, {}
     for outcome in sorted(ledger.outcomes, key=lambda each: each.sent.at):
         sent, status = outcome.sent, outcome.answer.status
         path = sent.kind.path
         added, removed = ledger.routes_added.get(path), ledger.routes_removed.get(path)
+        if removed is not None and sent.at > removed and status == 404:
+            gone.setdefault((sent.vm, sent.incarnation, path), outcome.answer.ended_at)
         if added is None or removed is not None and sent.at > removed - 0.001:
             continue
         place = (sent.vm, sent.incarnation, path)
@@ -147,6 +165,9 @@
     for run in ledger.runs:
         sent = ledger.sent.get(run.attempt)
         removed = ledger.routes_removed.get(sent.kind.path) if sent else None
+        gone_at = gone.get((sent.vm, sent.incarnation, sent.kind.path)) if sent else None
+        if gone_at and sent.at > gone_at + bounds.rollback:
+            ledger.violate("configuration", f"{run.attempt}: {sent.vm} went back to before the removal of {sent.kind.path}")
         if removed and sent.at > removed + bounds.configuration:
             if ledger.is_calm({sent.vm, "store"}, sent.at - bounds.contact, sent.at + 0.1):
                 ledger.violate("configuration", f"{run.attempt}: ran on {sent.kind.path} after its removal")
@@ -173,6 +194,123 @@
             ledger.violate("stops", f"{sent.attempt}: cut by the stop of {sent.vm}: {answer.failure}")
 
 
+CUTS = ("cut_from_store", "silenced")
+RESTARTS = ("start", "end", "kill", "freeze")
+
+
+def was_struck(ledger, vm, since, until, kinds):
+    return any(span.subject == vm and span.what in kinds and span.begin <= until and span.end >= since for span in ledger.spans)
+
+
+def passed_on(ledger, what):
+    """When each VM first passed an answer on in which a start of an upstream stated that, by VM, start and value."""
+    ended = {each.sent.attempt: each.answer.ended_at for each in ledger.outcomes
+             if each.answer.status == 200 and each.answer.is_complete}
+    first = {}
+    for statement in ledger.statements:
+        offer = statement.offer
+        if statement.what == what and offer.attempt in ended and offer.sender:
+            place = (offer.sender, offer.start, statement.value)
+            first[place] = min(first.get(place, float("inf")), ended[offer.attempt])
+    return first
+
+
+def check_stated(ledger, bounds):
+    """In touch or not, a VM that passed on that an upstream leaves sends it nothing more."""
+    first = passed_on(ledger, "leaving")
+    for offer in ledger.offers:
+        since = first.get((offer.sender, offer.start, 1.0))
+        sent = ledger.sent.get(offer.attempt)
+        if since is None or not sent or sent.at <= since + bounds.leaving:
+            continue
+        if not was_struck(ledger, offer.sender, since, offer.at, RESTARTS):
+            ledger.violate("stated_leaving", f"{offer.attempt}: reached {offer.upstream} from {offer.sender} "
+                           f"{sent.at - since:.2f} s after it had passed on that it leaves")
+
+
+def check_rejecting(ledger, bounds):
+    """A VM leaves an upstream alone for as long as that has asked for."""
+    offers = defaultdict(list)
+    for offer in ledger.offers:
+        if offer.attempt in ledger.sent:
+            offers[offer.sender, offer.start].append(offer.at)
+    for statement in ledger.statements:
+        offer, end = statement.offer, statement.at + statement.value
+        if statement.what != "rejects" or not offer.sender:
+            continue
+        if was_struck(ledger, offer.sender, statement.at, end, (*RESTARTS, *CUTS)):
+            continue
+        count = sum(1 for at in offers[offer.sender, offer.start] if statement.at + bounds.heard < at < end)
+        if count > bounds.most_rejected:
+            ledger.violate("rejecting", f"{offer.upstream} got {count} requests of {offer.sender} within the {statement.value} s "
+                           f"from {statement.at:.3f} on, {bounds.most_rejected} allowed")
+
+
+def check_stated_limits(ledger, bounds):
+    """An upstream that names a limit gets no more than that of all VMs that know it."""
+    first_named, last_named = {}, {}
+    for statement in ledger.statements:
+        if statement.what == "limit":
+            place = (statement.offer.start, statement.value)
+            first_named.setdefault(place, statement.at)
+            last_named[place] = statement.at
+    known = passed_on(ledger, "limit")
+    for (start, limit), begin in first_named.items():
+        times = [offer.at for offer in ledger.offers
+                 if offer.start == start and begin + bounds.contact <= offer.at <= last_named[start, limit]
+                 and known.get((offer.sender, start, limit), float("inf")) + bounds.heard <= offer.at
+                 and not was_struck(ledger, offer.sender, offer.at - bounds.contact, offer.at, (*RESTARTS, *CUTS))]
+        most = limit * bounds.stated_window * bounds.stated_overshoot + bounds.stated_slack
+        for at in times:
+            count = sum(1 for other in times if at <= other < at + bounds.stated_window)
+            if count > most:
+                ledger.violate("limited", f"{start}: {count} requests in {bounds.stated_window} s, {most:.1f} allowed by {limit}")
+                break
+
+
+def check_silence(ledger, bounds, world, runs_of):
+    """An upstream that is silent for a moment, and to which nothing else was done, costs no answer."""
+    struck = 0
+    for outcome in ledger.outcomes:
+        sent, answer = outcome.sent, outcome.answer
+        used = {run.upstream: run.region for run in runs_of.get(sent.attempt, ())}
+        if outcome.left_at or ledger.is_calm(used, sent.at, answer.ended_at):
+            continue
+        vms = {vm.name for vm in world.vms if vm.region in used.values()} | {sent.vm}
+        if not ledger.is_calm({*used, *vms}, sent.at - bounds.contact, answer.ended_at, except_for=("silent", "reload")):
+            continue
+        if any(upstream in used and sent.at <= at <= answer.ended_at for upstream, at in ledger.upstream_ends):
+            continue
+        struck += 1
+        is_broken = not answer.is_complete or answer.status in (502, 504)
+        if is_broken and answer.ended_at < sent.at + sent.kind.timeout:
+            ledger.violate("unbroken", f"{sent.attempt}: {answer.status} {answer.failure} beside a silence of {sorted(used)}")
+    world.figures["beside_silence"] = struck
+
+
+def check_looks(ledger, bounds, world):
+    """A VM to which nothing was done is ready and lists its like, also while the store is restored."""
+    callers = {vm.name: vm.ports["callers"] for vm in world.vms}
+    calm_looks = 0
+    for look in ledger.looks:
+        since = look.at - bounds.contact
+        if look.at < world.begun_at + bounds.contact or not ledger.is_calm({look.vm}, since, look.ended_at):
+            continue
+        if not ledger.is_calm({"store"}, since, look.ended_at, except_for=("restored",)):
+            continue
+        calm_looks += 1
+        if not look.is_ready:
+            ledger.violate("ready", f"{look.vm} at {look.at:.3f}")
+        if look.listed is None:
+            ledger.violate("listed", f"{look.vm} at {look.at:.3f}: no list")
+            continue
+        for vm in world.vms:
+            is_like = vm.region == look.region and ledger.is_calm({vm.name}, since, look.ended_at)
+            if is_like and callers[vm.name] not in look.listed:
+                ledger.violate("listed", f"{look.vm} at {look.at:.3f}: {vm.name} is missing")
+    world.figures["calm_looks"] = calm_looks
+
+
 def check_left(ledger, bounds, world):
     """Upstreams stop work that its caller has left."""
     left_at = {each.sent.attempt: each for each in ledger.outcomes if each.left_at}
@@ -194,6 +332,19 @@
         ledger.violate("left", f"upstreams worked on after {len(late)} of {counted} callers had left: {late[:5]}")
 
 
+def check_used(ledger, bounds, world):
+    """Whatever stands beside their entries, all upstreams are used once the faults are over."""
+    begin = world.healed_at + bounds.contact
+    used = {upstream.id: 0 for upstream in world.upstreams}
+    for run in ledger.runs:
+        if run.at >= begin and run.upstream in used:
+            used[run.upstream] += 1
+    world.figures["fewest_runs_of_an_upstream"] = min(used.values())
+    for upstream, count in used.items():
+        if not count:
+            ledger.violate("used", f"{upstream}: no run from {bounds.contact} s after the faults on")
+
+
 def check_recovery(ledger, bounds, world):
     """All is served again once the faults are over."""
     since = world.healed_at + bounds.recovery
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -29,6 +29,11 @@
     cold_overshoot: float = 1.5
     cold_slack: float = 3
     caller_left: float = 0.5
+    heard: float = 0.5  # From an answer on, a VM acts on what it states.
+    most_rejected: int = 2  # Requests that reach an upstream while it has asked for none.
+    stated_window: float = 4.0
+    stated_overshoot: float = 1.5
+    stated_slack: float = 5
 
 
 @dataclass(frozen=True)
@@ -73,9 +78,10 @@
     serial: int = 0
     rate_factor: float = 1  # Sabotage: the document names another limit than the checks believe.
 
-    def encode(self):
+    def encode(self, kinds=None):
+        """The next version, with the newest routes or with others."""
         self.version += 1 + self.version % 3
-        routes = [self._route(kind) for kind in self.routes]
+        routes = [self._route(kind) for kind in kinds or self.routes]
         services = [{"name": name, "health_path": "/health", "cold_per_s": COLD_PER_SECOND,
                      "engine": {"slots": 32, "kv_capacity": 400000}} for name in SERVICES]
         tenants = [{"name": "farm", "api_keys": self.keys["farm"]},
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 from upstream import Fault
 
 MEAN_GAP_S = 0.9
+REWRITE_S = 1.8  # The operator and the upstreams write again within that time after a restore.
 
 
 @dataclass(frozen=True)
@@ -21,7 +22,7 @@
 
 def draw_plan(random, begin, end, names=None):
     plan, at = [], begin
-    choices = names or list(FAULTS)
+    choices = names or [name for name in FAULTS if name not in ON_REQUEST]
     while True:
         at += random.expovariate(1 / MEAN_GAP_S)
         if at >= end:
@@ -95,6 +96,36 @@
         await asyncio.sleep(random.uniform(0, 0.5))
 
 
+async def restore_store(world, random):
+    """The store is away and comes back as an older copy, after changes that the copy lacks; then VMs start on it."""
+    if world.ledger.now() < world.next_restore_at:
+        return
+    world.next_restore_at = float("inf")
+    changes = random.sample((withdraw_key, change_routes, replace_upstream), 2)
+    others = [asyncio.create_task(change(world, random)) for change in changes]
+    await asyncio.sleep(random.uniform(0.2, 5))
+    span = world.ledger.begin("store", "restored")
+    world.store.trouble = Trouble.OUT
+    await asyncio.sleep(random.uniform(0.2, 2))
+    if random.random() < 0.6:
+        others.append(asyncio.create_task(random.choice((kill_vm, kill_region, roll_vms))(world, random)))
+    world.note_restore(world.store.restore(random.uniform(3, 10)))
+    world.store.trouble = Trouble.NONE
+    keys = world.store.outside_keys()
+    await asyncio.gather(*(rewrite(world, key, random.uniform(0.1, REWRITE_S)) for key in keys))
+    span.end = world.ledger.now()
+    world.next_restore_at = span.end + random.uniform(4, 12)
+    await asyncio.sleep(random.uniform(0, 4))
+    await change_routes(world, random)
+    await asyncio.gather(*others)
+
+
+async def rewrite(world, key, after):
+    await asyncio.sleep(after)
+    await world.wait_for_store()
+    world.store.rewrite(key)
+
+
 async def cut_from_store(world, random):
     vm = random.choice(world.vms)
     span = world.ledger.begin(vm.name, "cut_from_store")
@@ -119,6 +150,33 @@
     world.store.remove(key)
 
 
+def odd_values(upstream):
+    """Entries of an upstream that another writer spoils."""
+    entry = json.loads(upstream.entry()) | {"address": "127.0.0.1:9"}
+    numbers = (2**63, 2**64, 2**70, 1e30, -1e300, "7", None, [7])
+    odd = [entry | {field: number} for field in ("slots", "seq", "born", "cold_left_ms", "remaining_ms") for number in numbers]
+    odd += [entry | {"address": address} for address in ("127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999999999999999999",
+                                                         "127.0.0.1:-1", "127.0.0.1:", "", 7, None)]
+    odd += [entry | {"zone": zone} for zone in ("", "nowhere", 7)] + [entry | {"state": "odd"}, entry | {"service": "odd\r\n"}]
+    texts = [json.dumps(each).encode() for each in odd]
+    texts += [b"[" * 100000, b'{"a":' * 50000, b'{"service":' + b"[" * 40 + b"]" * 40 + b"}", json.dumps(entry).encode()[:-9],
+              b'{"slots":1e400}', b"[1,2]", b"7", b"null", b'"ready"', b"", b"not JSON", b"\x00\xff", b'{"state":"\\ud800"}']
+    return texts
+
+
+async def leave_odd_entries(world, random):
+    """Another writer leaves odd entries beside those of the upstreams: some for a moment, some for good."""
+    values = odd_values(random.choice(world.upstreams))
+    keys = [f"servers/{name}{world.next_odd()}" for name in random.choices(("a-odd-", "u-odd ", "zz-odd\r\n", "zzz-odd-\u00e9"),
+                                                                         k=random.choice((1, 4, 60)))]
+    for key in keys:
+        world.store.put(key, random.choice(values))
+    await asyncio.sleep(random.uniform(0.5, 6))
+    for key in keys:
+        if random.random() < 0.7:
+            world.store.remove(key)
+
+
 # ---- Upstreams and their links.
 
 
@@ -132,20 +190,45 @@
     await gone
 
 
-async def replace_upstream(world, random):
-    upstream = random.choice(world.upstreams)
-    if not upstream.is_up or upstream.is_leaving:
-        return
+async def replace(upstream, world, random, is_listed):
     others = [each for each in world.upstreams if each is not upstream and each.service == upstream.service
               and each.region == upstream.region and each.is_up and not each.is_leaving]
-    if not others:
+    if not upstream.is_up or upstream.is_leaving or not others:
         return
-    await upstream.leave()
+    await upstream.leave(random.uniform(6, 12), is_listed)
     await asyncio.sleep(random.uniform(0.1, 2))
     upstream.proxy = None  # Another address: the old one must not be used any more.
     await upstream.start()
 
 
+async def replace_upstream(world, random):
+    await replace(random.choice(world.upstreams), world, random, is_listed=True)
+
+
+async def state_leaving(world, random):
+    """An upstream tells of its leaving in its answers only."""
+    await replace(random.choice(world.upstreams), world, random, is_listed=False)
+
+
+async def reject_for_a_time(world, random):
+    struck = random.sample(world.upstreams, random.randint(1, 3))
+    for upstream in struck:
+        upstream.retry_after = random.choice((1, 1.5, 2, 3))
+    await asyncio.sleep(random.uniform(2, 7))
+    for upstream in struck:
+        upstream.retry_after = 0.0
+
+
+async def name_limits(world, random):
+    """Some upstreams name the requests a second that they take from all VMs together."""
+    struck = [upstream for upstream in random.sample(world.upstreams, random.randint(1, 4)) if not upstream.limit]
+    for upstream in struck:
+        upstream.limit = round(random.uniform(0.2, 1.5), 2)
+    await asyncio.sleep(random.uniform(9, 14))
+    for upstream in struck:
+        upstream.limit = 0.0
+
+
 async def break_upstreams(world, random):
     fault = random.choice([each for each in Fault if each is not Fault.NONE])
     struck = random.sample(world.upstreams, random.randint(1, 3))
@@ -159,6 +242,18 @@
         span.end = world.ledger.now()
 
 
+async def silence_upstreams(world, random):
+    """Sound upstreams say nothing for a moment and go on."""
+    struck = random.sample(world.upstreams, random.randint(1, 3))
+    spans = [world.ledger.begin(upstream.id, "silent") for upstream in struck]
+    until = world.ledger.now() + random.uniform(0.8, 1.8)
+    for upstream in struck:
+        upstream.silent_until = until
+    await asyncio.sleep(until - world.ledger.now())
+    for span in spans:
+        span.end = world.ledger.now()
+
+
 async def fail_service(world, random):
     """Every upstream of a service fails every request: nothing but the retry budget bounds what they get."""
     service = random.choice(SERVICES)
@@ -237,5 +332,7 @@
 
 FAULTS = {each.__name__: each for each in (
     stop_vm, kill_vm, freeze_vm, reload_vm, roll_vms, kill_region, kill_all, trouble_store, slow_store, drop_history,
-    cut_from_store, silence_store_connections, forge_entries, crash_upstream, replace_upstream, break_upstreams,
-    fail_service, harm_upstream_links, reset_connections, withdraw_key, change_routes, evacuate)}
+    restore_store, cut_from_store, silence_store_connections, forge_entries, leave_odd_entries, crash_upstream,
+    replace_upstream, break_upstreams, silence_upstreams, state_leaving, reject_for_a_time, name_limits, fail_service,
+    harm_upstream_links, reset_connections, withdraw_key, change_routes, evacuate)}
+ON_REQUEST = ("restore_store", "leave_odd_entries")  # Faults that a plan without names leaves out.
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -35,6 +35,27 @@
     is_whole: bool = False
 
 
+@dataclass(frozen=True)
+class Offer:
+    """One arrival at an upstream, run or refused."""
+
+    attempt: str
+    at: float
+    upstream: str
+    start: str  # One for each start of an upstream.
+    sender: str  # The VM whose process holds the connection.
+
+
+@dataclass(frozen=True)
+class Statement:
+    """What an upstream stated of itself in the answer to an offer."""
+
+    what: str  # "leaving", "rejects" or "limit".
+    offer: Offer
+    at: float
+    value: float
+
+
 @dataclass
 class Outcome:
     sent: Sent
@@ -42,6 +63,18 @@
     left_at: float = 0.0
 
 
+@dataclass(frozen=True)
+class Look:
+    """What a VM said of itself and of the VMs of its region."""
+
+    vm: str
+    region: str
+    at: float
+    ended_at: float
+    is_ready: bool
+    listed: object  # Ports that callers may use; None without an answer.
+
+
 @dataclass
 class Span:
     """A time in which something was done to a VM, an upstream or the store."""
@@ -57,7 +90,10 @@
     sent: dict = field(default_factory=dict)
     runs: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)  # (time, service, attempt), refused ones too.
+    offers: list = field(default_factory=list)
+    statements: list = field(default_factory=list)
     outcomes: list = field(default_factory=list)
+    looks: list = field(default_factory=list)
     spans: list = field(default_factory=list)
     violations: list = field(default_factory=list)
     withdrawn: dict = field(default_factory=dict)  # Key -> when the store had taken the configuration without it.
@@ -67,6 +103,7 @@
     evacuations: list = field(default_factory=list)  # (domain, begin, end)
     routes_added: dict = field(default_factory=dict)  # Path -> when in force at the store.
     routes_removed: dict = field(default_factory=dict)
+    upstream_ends: list = field(default_factory=list)  # (upstream, time)
     stops: list = field(default_factory=list)  # (vm, time of SIGTERM)
 
     def now(self):
