--- a/tests/adapter/StatusSequenceTest.cpp
+++ b/tests/adapter/StatusSequenceTest.cpp
@@ -55,7 +55,8 @@
             settings.listeners.callers = settings.listeners.relays = Endpoint { "127.0.0.1", 8501 };
             GatewayCore core(settings, "key", 1);
             core.applyConfiguration(ServingDocument {});
-            StatusPublisher publisher(context.get_executor(), endpoint, core, log);
+            StoreEra era;
+            StatusPublisher publisher(context.get_executor(), endpoint, era, core, log);
             asio::co_spawn(context, publisher.run(), asio::detached);
             const auto runUntilWritten = [&](std::size_t count) {
                 const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
--- a/tests/adapter/StoreFollowerOddItemsTest.cpp
+++ b/tests/adapter/StoreFollowerOddItemsTest.cpp
@@ -71,10 +71,12 @@
                 if (applied.contains("watch"))
                     context.stop();
             };
-            callbacks.onFreshnessConfirmed = [](Milliseconds, std::int64_t) {};
+            callbacks.onRestored = [](StorePosition) {};
+            callbacks.onFreshnessConfirmed = [](Milliseconds, StorePosition) {};
             callbacks.needsFrequentConfirmation = [] { return true; };
+            StoreEra era;
             StoreFollower follower(
-                context.get_executor(), { "127.0.0.1", acceptor.local_endpoint().port() }, "", callbacks, log);
+                context.get_executor(), { "127.0.0.1", acceptor.local_endpoint().port() }, era, "", callbacks, log);
             asio::co_spawn(context, follower.run(), asio::detached);
             context.run_for(std::chrono::seconds(3));
             CPPUNIT_ASSERT(applied.contains("page") && applied.contains("watch"));
