Order entries of upstreams without a start by their sequence

Entries that state no start were left without an order, as a restart under the same id could not be told from an older entry.

Two entries without a start at the same endpoint now count as one incarnation, as everywhere else in the table. Ended upstreams are compared by endpoint too.

--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -21,15 +21,20 @@
 
 bool UpstreamOrder::precludes(const UpstreamRecord& record, bool hasEarlierSequence) const
 {
-    if (this->startedAt == 0 || record.startedAt == 0)
-        return false;
-    if (record.startedAt != this->startedAt)
-        return record.startedAt < this->startedAt;
-    if (this->isLeaving && !record.isLeaving)
+    const bool isEarlierIncarnation = record.startedAt != 0 && record.startedAt < this->startedAt;
+    if (isEarlierIncarnation || (this->hasLeft(record) && !record.isLeaving))
         return true;
+    if (record.startedAt != this->startedAt || record.endpoint != this->endpoint)
+        return false;
     return this->sequence != 0 && record.sequence != 0 && hasEarlierSequence;
 }
 
+bool UpstreamOrder::hasLeft(const UpstreamRecord& record) const
+{
+    return this->isLeaving && this->startedAt != 0 && record.startedAt == this->startedAt
+        && record.endpoint == this->endpoint;
+}
+
 std::optional<UpstreamOrder> UpstreamTable::put(Milliseconds now, const UpstreamRecord& record)
 {
     if (std::optional<UpstreamOrder> later = this->findLaterOrder(record)) {
@@ -44,10 +49,8 @@
 {
     if (const KnownUpstream* known = this->find(record.id)) {
         const UpstreamRecord& last = known->record;
-        const bool isOtherProcess = last.startedAt == record.startedAt && last.endpoint != record.endpoint;
-        const UpstreamOrder order { last.startedAt, last.sequence, last.isLeaving };
-        return !isOtherProcess && order.precludes(record, record.sequence < order.sequence) ? std::optional(order)
-                                                                                            : std::nullopt;
+        const UpstreamOrder order { last.endpoint, last.startedAt, last.sequence, last.isLeaving };
+        return order.precludes(record, record.sequence < order.sequence) ? std::optional(order) : std::nullopt;
     }
     const auto found = this->ended.find(record.id);
     if (found == this->ended.end())
@@ -103,14 +106,12 @@
 void UpstreamTable::rememberEnded(Milliseconds now, const KnownUpstream& upstream)
 {
     const UpstreamRecord& last = upstream.record;
-    if (last.startedAt == 0)
-        return;
     if (this->ended.size() >= maximumEnded) {
         this->ended.erase(std::min_element(this->ended.begin(), this->ended.end(),
             [](const auto& left, const auto& right) { return left.second.endedAt < right.second.endedAt; }));
     }
     const bool isLeaving = last.isLeaving || upstream.leavingSince;
-    this->ended[last.id] = { { last.startedAt, last.sequence, isLeaving }, now };
+    this->ended[last.id] = { { last.endpoint, last.startedAt, last.sequence, isLeaving }, now };
 }
 
 void UpstreamTable::applyOldPassedOver(Milliseconds now)
@@ -124,8 +125,7 @@
     });
     for (const UpstreamRecord& record : listed) {
         const std::optional<UpstreamOrder> later = this->findLaterOrder(record);
-        const bool hasLeft = later && later->isLeaving && later->startedAt == record.startedAt;
-        if (!hasLeft)
+        if (!later || !later->hasLeft(record))
             this->store(now, record);
     }
 }
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -71,14 +71,20 @@
 
 /** The last that is known of an upstream, by which older entries are told from later ones. */
 struct UpstreamOrder {
+    Endpoint endpoint;
     std::int64_t startedAt = 0;
     std::int64_t sequence = 0;
     bool isLeaving = false;
 
-    /** Returns true if the record is of an earlier incarnation, contradicts that this one leaves, or has an earlier
-        sequence. Records without a start or a sequence have no order. */
+    /**
+        Returns true if the record is of an earlier incarnation, contradicts that this one leaves, or has an earlier
+        sequence. Records without a sequence, or with another endpoint and no later start, have no order.
+    */
     bool precludes(const UpstreamRecord& record, bool hasEarlierSequence) const;
 
+    /** Returns true if the record is of the incarnation that leaves. An incarnation without a start may be another. */
+    bool hasLeft(const UpstreamRecord& record) const;
+
     bool operator==(const UpstreamOrder&) const = default;
 };
 
