Soak: restores and odd entries in every plan

Plans without names include restore_store and leave_odd_entries. They break on a program that does not compare the era of the store and that uses odd entries, so this goes in with those changes, not before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,7 +22,7 @@
 
 def draw_plan(random, begin, end, names=None):
     plan, at = [], begin
-    choices = names or [name for name in FAULTS if name not in ON_REQUEST]
+    choices = names or list(FAULTS)
     while True:
         at += random.expovariate(1 / MEAN_GAP_S)
         if at >= end:
@@ -335,4 +335,3 @@
     restore_store, cut_from_store, silence_store_connections, forge_entries, leave_odd_entries, crash_upstream,
     replace_upstream, break_upstreams, silence_upstreams, state_leaving, reject_for_a_time, name_limits, fail_service,
     harm_upstream_links, reset_connections, withdraw_key, change_routes, evacuate)}
-ON_REQUEST = ("restore_store", "leave_odd_entries")  # Faults that a plan without names leaves out.
