Plan the return of refused callers only under stated limits

Cause: the schedule trusts the rate at which requests are served. Without limits that rate is an estimate of prefill alone; a plan made from it sends callers away for longer than needed. Under limits the upstreams state the rate.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -324,7 +324,8 @@
         return known + drawn;
     SharedAllowance& allowance = found->second;
     const Milliseconds unplanned = std::max(known, allowance.getWait(now)) + drawn;
-    if (!allowance.hasLimit() || !query.mayRelay)
+    // Without stated limits, the rate is only an estimate of what engines can read.
+    if (!allowance.hasLimit() || !query.mayRelay || this->placement.getAcceptedShare(query.service) >= 1)
         return unplanned;
     const Milliseconds latest = remaining / longestReturnDivisor;
     const Milliseconds planned = this->returnSchedules[query.service].reserve(
