Let the sequence decide whether a ready status of a VM is older

A process that learned of a restored store before it had a configuration wrote that it was not ready; every other VM then passed over all its later ready statuses, so that no caller or relay found it for the life of the process. Found in review, by reading.

Cause: ready after not ready counted as an older status even if both carry sequences.

--- a/modules/gateway/vms/VmRegistry.cpp
+++ b/modules/gateway/vms/VmRegistry.cpp
@@ -31,18 +31,20 @@
 std::optional<std::int64_t> VmRegistry::findLaterSequence(const VmAnnouncement& status) const
 {
     const auto hasOrder = [&status](std::int64_t sequence) { return sequence != 0 && status.sequence != 0; };
+    const auto isBackFromStopping = [&status](bool wasReady) { return status.isReady && !wasReady; };
     const auto known = this->vms.find(status.vm);
     if (known != this->vms.end() && known->second.relayKey == status.relayKey) {
         const VmAnnouncement& last = known->second;
-        const bool isOlder = hasOrder(last.sequence) && status.sequence < last.sequence;
-        return isOlder || (status.isReady && !last.isReady) ? std::optional(last.sequence) : std::nullopt;
+        const bool isOlder
+            = hasOrder(last.sequence) ? status.sequence < last.sequence : isBackFromStopping(last.isReady);
+        return isOlder ? std::optional(last.sequence) : std::nullopt;
     }
     const auto found = this->ended.find({ status.vm, status.relayKey });
     if (found == this->ended.end())
         return std::nullopt;
     const LastStatus& last = found->second;
-    const bool isOlder = hasOrder(last.sequence) && status.sequence <= last.sequence;
-    return isOlder || (status.isReady && !last.isReady) ? std::optional(last.sequence) : std::nullopt;
+    const bool isOlder = hasOrder(last.sequence) ? status.sequence <= last.sequence : isBackFromStopping(last.isReady);
+    return isOlder ? std::optional(last.sequence) : std::nullopt;
 }
 
 void VmRegistry::rememberEnded(Milliseconds endedAt, const VmAnnouncement& status)
