--- a/tests/adapter/StoreFollowerTest.cpp
+++ b/tests/adapter/StoreFollowerTest.cpp
@@ -86,6 +86,8 @@
     CPPUNIT_TEST(testPagesOfTwoErasAreNotOneRead);
     CPPUNIT_TEST(testItemsLostWithTheCopyAreNotRemoved);
     CPPUNIT_TEST(testPageWithUnreadableLastItemEnds);
+    CPPUNIT_TEST(testPageThatEndsWithAnOddKeyIsFollowedByTheNextOne);
+    CPPUNIT_TEST(testImpossibleRevisionDoesNotEndTheFollower);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +195,30 @@
         CPPUNIT_ASSERT(run.runUntilConfirmed());
         CPPUNIT_ASSERT_EQUAL(1, store.countTargets("after=servers/x"));
     }
+
+    void testPageThatEndsWithAnOddKeyIsFollowedByTheNextOne()
+    {
+        RestorableStore store;
+        store.write("z/last", "entry");
+        store.scriptReply("kv-range",
+            { 1, 200,
+                R"({"items":[{"key":"servers/a b&c#%\r\n","value":"eA==","revision":4}],)"
+                R"("store_revision":31,"truncated":true})" });
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        CPPUNIT_ASSERT_EQUAL(1, store.countTargets("after=servers/a%20b%26c%23%25%0D%0A"));
+    }
+
+    void testImpossibleRevisionDoesNotEndTheFollower()
+    {
+        RestorableStore store;
+        store.write("op/config", "first");
+        store.scriptReply("kv-range", { 1, 200, R"({"items":[],"store_revision":1e30,"truncated":false})" });
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.scriptReply("kv-watch", { 1, 200, R"({"events":[],"store_revision":31.5})" });
+        CPPUNIT_ASSERT(run.runUntilConfirmed(3));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
