Choose no suspect upstream for a stream that must not be its trial

A silent stream could stay at its upstream though a sound one was free, and capacity was taken for nothing: while the trial of a suspect upstream was due, placement returned only that one, which the stream then declined, every 200 ms, each time with the prompt's tokens taken from the VM's share of the prefill capacity. Found in review.

Placement now leaves suspects and other regions out where the request says so, except shortly before the caller would leave, when there is nothing to lose. Two times are corrected beside it: the check for a crash ends with the request's time, so that a planned stop still sends its answer, and the silence of an upstream begins after the last events were sent to a slow caller.

--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -99,12 +99,13 @@
     std::vector<Candidate> healthyCandidates;
     std::vector<Candidate> suspectCandidates;
     for (const KnownUpstream* upstream : this->table.getUsableUpstreams(query.service, this->region)) {
+        if (query.tried.contains(upstream->record.id))
+            continue;
         if (upstream->isRejecting(now) || !this->mayReturnTo(now, *upstream, regionVms.size())) {
             cause = cause == PlacementFailureCause::NoUpstream ? PlacementFailureCause::AllRejecting : cause;
             continue;
         }
-        if (query.tried.contains(upstream->record.id)
-            || (!query.hasPrefillCapacity && !this->isBoundByRequests(*upstream)))
+        if (!query.hasPrefillCapacity && !this->isBoundByRequests(*upstream))
             continue;
         const double slots = std::max(1, upstream->record.slots);
         // Without figures of the other VMs, all VMs of the region are taken to send the upstream as much as this one.
@@ -124,7 +125,7 @@
             cause = cause == PlacementFailureCause::AllFull ? cause : PlacementFailureCause::AllCold;
         } else if (!upstream->health.isSuspect(now)) {
             healthyCandidates.push_back(candidate);
-        } else {
+        } else if (query.mayTrySuspects) {
             suspectCandidates.push_back(candidate);
         }
     }
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -30,6 +30,7 @@
     /** False if only upstreams that limit the number of requests have capacity to prefill the prompt. */
     bool hasPrefillCapacity = true;
     bool mayRelay = true; /**< False for a request that another VM relayed here. */
+    bool mayTrySuspects = true; /**< False if the request must not be the trial of a suspect upstream. */
 };
 
 /** Decision to send the request to an upstream of this region. */
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -343,7 +343,8 @@
         || (isHarmless && !hasBegunAnswer))
         co_return;
     // An upstream may also end single connections. Only one that has crashed refuses new ones.
-    if (!co_await refusesConnections(this->context.pool, upstream.endpoint, connectLimit))
+    if (!co_await refusesConnections(
+            this->context.pool, upstream.endpoint, std::min(connectLimit, this->getRemaining())))
         co_return;
     this->isCrashSuspect = hasBegunAnswer && !isHarmless;
     const CrashSuspect suspect { upstream.id.string() + '@' + std::to_string(upstream.startedAt),
@@ -389,7 +390,7 @@
 {
     UpstreamAttempt attempt(this->context.pool, this->context.answerMemory, this->context.names, this->activeRequest);
     attempt.setStatementHandler(this->onStatement);
-    attempt.setAbandonHandler([this] { return this->reserveNextAttempt(); });
+    attempt.setAbandonHandler([this](Milliseconds silentFor) { return this->reserveNextAttempt(silentFor); });
     if (!this->splitter)
         co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimeouts(), nullptr);
     StreamTarget target { &this->answer, &*this->splitter, [this] {
@@ -527,7 +528,7 @@
         isSent ? "stream" : "caller_gone", outcome.head.status);
 }
 
-bool RequestServer::reserveNextAttempt()
+bool RequestServer::reserveNextAttempt(Milliseconds silentFor)
 {
     const ServingRoute& route = *this->admitted->route;
     const bool hasBegun = this->answer.hasBegun();
@@ -539,13 +540,14 @@
         || !this->context.core.hasRetry(this->now(), this->admitted->service))
         return false;
     // Without another place, abandoning a slow attempt would only turn a late answer into a failure.
-    const PlacementDecision decision
-        = this->context.core.place(this->now(), this->makePlacementQuery(), this->admitted->priority);
-    const auto* upstream = std::get_if<UseUpstream>(&decision);
-    // A suspect upstream or another region may refuse, which would break off an answer that has begun.
-    const bool isPlaced
-        = hasBegun ? upstream && !upstream->isTrial : !std::holds_alternative<PlacementFailure>(decision);
-    if (!isPlaced || !this->context.core.tryRetry(this->now(), this->admitted->service))
+    PlacementQuery query = this->makePlacementQuery();
+    // A suspect upstream or another region may refuse, which would break off an answer that has begun. Shortly before
+    // its caller leaves, there is nothing to lose.
+    const bool isCallerAboutToLeave = silentFor >= route.getStreamPatience() * 3 / 4;
+    query.mayTrySuspects = query.mayRelay = !hasBegun || isCallerAboutToLeave;
+    const PlacementDecision decision = this->context.core.place(this->now(), query, this->admitted->priority);
+    if (std::holds_alternative<PlacementFailure>(decision)
+        || !this->context.core.tryRetry(this->now(), this->admitted->service))
         return false;
     this->reservedPlacement = decision;
     return true;
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -59,8 +59,9 @@
     boost::asio::awaitable<NextAction> retryOrGiveUp(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> forwardAnswer(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> finishStream(const AttemptOutcome& outcome);
-    /** Reserves a retry and an upstream or region, so that the current attempt may be abandoned. */
-    bool reserveNextAttempt();
+    /** Reserves a retry and an upstream or region, so that the attempt at an upstream that is silent may be abandoned.
+     */
+    bool reserveNextAttempt(Milliseconds silentFor);
     /** @param obstacle  stable name of the reason why no other attempt follows, for the log */
     boost::asio::awaitable<void> giveUp(const AttemptOutcome& outcome, std::string_view obstacle);
     /** Takes a retry for another attempt. Returns the stable name of what forbids it, or an empty text. */
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -196,8 +196,7 @@
 {
     AttemptOutcome result;
     result.endedBy = this->findWhoEndedIt();
-    const auto silence = std::chrono::steady_clock::now() - this->lastBytesAt;
-    result.silentFor = Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+    result.silentFor = this->getSilence();
     result.end = this->request.isCallerGone() ? AttemptEnd::CallerDisconnected : end;
     result.isOverLimit = !this->exceededBound.empty();
     result.detail = result.isOverLimit ? "exceeded " + std::string(this->exceededBound) : std::move(detail);
@@ -251,10 +250,16 @@
     co_return true;
 }
 
+Milliseconds UpstreamAttempt::getSilence() const
+{
+    const auto silence = std::chrono::steady_clock::now() - this->lastBytesAt;
+    return Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+}
+
 std::optional<TimePoint> UpstreamAttempt::extendWait() const
 {
     const TimePoint now = std::chrono::steady_clock::now();
-    if (now >= this->timeouts.end || !this->mayAbandon || this->mayAbandon())
+    if (now >= this->timeouts.end || !this->mayAbandon || this->mayAbandon(this->getSilence()))
         return std::nullopt;
     return std::min(this->timeouts.end, now + abandonCheckInterval);
 }
@@ -444,6 +449,7 @@
                 isSent = co_await stream.answer->begin(head);
             if (isSent)
                 isSent = co_await stream.answer->write(completeEvents);
+            this->lastBytesAt = std::chrono::steady_clock::now();
             if (!isSent || this->request.isCallerGone())
                 co_return this->fail(AttemptEnd::CallerDisconnected, "caller left");
         }
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -145,7 +145,10 @@
         Sets a function that is asked again and again while the upstream is silent for longer than AttemptTimeouts
         allow. The attempt is abandoned once it returns true; without it, at once.
     */
-    void setAbandonHandler(std::function<bool()> handler) { this->mayAbandon = std::move(handler); }
+    void setAbandonHandler(std::function<bool(Milliseconds silentFor)> handler)
+    {
+        this->mayAbandon = std::move(handler);
+    }
 
     /**
         Runs the attempt.
@@ -172,6 +175,7 @@
     UpstreamStatement readStatement(const Parser& parser) const;
     AttemptOutcome fail(AttemptEnd end, std::string detail) const;
     AttemptEndedBy findWhoEndedIt() const;
+    Milliseconds getSilence() const;
     /** Returns until when to wait for a silent upstream, or nothing to abandon the attempt. */
     std::optional<TimePoint> extendWait() const;
     bool exceed(std::string_view bound);
@@ -182,10 +186,11 @@
     ActiveRequest& request;
     std::unique_ptr<UpstreamConnection> connection;
     AttemptTimeouts timeouts;
-    TimePoint lastBytesAt; /**< Time of the last read from the upstream, or of the request's last byte. */
+    TimePoint
+        lastBytesAt; /**< Time of the request's last byte, the last read from the upstream or the last events sent. */
     AnswerMemory::Reservation reservation;
     std::function<void(const UpstreamStatement&)> onStatement;
-    std::function<bool()> mayAbandon;
+    std::function<bool(Milliseconds silentFor)> mayAbandon;
     std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the connection ended other than by a time limit of this VM. */
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(testPlacementFailureStatesItsCause);
     CPPUNIT_TEST(testLeavingAndEvacuatedUpstreamsAreSkipped);
     CPPUNIT_TEST(testSuspectUpstreamGetsOnlyTrials);
+    CPPUNIT_TEST(testDueTrialDoesNotHideSoundUpstreams);
+    CPPUNIT_TEST(testTriedUpstreamThatRejectsIsNoReasonToWait);
     CPPUNIT_TEST(testUnreachableUpstreamIsTriedLessOften);
     CPPUNIT_TEST(testRestartedUpstreamLosesItsHistory);
     CPPUNIT_TEST(testUnlistedUpstreamIsKeptUntilItsRemovalTime);
@@ -236,6 +238,35 @@
         CPPUNIT_ASSERT_EQUAL(1, uses);
     }
 
+    // A stream that has begun must not be the trial of a suspect upstream.
+    void testDueTrialDoesNotHideSoundUpstreams()
+    {
+        const UpstreamId bad("north0");
+        for (int failure = 0; failure < 5; ++failure)
+            this->table->noteHealthObservation(now, bad, HealthObservation::Failure);
+        PlacementQuery query = this->makeQuery();
+        query.mayTrySuspects = false;
+        query.mayRelay = false;
+        for (int request = 0; request < 20; ++request)
+            CPPUNIT_ASSERT(std::get<UseUpstream>(this->placement->choose(now, query, {})).upstream.id != bad);
+        for (int number = 1; number < 4; ++number)
+            query.tried.insert(UpstreamId("north" + std::to_string(number)));
+        CPPUNIT_ASSERT(std::holds_alternative<PlacementFailure>(this->placement->choose(now, query, {})));
+    }
+
+    void testTriedUpstreamThatRejectsIsNoReasonToWait()
+    {
+        PlacementQuery query = this->makeQuery();
+        query.mayRelay = false;
+        for (int number = 0; number < 4; ++number)
+            query.tried.insert(UpstreamId("north" + std::to_string(number)));
+        UpstreamStatement statement;
+        statement.rejectsFor = Milliseconds(5'000);
+        this->table->noteStatement(now, makeUpstream("north0", "north"), statement);
+        const PlacementDecision decision = this->placement->choose(now, query, {});
+        CPPUNIT_ASSERT(std::get<PlacementFailure>(decision).cause == PlacementFailureCause::NoUpstream);
+    }
+
     void testUnreachableUpstreamIsTriedLessOften()
     {
         // Load pattern: a failure domain becomes unreachable at peak load, and each request that tries an upstream
