Trust keys at once when a restored store shows the configuration written again

Cause: that first read cannot tell a rewritten version from one of the copy, so its reads counted only 2.3 s later.

--- a/modules/gateway/limits/StoredConfiguration.h
+++ b/modules/gateway/limits/StoredConfiguration.h
@@ -28,10 +28,21 @@
     static constexpr Milliseconds rewriteTime { 2'300 };
 
     /** Records that the store came back from an older copy, and where it was when this VM first read the copy. */
-    void noteRestoration(Milliseconds now, StorePosition position) { this->restoration = { now, position }; }
+    void noteRestoration(Milliseconds now, StorePosition position)
+    {
+        this->restoration = { now, position };
+        this->wasWrittenAgain = false;
+    }
 
     /** Records the version that the store holds, with the position of its write; version 0 if the copy lacks it. */
-    void noteStored(ConfigurationNotice stored) { this->stored = stored; }
+    void noteStored(ConfigurationNotice latest)
+    {
+        // A copy holds a version under the revision that it had before.
+        this->wasWrittenAgain = this->stored && latest.version == this->stored->version
+            && latest.storedAt.era > this->stored->storedAt.era
+            && latest.storedAt.revision != this->stored->storedAt.revision;
+        this->stored = latest;
+    }
 
     /** Returns true if a read sent at the given time would have returned every version that the store acknowledged. */
     bool isProvenBy(Milliseconds readSentAt, std::uint64_t versionInForce) const
@@ -41,7 +52,7 @@
         if (!this->restoration || readSentAt >= this->restoration->at + rewriteTime)
             return true;
         // Operators write the newest configuration whole, so that one write brings back all that was lost.
-        return this->stored && this->stored->storedAt > this->restoration->position;
+        return this->wasWrittenAgain || (this->stored && this->stored->storedAt > this->restoration->position);
     }
 
 private:
@@ -52,6 +63,7 @@
 
     std::optional<ConfigurationNotice> stored;
     std::optional<Restoration> restoration;
+    bool wasWrittenAgain = false; /**< Whether the version held was written in the era of the copy. */
 };
 
 } // namespace papayashelf
--- a/tests/gateway/GatewayCoreTest.cpp
+++ b/tests/gateway/GatewayCoreTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(testWithdrawnKeyIsUnknown);
     CPPUNIT_TEST(testStoreWithAnOlderConfigurationConfirmsNothing);
     CPPUNIT_TEST(testRestoredStoreConfirmsOnlyWhatIsWrittenAgain);
+    CPPUNIT_TEST(testConfigurationWrittenAgainBeforeTheFirstReadConfirms);
     CPPUNIT_TEST(testRouteAndWorkspaceHomesAreIntersected);
     CPPUNIT_TEST(testDisjointHomesAllowNoRegion);
     CPPUNIT_TEST(testHomesOfHostAreThoseOfMostRoutes);
@@ -126,6 +127,20 @@
         CPPUNIT_ASSERT(core->isReady(nextDay + Milliseconds(10)));
     }
 
+    void testConfigurationWrittenAgainBeforeTheFirstReadConfirms()
+    {
+        const auto core = this->makeCore(makeDocument(7));
+        core->noteStoredConfiguration({ 7, { 1, 34 } });
+        const Milliseconds later = now + Milliseconds::fromSeconds(60);
+        for (const std::int64_t revision : { 34, 33 }) {
+            core->noteStoreRestored(later, { 2, 35 });
+            core->noteStoredConfiguration({ 7, { 2, revision } });
+            core->noteConfigurationConfirmation(later + Milliseconds(10));
+            CPPUNIT_ASSERT_EQUAL(revision != 34, core->isReady(later + Milliseconds(10)));
+            core->noteStoredConfiguration({ 7, { 1, 34 } });
+        }
+    }
+
     void testWithdrawnKeyIsUnknown()
     {
         const auto owned = this->makeCore(makeDocument(1));
