--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -20,6 +20,8 @@
 constexpr Milliseconds longestSoundSilence { 1'300 };
 /** The rest of the time that callers wait is left to another upstream for its first event. */
 constexpr std::int64_t silenceDivisor = 2;
+/** In the last part of that time, an upstream that may refuse is better than one that stays silent. */
+constexpr std::int64_t lastChanceDivisor = 4;
 /** Lower bound for the first-byte timeout if the latency target is short. */
 constexpr Milliseconds minimumFirstByteTimeout { 400 };
 constexpr Milliseconds defaultDeadline { 60'000 }; /**< For callers that send no deadline. */
@@ -543,7 +545,8 @@
     PlacementQuery query = this->makePlacementQuery();
     // A suspect upstream or another region may refuse, which would break off an answer that has begun. Shortly before
     // its caller leaves, there is nothing to lose.
-    const bool isCallerAboutToLeave = silentFor >= route.getStreamPatience() * 3 / 4;
+    const bool isCallerAboutToLeave
+        = silentFor >= route.getStreamPatience() - route.getStreamPatience() / lastChanceDivisor;
     query.mayTrySuspects = query.mayRelay = !hasBegun || isCallerAboutToLeave;
     const PlacementDecision decision = this->context.core.place(this->now(), query, this->admitted->priority);
     if (std::holds_alternative<PlacementFailure>(decision)
