--- a/review/1/case.py
+++ b/review/1/case.py
@@ -132,4 +132,4 @@
     return len(set(late)) <= 3
 
 
-main(FOLDER, play)
+main(FOLDER / "record.txt", play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -45,4 +45,4 @@
     return not unasked and not foreign
 
 
-main(FOLDER, play)
+main(FOLDER / "record.txt", play)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -25,10 +25,10 @@
 
 
 class Record:
-    """What was sent, answered and run, in record.txt of the case."""
+    """What was sent, answered and run, in a file of the case."""
 
-    def __init__(self, folder):
-        self.file = (pathlib.Path(folder) / "record.txt").open("w")
+    def __init__(self, path):
+        self.file = pathlib.Path(path).open("w")
         self.began = time.monotonic()
 
     def now(self):
@@ -477,8 +477,8 @@
 
 
 class World:
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="papayashelf-review-"))
         self.runs, self.runners, self.gateways = [], [], []
         self.store = Store(self.record)
@@ -509,14 +509,14 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder, play, limit=110):
+def main(record_path, play, limit=110):
     """Runs play(world), which returns true if the rule held. Exits with 0, 1 or 2."""
 
     async def run():
         task = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-        world = World(folder)
+        world = World(record_path)
         try:
             await world.store.start()
             held = await asyncio.wait_for(play(world), limit)
