Refuse requests whose length is uncertain, in one place for all readers

Cause: the HTTP parser takes the body as empty if a head has neither a length nor a final chunked, and leaves the check of the coding to its user. The administration server and the listener for readiness and entries had none either.

Now findFramingFault() decides for every reader of requests; such a request is answered 400 and its connection closed, so nothing of the body is read as a request. `gzip, chunked` is refused too, as upstreams would get the coded bytes as the body. The log line request_unreadable tells the detail.

--- a/modules/administration/server/AdministrationServer.cpp
+++ b/modules/administration/server/AdministrationServer.cpp
@@ -1,6 +1,7 @@
 #include "administration/server/AdministrationServer.h"
 
 #include "foundation/hashing/Sha256.h"
+#include "foundation/http/MessageFraming.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -66,13 +67,16 @@
 Response AdministrationServer::State::answer(const Request& request) const
 {
     AdministrationAnswer handlerAnswer;
-    if (hasValidKey(request, this->keyDigest))
+    const bool isFramingCertain = findFramingFault(request).empty();
+    if (!isFramingCertain)
+        handlerAnswer = AdministrationAnswer { 400, "application/json", R"({"error":{"code":"malformed_request"}})" };
+    else if (hasValidKey(request, this->keyDigest))
         handlerAnswer = this->handler(toAdministrationRequest(request));
     else
         handlerAnswer = AdministrationAnswer { 401, "application/json", R"({"error":{"code":"not_authenticated"}})" };
     Response response(static_cast<http::status>(handlerAnswer.status), request.version());
     response.set(http::field::content_type, handlerAnswer.contentType);
-    response.keep_alive(request.keep_alive());
+    response.keep_alive(isFramingCertain && request.keep_alive());
     response.body() = std::move(handlerAnswer.body);
     response.prepare_payload();
     return response;
--- a/modules/entrance/caller/RequestReader.cpp
+++ b/modules/entrance/caller/RequestReader.cpp
@@ -1,6 +1,7 @@
 #include "entrance/caller/RequestReader.h"
 
 #include "entrance/request/ForwardedHead.h"
+#include "foundation/http/MessageFraming.h"
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -138,12 +139,8 @@
         return ReadFault { EntranceFault::MalformedRequest, "exactly one Host field is needed" };
     if (message.count(http::field::authorization) > 1)
         return ReadFault { EntranceFault::MalformedRequest, "more than one Authorization field" };
-    const std::size_t codings = message.count(http::field::transfer_encoding);
-    const bool isPlainChunked = codings == 1 && iequals(message[http::field::transfer_encoding], "chunked");
-    if (codings > 0 && !isPlainChunked)
-        return ReadFault { EntranceFault::MalformedRequest, "the only transfer coding served is chunked" };
-    if (codings > 0 && message.count(http::field::content_length) > 0)
-        return ReadFault { EntranceFault::MalformedRequest, "both Content-Length and Transfer-Encoding" };
+    if (const std::string_view fault = findFramingFault(message); !fault.empty())
+        return ReadFault { EntranceFault::MalformedRequest, std::string(fault) };
     const auto expectation = message[http::field::expect];
     if (!expectation.empty() && !iequals(expectation, "100-continue"))
         return ReadFault { EntranceFault::UnsupportedExpectation, {} };
--- a/modules/foundation/foundation.h
+++ b/modules/foundation/foundation.h
@@ -2,7 +2,8 @@
 
 /**
     foundation holds what every other module builds on: time in milliseconds, outcomes as values, typed
-    identifiers, a hash that is the same on every VM, bounded rings between threads, and the JSON-lines log.
+    identifiers, a hash that is the same on every VM, bounded rings between threads, the JSON-lines log, and the framing
+    of HTTP messages.
 
     It depends on Boost and glog only and knows nothing of gateways.
 */
@@ -12,6 +13,7 @@
 #include "foundation/concurrency/SharedRing.h"
 #include "foundation/hashing/Sha256.h"
 #include "foundation/hashing/StableHash.h"
+#include "foundation/http/MessageFraming.h"
 #include "foundation/identity/Addressed.h"
 #include "foundation/identity/Identifier.h"
 #include "foundation/logging/DecisionLog.h"
--- a/modules/serving/caller/CallerRequestReader.cpp
+++ b/modules/serving/caller/CallerRequestReader.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller/CallerRequestReader.h"
 
+#include "foundation/http/MessageFraming.h"
 #include <boost/beast/http/error.hpp>
 
 namespace papayashelf {
@@ -38,6 +39,9 @@
     const ReadResult head = co_await this->parse(false, deadlineAfter(this->limits.headerTimeout));
     if (head != ReadResult::Complete)
         co_return head;
+    this->fault = findFramingFault(this->parser.get());
+    if (!this->fault.empty())
+        co_return ReadResult::Malformed;
     if (boost::beast::iequals(this->parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
         const std::vector<asio::const_buffer> pieces(1, asio::buffer(continueResponse));
@@ -67,8 +71,9 @@
     co_return ReadResult::Complete;
 }
 
-ReadResult CallerRequestReader::toReadResult(const boost::system::error_code& failure) const
+ReadResult CallerRequestReader::toReadResult(const boost::system::error_code& failure)
 {
+    this->fault = failure.message();
     if (failure == http::error::header_limit)
         return ReadResult::HeaderTooLarge;
     if (failure == http::error::body_limit)
--- a/modules/serving/caller/CallerRequestReader.h
+++ b/modules/serving/caller/CallerRequestReader.h
@@ -35,18 +35,22 @@
     /** Reads the request completely. */
     boost::asio::awaitable<ReadResult> read();
 
+    /** Returns what is wrong with a request that read() did not complete, for the log; empty if nothing is. */
+    const std::string& getFault() const { return this->fault; }
+
     /** Returns the request and moves out its body. Precondition: read() returned Complete. */
     IncomingRequest take();
 
 private:
     boost::asio::awaitable<ReadResult> parse(bool isWholeRequest, TimePoint deadline);
-    ReadResult toReadResult(const boost::system::error_code& failure) const;
+    ReadResult toReadResult(const boost::system::error_code& failure);
 
     CallerStream& stream;
     CallerInput& input;
     const CallerLimits& limits;
     boost::beast::http::request_parser<boost::beast::http::string_body> parser;
     TimePoint beganAt;
+    std::string fault;
 };
 
 } // namespace papayashelf
--- a/modules/serving/caller/CallerSession.cpp
+++ b/modules/serving/caller/CallerSession.cpp
@@ -84,7 +84,7 @@
     if (result == ReadResult::Disconnected)
         co_return false;
     if (result != ReadResult::Complete) {
-        co_await this->sendErrorAnswer(result);
+        co_await this->sendErrorAnswer(result, reader.getFault());
         co_return false;
     }
     const IncomingRequest request = reader.take();
@@ -102,13 +102,13 @@
     co_return answer.mayServeNextRequest() && !this->input.isGone();
 }
 
-asio::awaitable<void> CallerSession::sendErrorAnswer(ReadResult result)
+asio::awaitable<void> CallerSession::sendErrorAnswer(ReadResult result, const std::string& fault)
 {
     const ReadErrorAnswer errorAnswer = toErrorAnswer(result);
     CallerAnswer answer(this->stream, false, false, [] { return true; });
     this->context.metrics.noteRequest(errorAnswer.code);
     this->context.log.write(this->context.clock.now(), LogWeight::Notable, "request_unreadable",
-        { { "cause", errorAnswer.code }, { "status", boost::json::value(errorAnswer.status) } });
+        { { "cause", errorAnswer.code }, { "status", boost::json::value(errorAnswer.status) }, { "detail", fault } });
     const std::string body = std::string("{\"error\":\"") + errorAnswer.code + "\"}";
     ResponseHead head { errorAnswer.status, errorAnswer.reason, {} };
     head.headers.emplace_back("Content-Type", "application/json");
--- a/modules/serving/process/SimpleHttpListener.cpp
+++ b/modules/serving/process/SimpleHttpListener.cpp
@@ -1,6 +1,7 @@
 #include "serving/process/SimpleHttpListener.h"
 
 #include "entrance/server/Signal.h"
+#include "foundation/http/MessageFraming.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -62,7 +63,7 @@
         http::request<http::empty_body> request;
         stream.expires_after(requestTimeout);
         const auto [readFailure, read] = co_await http::async_read(stream, buffer, request, useResult);
-        if (readFailure)
+        if (readFailure || !findFramingFault(request).empty())
             co_return;
         const auto target = request.target();
         SimpleHttpResponse answer = handler(std::string_view(target.data(), target.size()));
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(testBrokenNonResumableStreamStaysIncomplete);
     CPPUNIT_TEST(testUnknownKeyAndUnknownRouteAreRefused);
     CPPUNIT_TEST(testMalformedAndSmuggledRequestsAreRefused);
+    CPPUNIT_TEST(testRequestInsideTheBodyOfAnotherIsNotRun);
     CPPUNIT_TEST(testConnectionsAreReused);
     CPPUNIT_TEST(testRelayWithWrongKeyIsRefused);
     CPPUNIT_TEST(testRefusedRelayStatesWhetherUpstreamWasReached);
@@ -490,6 +491,36 @@
         CPPUNIT_ASSERT(this->harness->getArrivals().empty());
     }
 
+    // The body of a request with an uncertain length was run as the next request on its connection.
+    void testRequestInsideTheBodyOfAnotherIsNotRun()
+    {
+        GatewayProcess& process = this->harness->getProcess();
+        const std::string relayHeaders
+            = "papayashelf-service: service\r\npapayashelf-relay-key: " + process.getCore().getRelayKey() + "\r\n";
+        const std::string inner = ServingHarness::makeHead("GET", "/once/inner", "inner", relayHeaders) + "\r\n";
+        for (const char* framing :
+            { "Transfer-Encoding: identity", "Transfer-Encoding: gzip", "Transfer-Encoding: chunked, identity",
+                "Transfer-Encoding: xchunked", "Transfer-Encoding: chunked, chunked",
+                "Transfer-Encoding: gzip, chunked", "Transfer-Encoding:", "Transfer-Encoding: \"chunked\"",
+                "X-Folded: a\r\n b\r\nTransfer-Encoding: identity", "Transfer-Encoding: identity\r\nContent-Length: 0",
+                "Content-Length: 0\r\nTransfer-Encoding: xchunked" }) {
+            for (const char* method : { "POST", "GET" }) {
+                for (const Endpoint& entry : { process.getCallersEndpoint(), process.getRelaysEndpoint() }) {
+                    std::string outer
+                        = ServingHarness::makeHead(method, "/once/outer", "outer", relayHeaders + framing + "\r\n\r\n");
+                    outer.replace(outer.find("Connection: close"), 17, "X-Pad: none-here1");
+                    asio::ip::tcp::socket socket = this->harness->connect(entry);
+                    asio::write(socket, asio::buffer(outer + inner));
+                    RawAnswer answer;
+                    asio::read_until(socket, asio::dynamic_buffer(answer.text), "\r\n\r\n");
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(framing, 400, answer.getStatus());
+                    CPPUNIT_ASSERT_MESSAGE(framing, !ServingHarness::readAnswer(socket).has("HTTP/1.1"));
+                }
+            }
+        }
+        CPPUNIT_ASSERT(this->harness->getArrivals().empty());
+    }
+
     void testConnectionsAreReused()
     {
         asio::ip::tcp::socket socket = this->harness->connect(this->harness->getProcess().getCallersEndpoint());
