Take an answer of uncertain length for none

Callers saw: an answer with a transfer coding other than chunked was forwarded as a success without the coding, so its body was not the upstream's; a length beside such a coding was believed, and the connection kept, so that what follows could be read as the answer to the next request.

Cause: the same as for requests; no reader of answers looked at the coding. The attempts of both commands (the one of `gateway` also reads what another VM relays) and both clients of the store now ask findFramingFault(). Such an answer counts as none, its connection is closed, and the request is retried where its route allows.

--- a/modules/entrance/upstream/UpstreamSource.cpp
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -2,6 +2,7 @@
 
 #include "entrance/request/ForwardedHead.h"
 #include "entrance/upstream/AnswerBounds.h"
+#include "foundation/http/MessageFraming.h"
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -195,6 +196,8 @@
             if (received != AttemptResult::Completed)
                 co_return received;
         }
+        if (!findFramingFault(this->parser->get()).empty())
+            co_return this->fail(AttemptResult::NoAnswer);
     } while (this->parser->get().result_int() < 200);
     co_return AttemptResult::Completed;
 }
--- a/modules/platform/http/HttpConnection.cpp
+++ b/modules/platform/http/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "platform/http/HttpConnection.h"
 
+#include "foundation/http/MessageFraming.h"
 #include <array>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -122,6 +123,10 @@
             }
             HttpResult result = state.progress;
             const auto& response = state.parser->get();
+            if (const std::string_view fault = findFramingFault(response); !fault.empty()) {
+                self->fail("no usable answer: " + std::string(fault));
+                return;
+            }
             result.answer = WireAnswer { static_cast<int>(response.result_int()), response.body() };
             state.isConnected = response.keep_alive();
             self->finish(std::move(result));
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "entrance/request/ForwardedHead.h"
 #include "entrance/upstream/AnswerBounds.h"
+#include "foundation/http/MessageFraming.h"
 #include "serving/http/RelayHeaders.h"
 #include <algorithm>
 #include <array>
@@ -346,6 +347,8 @@
         auto parser = std::make_unique<Parser>();
         if (!co_await this->readHead(*parser))
             co_return this->fail(AttemptEnd::Unanswered, "no answer");
+        if (const std::string_view fault = findFramingFault(parser->get()); !fault.empty())
+            co_return this->fail(AttemptEnd::Unanswered, std::string(fault));
         const auto status = static_cast<int>(parser->get().result_int());
         if (status >= 100 && status < 200) {
             if (++interimAnswers > answerbounds::maximumInterimAnswers) {
--- a/tests/entrance/UpstreamFaultTest.cpp
+++ b/tests/entrance/UpstreamFaultTest.cpp
@@ -2,10 +2,14 @@
 #include "standins/engine/StandinEngine.h"
 #include "standins/engine/StandinService.h"
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace papayashelf {
 
+namespace asio = boost::asio;
+
 /** How attempts that fail are told apart, and what a failure leaves behind. */
 class UpstreamFaultTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(UpstreamFaultTest);
@@ -17,6 +21,7 @@
     CPPUNIT_TEST(testLostAnswerIsNotCalledNotSent);
     CPPUNIT_TEST(testPlainAnswerCutIsVisible);
     CPPUNIT_TEST(testPlainCallRunsOnWhenCallerGoes);
+    CPPUNIT_TEST(testAnswerOfUncertainLengthIsNotForwarded);
     CPPUNIT_TEST_SUITE_END();
 
     AttemptResult resultOfPost(const Endpoint& upstream)
@@ -137,6 +142,31 @@
         CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Truncated);
     }
 
+    // Answers with a transfer coding were forwarded without it.
+    void testAnswerOfUncertainLengthIsNotForwarded()
+    {
+        for (const std::string framing :
+            { "transfer-encoding: gzip\r\n\r\nbody", "transfer-encoding: identity\r\ncontent-length: 4\r\n\r\nbody",
+                "transfer-encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" }) {
+            asio::io_context context;
+            asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+            EntranceHarness harness;
+            const Endpoint entry
+                = harness.start(Endpoint { "127.0.0.1", acceptor.local_endpoint().port() }, ServiceKind::PlainService);
+            TestCaller caller(entry);
+            caller.send("POST /a HTTP/1.1\r\nhost: g\r\ncontent-length: 2\r\n\r\nid");
+            asio::ip::tcp::socket upstream = acceptor.accept();
+            std::string request;
+            asio::read_until(upstream, asio::dynamic_buffer(request), "\r\n\r\nid");
+            asio::write(upstream, asio::buffer("HTTP/1.1 200 OK\r\n" + framing));
+            upstream.close();
+            const auto answer = caller.readAnswer();
+            CPPUNIT_ASSERT_MESSAGE(framing, answer);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(framing, 502u, answer->result_int());
+            CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::NoAnswer);
+        }
+    }
+
     void testPlainCallRunsOnWhenCallerGoes()
     {
         StandinService service;
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(testTruncatedAnswerIsRejected);
     CPPUNIT_TEST(testAnswerToAnotherRequestIsDropped);
     CPPUNIT_TEST(testAnswerDelimitedByConnectionCloseIsForwarded);
+    CPPUNIT_TEST(testAnswerOfUncertainLengthIsNotForwarded);
     CPPUNIT_TEST(testConnectionWithTrailingBytesIsNotReused);
     CPPUNIT_TEST(testAnswersWithoutEndAreCutOff);
     CPPUNIT_TEST(testAnswersWithoutEndFailBeforeTheDeadline);
@@ -194,6 +195,21 @@
     }
 
     // Bytes after an answer would be read as the beginning of the next answer on a reused connection.
+    // Answers with a transfer coding were forwarded without it, and the next answer was read after a length beside it.
+    void testAnswerOfUncertainLengthIsNotForwarded()
+    {
+        for (const AnswerKind kind : { AnswerKind::Coded, AnswerKind::CodedWithLength, AnswerKind::CodedInChunks }) {
+            for (const char* path : { "/once/x", "/stream/once/x" }) {
+                this->queueAnswersOnBoth({ kind });
+                const RawAnswer answer = this->get(path, this->nextId());
+                CPPUNIT_ASSERT_EQUAL(502, answer.getStatus());
+                CPPUNIT_ASSERT(!answer.has("body of"));
+            }
+        }
+        this->queueAnswersOnBoth({});
+        CPPUNIT_ASSERT_EQUAL(200, this->get("/again/x", this->nextId()).getStatus());
+    }
+
     void testConnectionWithTrailingBytesIsNotReused()
     {
         this->queueAnswersOnBoth({ AnswerKind::TrailingBytes, AnswerKind::TrailingBytes, AnswerKind::TrailingBytes });
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -105,6 +105,13 @@
         return formatWithLength(formatResponseHead("200 OK", "another", true), "body of another") + completeAnswer;
     case AnswerKind::Truncated:
         return formatResponseHead("200 OK", id, true) + "Content-Length: 100\r\n\r\n" + body;
+    case AnswerKind::Coded:
+        return formatResponseHead("200 OK", id, true) + "Transfer-Encoding: gzip\r\n\r\n" + body;
+    case AnswerKind::CodedWithLength:
+        return formatWithLength(formatResponseHead("200 OK", id, true) + "Transfer-Encoding: identity\r\n", body);
+    case AnswerKind::CodedInChunks:
+        return formatResponseHead("200 OK", id, true) + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunk(body)
+            + "0\r\n\r\n";
     case AnswerKind::WithoutLength:
         return formatResponseHead("200 OK", id, true) + "Connection: close\r\n\r\n" + body;
     case AnswerKind::StatedInInterim:
@@ -149,7 +156,7 @@
 bool closesConnection(AnswerKind kind)
 {
     return kind == AnswerKind::Truncated || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Reset
-        || kind == AnswerKind::WithoutLength || kind == AnswerKind::TruncatedHead
+        || kind == AnswerKind::WithoutLength || kind == AnswerKind::Coded || kind == AnswerKind::TruncatedHead
         || kind == AnswerKind::TruncatedHeadLine;
 }
 
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -28,6 +28,9 @@
     Large, /**< A complete stream of more bytes than the sockets between it and a caller hold. */
     Paused, /**< A complete stream with a pause of SealedUpstream::pause after its second event. */
     Reset, /**< The connection is closed without an answer. */
+    Coded, /**< The body has a transfer coding and ends with the connection. */
+    CodedWithLength, /**< The head names a transfer coding and a length. */
+    CodedInChunks, /**< The body has a transfer coding below its chunks. */
     WithoutLength, /**< The end of the connection delimits the body. */
     EndlessHead, /**< A status line and header fields without end. */
     EndlessInterim, /**< Interim answers without end. */
