Count crashes of upstreams after the first event of an answer

Cause: a lost connection was looked into only while no event of the answer had arrived.

Now a stream is a suspect at any time. One of many streams is the cause, so five crashes blame a part, with parts answered within the last minute left out. What went wrong once crashes were counted is mended with it: two crashes in a row under one request count twice although they lie within 100 ms; suspects that many crashes have in common are sent first, as a message holds 16; an answer since the first crash that counts ends a quarantine even if another VM saw it and the counting VM heard of it too late.

Evidence: testPromptPartThatCrashesUpstreamsAfterEventsIsQuarantined failed before; testDeadlyPartIsFoundAmongManyStreams (24 VMs in virtual time, 61 streams at each of five crashes) kept sound sessions out before the last change.

--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -96,20 +96,29 @@
     return Milliseconds(std::max<std::int64_t>(0, encoded.to_number<std::int64_t>()));
 }
 
+SuspectProgress decodeProgress(const json::value& encoded)
+{
+    const int number = encoded.to_number<int>();
+    if (number < static_cast<int>(SuspectProgress::Waiting) || number > static_cast<int>(SuspectProgress::Streaming))
+        throw std::out_of_range("progress of a suspect");
+    return static_cast<SuspectProgress>(number);
+}
+
 void encodeCrashes(json::object& message, const CrashEvidence& crashes)
 {
     if (crashes.isEmpty())
         return;
     json::array suspects;
     for (const CrashSuspect& suspect : crashes.suspects)
-        suspects.push_back(json::array {
-            suspect.incarnation, suspect.age.count(), suspect.hasBegunAnswer ? 1 : 0, encodePrompt(suspect.prompt) });
+        suspects.push_back(json::array { suspect.incarnation, suspect.age.count(), static_cast<int>(suspect.progress),
+            encodePrompt(suspect.prompt), suspect.isRepeat });
     json::array answered;
     for (const AnsweredPart& part : crashes.answered)
         answered.push_back(json::array { part.service.string(), part.part.string(), part.age.count() });
     json::array quarantined;
     for (const QuarantinedPrompt& prompt : crashes.quarantined)
-        quarantined.push_back(json::array { prompt.age.count(), encodePrompt(prompt.prompt) });
+        quarantined.push_back(
+            json::array { prompt.age.count(), encodePrompt(prompt.prompt), prompt.blamedFor.count() });
     json::array answering;
     for (const AnsweringService& service : crashes.answering)
         answering.push_back(json::array { service.service.string(), service.age.count() });
@@ -127,7 +136,7 @@
     for (const json::value& value : object.at("s").as_array()) {
         const json::array& fields = value.as_array();
         crashes.suspects.push_back({ json::value_to<std::string>(fields.at(0)), decodePrompt(fields.at(3).as_array()),
-            fields.at(2).to_number<int>() != 0, decodeAge(fields.at(1)) });
+            decodeProgress(fields.at(2)), decodeAge(fields.at(1)), fields.at(4).as_bool() });
     }
     for (const json::value& value : object.at("a").as_array()) {
         const json::array& fields = value.as_array();
@@ -136,7 +145,8 @@
     }
     for (const json::value& value : object.at("q").as_array()) {
         const json::array& fields = value.as_array();
-        crashes.quarantined.push_back({ decodePrompt(fields.at(1).as_array()), decodeAge(fields.at(0)) });
+        crashes.quarantined.push_back(
+            { decodePrompt(fields.at(1).as_array()), decodeAge(fields.at(0)), decodeAge(fields.at(2)) });
     }
     for (const json::value& value : object.at("v").as_array()) {
         const json::array& fields = value.as_array();
--- a/modules/gateway/quarantine/CrashEvidence.h
+++ b/modules/gateway/quarantine/CrashEvidence.h
@@ -7,12 +7,21 @@
 
 namespace papayashelf {
 
-/** A request that was at an upstream, without an event of its answer, when that upstream crashed. */
+/** How much of the answer to a request had arrived when its upstream crashed. The numbers are part of the messages. */
+enum class SuspectProgress {
+    Waiting = 0, /**< Nothing. */
+    Begun = 1, /**< The head, but no complete event. */
+    Streaming = 2, /**< At least one complete event. */
+};
+
+/** A request that was at an upstream when that upstream crashed. */
 struct CrashSuspect {
     std::string incarnation; /**< The upstream and its start; each incarnation crashes once. */
     PromptSignature prompt;
-    bool hasBegunAnswer = false; /**< Whether the head of its answer had arrived. */
+    SuspectProgress progress = SuspectProgress::Waiting;
     Milliseconds age; /**< Time since the crash. */
+    /** Whether another upstream had crashed under the request before this one answered it. */
+    bool isRepeat = false;
 
     bool operator==(const CrashSuspect&) const = default;
 };
@@ -38,6 +47,7 @@
 struct QuarantinedPrompt {
     PromptSignature prompt;
     Milliseconds age; /**< Time since the quarantine began. */
+    Milliseconds blamedFor; /**< Time since the first crash that counts against it; an answer since then ends it. */
 
     bool operator==(const QuarantinedPrompt&) const = default;
 };
--- a/modules/gateway/quarantine/PromptQuarantine.cpp
+++ b/modules/gateway/quarantine/PromptQuarantine.cpp
@@ -10,13 +10,13 @@
 /** Sum of weights at which the crashes in a row are no coincidence. */
 constexpr double requiredWeight = 3;
 constexpr double begunAnswerWeight = 1;
-/** Many requests wait at an upstream that crashes, and only one can be the cause. */
-constexpr double waitingWeight = 0.6;
+/** Many requests wait or stream at an upstream that crashes, and only one can be the cause. */
+constexpr double sharedWeight = 0.6;
 /** Upstreams that crash together have a cause in common that is no request. */
 constexpr Milliseconds simultaneousCrashes { 100 };
 /** Longer than a quarantine, so that one crash after its end begins the next one. */
 constexpr Milliseconds suspectLifetime = PromptQuarantine::duration * 3;
-constexpr std::size_t maximumSuspects = 64; /**< The suspects of some ten crashes. */
+constexpr std::size_t maximumSuspects = 256; /**< The suspects of some ten crashes of busy upstreams. */
 constexpr std::size_t maximumQuarantines = 64; /**< More are no matter of single prompts. */
 /** Time in which evidence reaches all VMs by messages. VMs that start later read quarantines from the store. */
 constexpr Milliseconds exchangeTime { 8'000 };
@@ -84,18 +84,19 @@
     std::vector<std::pair<PromptSignature, Quarantine>> narrowed;
     for (const auto& [prompt, quarantine] : this->quarantines) {
         const bool hasPart = std::binary_search(prompt.parts.begin(), prompt.parts.end(), part);
-        if (prompt.service == service && at >= quarantine.beganAt && hasPart)
+        if (prompt.service == service && at >= quarantine.blamedSince && hasPart)
             narrowed.emplace_back(prompt, quarantine);
     }
     for (const auto& [prompt, quarantine] : narrowed) {
+        this->refuted[{ service, part }] = std::max(at, quarantine.beganAt);
         this->end(prompt, prompt.parts.size() == 1 ? quarantinecauses::answered : quarantinecauses::narrowed);
-        this->start(quarantine.beganAt, prompt, quarantinecauses::narrowed);
+        this->start(quarantine.beganAt, quarantine.blamedSince, prompt, quarantinecauses::narrowed);
     }
 }
 
 void PromptQuarantine::noteSuspect(Milliseconds now, const CrashSuspect& suspect)
 {
-    this->addSuspect(now, { suspect.incarnation, suspect.prompt, suspect.hasBegunAnswer, now });
+    this->addSuspect(now, { suspect.incarnation, suspect.prompt, suspect.progress, now, suspect.isRepeat });
 }
 
 void PromptQuarantine::addSuspect(Milliseconds now, const Suspect& suspect)
@@ -104,15 +105,35 @@
         return other.incarnation == suspect.incarnation && other.prompt == suspect.prompt;
     });
     if (known != this->suspects.end()) {
-        known->hasBegunAnswer = known->hasBegunAnswer || suspect.hasBegunAnswer;
+        const Suspect before = *known;
+        if (suspect.progress == SuspectProgress::Begun || known->progress == SuspectProgress::Waiting)
+            known->progress = suspect.progress;
+        known->isRepeat = known->isRepeat || suspect.isRepeat;
+        if (known->progress == before.progress && known->isRepeat == before.isRepeat)
+            return;
     } else {
         this->suspects.push_back(suspect);
         if (this->suspects.size() > maximumSuspects)
-            this->suspects.pop_front();
+            this->dropLeastUseful();
     }
     this->judge(now, suspect.prompt);
 }
 
+bool PromptQuarantine::isCleared(const Suspect& suspect, const PromptPartId& part) const
+{
+    const std::optional<Milliseconds> answered = this->findAnswered(suspect.prompt.service, part);
+    return answered && *answered >= suspect.crashedAt;
+}
+
+void PromptQuarantine::dropLeastUseful()
+{
+    const auto cleared = std::find_if(this->suspects.begin(), this->suspects.end(), [this](const Suspect& suspect) {
+        return std::all_of(suspect.prompt.parts.begin(), suspect.prompt.parts.end(),
+            [&](const PromptPartId& part) { return this->isCleared(suspect, part); });
+    });
+    this->suspects.erase(cleared == this->suspects.end() ? this->suspects.begin() : cleared);
+}
+
 bool PromptQuarantine::isExplained(const Suspect& suspect) const
 {
     const bool isQuarantined
@@ -120,64 +141,77 @@
               return entry.first.service == suspect.prompt.service
                   && containsAll(suspect.prompt.parts, entry.first.parts);
           });
-    if (isQuarantined || suspect.hasBegunAnswer)
+    if (isQuarantined || suspect.progress != SuspectProgress::Waiting)
         return isQuarantined;
-    return std::any_of(this->suspects.begin(), this->suspects.end(),
-        [&suspect](const Suspect& other) { return other.hasBegunAnswer && other.incarnation == suspect.incarnation; });
+    return std::any_of(this->suspects.begin(), this->suspects.end(), [&suspect](const Suspect& other) {
+        return other.progress == SuspectProgress::Begun && other.incarnation == suspect.incarnation;
+    });
 }
 
 PromptQuarantine::Evidence PromptQuarantine::weigh(const ServiceId& service, const PromptPartId& part) const
 {
-    const std::optional<Milliseconds> answered = this->findAnswered(service, part);
     std::vector<const Suspect*> found;
     for (const Suspect& suspect : this->suspects) {
         const bool hasPart = suspect.prompt.service == service
             && std::binary_search(suspect.prompt.parts.begin(), suspect.prompt.parts.end(), part);
-        if (hasPart && (!answered || suspect.crashedAt > *answered) && !this->isExplained(suspect))
+        if (hasPart && !this->isCleared(suspect, part) && !this->isExplained(suspect))
             found.push_back(&suspect);
     }
     std::sort(found.begin(), found.end(),
         [](const Suspect* left, const Suspect* right) { return left->crashedAt < right->crashedAt; });
     Evidence evidence;
-    std::set<std::string> incarnations;
+    if (!found.empty())
+        evidence.since = found.front()->crashedAt;
+    std::map<std::string, double> weights; /**< Of the incarnations; 0 if the crash counts with another one. */
     std::optional<Milliseconds> countedAt;
     for (const Suspect* suspect : found) {
         evidence.commonParts
             = countedAt ? intersect(evidence.commonParts, suspect->prompt.parts) : suspect->prompt.parts;
+        const double weight = suspect->progress == SuspectProgress::Begun ? begunAnswerWeight : sharedWeight;
         const bool isSimultaneous = countedAt && suspect->crashedAt - *countedAt < simultaneousCrashes;
-        if (!incarnations.insert(suspect->incarnation).second || isSimultaneous)
-            continue;
-        countedAt = suspect->crashedAt;
-        evidence.weight += suspect->hasBegunAnswer ? begunAnswerWeight : waitingWeight;
+        const auto [counted, isNew] = weights.try_emplace(suspect->incarnation, 0);
+        // What happened to one request at two upstreams did not happen at the same time.
+        const bool isOwnCrash = suspect->isRepeat || (isNew && !isSimultaneous);
+        if (isOwnCrash && isNew)
+            countedAt = suspect->crashedAt;
+        if (isOwnCrash || counted->second > 0)
+            counted->second = std::max(counted->second, weight);
     }
+    for (const auto& [incarnation, weight] : weights)
+        evidence.weight += weight;
     return evidence;
 }
 
 void PromptQuarantine::judge(Milliseconds now, const PromptSignature& latest)
 {
     // The most parts in common refuse the fewest prompts.
-    PromptParts cause;
+    Evidence cause;
     for (const PromptPartId& part : latest.parts) {
         Evidence evidence = this->weigh(latest.service, part);
-        if (evidence.weight >= requiredWeight && evidence.commonParts.size() > cause.size())
-            cause = std::move(evidence.commonParts);
+        if (evidence.weight >= requiredWeight && evidence.commonParts.size() > cause.commonParts.size())
+            cause = std::move(evidence);
     }
-    if (!cause.empty())
-        this->start(now, { latest.service, cause }, quarantinecauses::crashes);
+    if (!cause.commonParts.empty())
+        this->start(now, cause.since, { latest.service, cause.commonParts }, quarantinecauses::crashes);
 }
 
-void PromptQuarantine::start(Milliseconds beganAt, const PromptSignature& prompt, std::string_view cause)
+void PromptQuarantine::start(
+    Milliseconds beganAt, Milliseconds blamedSince, const PromptSignature& prompt, std::string_view cause)
 {
     PromptSignature unanswered = prompt;
     std::erase_if(unanswered.parts, [&](const PromptPartId& part) {
         const std::optional<Milliseconds> answered = this->findAnswered(prompt.service, part);
-        return answered && *answered >= beganAt;
+        const bool isRefuted = answered && *answered >= blamedSince;
+        if (isRefuted)
+            this->refuted[{ prompt.service, part }] = std::max(*answered, beganAt);
+        return isRefuted;
     });
     if (unanswered.parts.empty() || this->quarantines.size() >= maximumQuarantines)
         return;
     const bool isStored = cause == quarantinecauses::store;
     const bool isOwn = !isStored && cause != quarantinecauses::otherVm;
-    const auto [entry, isNew] = this->quarantines.try_emplace(unanswered, Quarantine { beganAt, isStored, isOwn });
+    const auto [entry, isNew]
+        = this->quarantines.try_emplace(unanswered, Quarantine { beganAt, blamedSince, isStored, isOwn });
     entry->second.isConfirmed = entry->second.isConfirmed || isStored;
     if (!isNew)
         return;
@@ -198,13 +232,15 @@
     return remaining;
 }
 
-bool PromptQuarantine::isKnownHarmless(
+PromptParts PromptQuarantine::findUnproven(
     Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts) const
 {
-    return std::all_of(parts.begin(), parts.end(), [&](const PromptPartId& part) {
+    PromptParts unproven;
+    std::copy_if(parts.begin(), parts.end(), std::back_inserter(unproven), [&](const PromptPartId& part) {
         const std::optional<Milliseconds> answered = this->findAnswered(service, part);
-        return answered && now - *answered <= harmlessMemory;
+        return !answered || now - *answered > harmlessMemory;
     });
+    return unproven;
 }
 
 std::set<ServiceId> PromptQuarantine::getQuarantinedServices() const
@@ -215,6 +251,37 @@
     return services;
 }
 
+std::vector<const PromptQuarantine::Suspect*> PromptQuarantine::chooseForExchange(Milliseconds now) const
+{
+    std::vector<const Suspect*> chosen;
+    for (auto suspect = this->suspects.rbegin(); suspect != this->suspects.rend(); ++suspect) {
+        if (now - suspect->crashedAt <= exchangeTime && !this->isExplained(*suspect))
+            chosen.push_back(&*suspect);
+    }
+    if (chosen.size() <= maximumExchangedSuspects)
+        return chosen;
+    // A part is the more suspicious the more upstreams crashed under it.
+    std::map<std::pair<ServiceId, PromptPartId>, std::set<std::string_view>> crashed;
+    for (const Suspect& suspect : this->suspects) {
+        for (const PromptPartId& part : suspect.prompt.parts) {
+            if (!this->isCleared(suspect, part))
+                crashed[{ suspect.prompt.service, part }].insert(suspect.incarnation);
+        }
+    }
+    std::map<const Suspect*, std::size_t> crashes;
+    for (const Suspect* suspect : chosen) {
+        for (const PromptPartId& part : suspect->prompt.parts) {
+            const auto found = crashed.find({ suspect->prompt.service, part });
+            const std::size_t count = found == crashed.end() ? 0 : found->second.size();
+            crashes[suspect] = std::max(crashes[suspect], count);
+        }
+    }
+    std::stable_sort(chosen.begin(), chosen.end(),
+        [&](const Suspect* left, const Suspect* right) { return crashes[left] > crashes[right]; });
+    chosen.resize(maximumExchangedSuspects);
+    return chosen;
+}
+
 CrashEvidence PromptQuarantine::makeEvidence(Milliseconds now) const
 {
     CrashEvidence evidence;
@@ -223,23 +290,19 @@
         for (const PromptPartId& part : prompt.parts)
             parts.emplace(prompt.service, part);
     };
-    for (const Suspect& suspect : this->suspects) {
-        if (now - suspect.crashedAt > exchangeTime || this->isExplained(suspect))
-            continue;
+    for (const Suspect* suspect : this->chooseForExchange(now)) {
         evidence.suspects.push_back(
-            { suspect.incarnation, suspect.prompt, suspect.hasBegunAnswer, now - suspect.crashedAt });
+            { suspect->incarnation, suspect->prompt, suspect->progress, now - suspect->crashedAt, suspect->isRepeat });
+        addParts(suspect->prompt);
     }
-    if (evidence.suspects.size() > maximumExchangedSuspects)
-        evidence.suspects.erase(
-            evidence.suspects.begin(), evidence.suspects.end() - static_cast<std::ptrdiff_t>(maximumExchangedSuspects));
-    for (const CrashSuspect& suspect : evidence.suspects)
-        addParts(suspect.prompt);
     for (const auto& [prompt, quarantine] : this->quarantines) {
         if (now - quarantine.beganAt > exchangeTime)
             continue;
-        evidence.quarantined.push_back({ prompt, now - quarantine.beganAt });
+        evidence.quarantined.push_back({ prompt, now - quarantine.beganAt, now - quarantine.blamedSince });
         addParts(prompt);
     }
+    for (const auto& [part, at] : this->refuted)
+        parts.insert(part);
     for (const ServiceId& service : this->getQuarantinedServices()) {
         const auto answered = this->serviceAnsweredAt.find(service);
         if (answered != this->serviceAnsweredAt.end() && now - answered->second <= exchangeTime)
@@ -258,16 +321,18 @@
     for (const AnsweredPart& answered : evidence.answered)
         this->mergeAnswered(now - answered.age, answered.service, answered.part);
     for (const QuarantinedPrompt& quarantined : evidence.quarantined)
-        this->start(now - quarantined.age, quarantined.prompt, quarantinecauses::otherVm);
+        this->start(now - quarantined.age, now - std::max(quarantined.age, quarantined.blamedFor), quarantined.prompt,
+            quarantinecauses::otherVm);
     for (const AnsweringService& answering : evidence.answering)
         this->mergeServiceAnswer(now - answering.age, answering.service);
     for (const CrashSuspect& suspect : evidence.suspects)
-        this->addSuspect(now, { suspect.incarnation, suspect.prompt, suspect.hasBegunAnswer, now - suspect.age });
+        this->addSuspect(
+            now, { suspect.incarnation, suspect.prompt, suspect.progress, now - suspect.age, suspect.isRepeat });
 }
 
 void PromptQuarantine::begin(Milliseconds now, const PromptSignature& prompt)
 {
-    this->start(now, prompt, quarantinecauses::store);
+    this->start(now, now, prompt, quarantinecauses::store);
 }
 
 void PromptQuarantine::end(const PromptSignature& prompt, std::string_view cause)
@@ -285,6 +350,7 @@
             this->changes.push_back({ entry.first, QuarantineStep::Ended, cause });
         return isOver;
     });
+    std::erase_if(this->refuted, [now](const auto& entry) { return now - entry.second > exchangeTime; });
     std::erase_if(this->suspects, [now](const Suspect& suspect) { return now - suspect.crashedAt > suspectLifetime; });
 }
 
@@ -292,7 +358,7 @@
 {
     std::vector<QuarantinedPrompt> all;
     for (const auto& [prompt, quarantine] : this->quarantines)
-        all.push_back({ prompt, now - quarantine.beganAt });
+        all.push_back({ prompt, now - quarantine.beganAt, now - quarantine.blamedSince });
     return all;
 }
 
--- a/modules/gateway/quarantine/PromptQuarantine.h
+++ b/modules/gateway/quarantine/PromptQuarantine.h
@@ -42,10 +42,11 @@
 /**
     Finds the prompts that crash upstreams, and keeps them from all upstreams.
 
-    A crash has suspects: the requests whose answer had begun, but had no event yet, or else those that still waited. A
-    part that is among the suspects of several crashes in a row, with no answer completed in between, is the cause.
-    Which of the parts that those requests have in common it is may stay open, so prompts with all of these parts are
-    quarantined. Prompts with only some of them go on being served, and show which parts are harmless.
+    A crash has suspects: the requests whose answer had begun, but had no event yet, or else those that still waited,
+    and in any case those whose answer was streaming. A part that is among the suspects of several crashes in a row,
+   with no answer completed in between, is the cause. Which of the parts that those requests have in common it is may
+   stay open, so prompts with all of these parts are quarantined. Prompts with only some of them go on being served, and
+   show which parts are harmless.
 
     A service that answers no prompt at all may be faulty itself, and then all its prompts may have the part. Until it
     answers another prompt, a quarantine is unconfirmed and lasts only for unconfirmedDuration.
@@ -72,8 +73,8 @@
     /** Returns the time until the prompt may be sent to upstreams; 0 if it is not quarantined. @param parts  sorted */
     Milliseconds getRemaining(Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts) const;
 
-    /** Returns true if an answer was recently completed with each of the parts. @param parts  sorted */
-    bool isKnownHarmless(Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts) const;
+    /** Returns the parts with which no answer was recently completed. @param parts  sorted */
+    PromptParts findUnproven(Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts) const;
 
     //==================================================================================================================
     /** Returns the recent evidence, for another VM. */
@@ -101,12 +102,14 @@
     struct Suspect {
         std::string incarnation;
         PromptSignature prompt;
-        bool hasBegunAnswer = false;
+        SuspectProgress progress = SuspectProgress::Waiting;
         Milliseconds crashedAt;
+        bool isRepeat = false;
     };
 
     struct Quarantine {
         Milliseconds beganAt;
+        Milliseconds blamedSince; /**< Time of the first crash that counts against the prompt. */
         bool isConfirmed = false;
         bool isOwn = false; /**< Whether this VM found it, and neither another VM nor the store. */
 
@@ -116,6 +119,7 @@
     struct Evidence {
         double weight = 0;
         PromptParts commonParts;
+        Milliseconds since; /**< Time of the first crash; meaningless without weight. */
     };
 
     void addSuspect(Milliseconds now, const Suspect& suspect);
@@ -124,8 +128,15 @@
     Evidence weigh(const ServiceId& service, const PromptPartId& part) const;
     std::set<ServiceId> getQuarantinedServices() const;
     bool isExplained(const Suspect& suspect) const;
+    /** Whether an answer was completed with the part after the suspect's crash. */
+    bool isCleared(const Suspect& suspect, const PromptPartId& part) const;
+    /** Removes a suspect that can no longer be blamed or, if there is none, the oldest one. */
+    void dropLeastUseful();
+    /** Returns the unexplained suspects of the last exchangeTime that other VMs need most, at most so many as a message
+     * holds. */
+    std::vector<const Suspect*> chooseForExchange(Milliseconds now) const;
     std::optional<Milliseconds> findAnswered(const ServiceId& service, const PromptPartId& part) const;
-    void start(Milliseconds beganAt, const PromptSignature& prompt, std::string_view cause);
+    void start(Milliseconds beganAt, Milliseconds blamedSince, const PromptSignature& prompt, std::string_view cause);
     /** Records an answer of the service to any prompt. */
     void mergeServiceAnswer(Milliseconds at, const ServiceId& service);
     void confirm(const PromptSignature& prompt, Quarantine& quarantine);
@@ -135,6 +146,8 @@
     std::map<PromptSignature, Quarantine> quarantines;
     std::unordered_map<ServiceId, Milliseconds> serviceAnsweredAt; /**< Time of each service's last answer. */
     std::unordered_map<ServiceId, std::unordered_map<PromptPartId, Milliseconds>> answeredAt;
+    /** Blamed parts that turned out to be harmless, with the time of the blame; other VMs may still blame them. */
+    std::map<std::pair<ServiceId, PromptPartId>, Milliseconds> refuted;
     std::vector<QuarantineChange> changes;
 };
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -64,6 +64,19 @@
     return RefusalCause::NoUpstream;
 }
 
+SuspectProgress toSuspectProgress(AnswerProgress progress)
+{
+    switch (progress) {
+    case AnswerProgress::Nothing:
+        return SuspectProgress::Waiting;
+    case AnswerProgress::Head:
+        return SuspectProgress::Begun;
+    case AnswerProgress::Events:
+        return SuspectProgress::Streaming;
+    }
+    return SuspectProgress::Waiting;
+}
+
 /** Returns the prompt parts that other requests may share: all but the last, which is specific to the request. */
 std::string_view extractSharedParts(std::string_view parts)
 {
@@ -339,18 +352,22 @@
     const UpstreamRecord& upstream, const AttemptOutcome& outcome)
 {
     PromptQuarantine& quarantine = this->context.core.getQuarantine();
+    const PromptParts unproven = quarantine.findUnproven(this->now(), this->admitted->service, this->promptParts);
+    const bool isHarmless = unproven.empty();
     const bool hasBegunAnswer = outcome.progress == AnswerProgress::Head;
-    const bool isHarmless = quarantine.isKnownHarmless(this->now(), this->admitted->service, this->promptParts);
-    if (!outcome.isConnectionLost || outcome.progress == AnswerProgress::Events || this->promptParts.empty()
-        || (isHarmless && !hasBegunAnswer))
+    if (!outcome.isConnectionLost || this->promptParts.empty() || (isHarmless && !hasBegunAnswer))
         co_return;
     // An upstream may also end single connections. Only one that has crashed refuses new ones.
     if (!co_await refusesConnections(
             this->context.pool, upstream.endpoint, std::min(connectLimit, this->getRemaining())))
         co_return;
     this->isCrashSuspect = hasBegunAnswer && !isHarmless;
+    // Many streams end with their upstream. Parts that are known to be harmless would only hide the others among them.
+    const bool isStreaming = outcome.progress == AnswerProgress::Events;
+    const bool isRepeat = std::exchange(this->hasCrashedUpstream, true) && outcome.progress != AnswerProgress::Nothing;
     const CrashSuspect suspect { upstream.id.string() + '@' + std::to_string(upstream.startedAt),
-        { this->admitted->service, this->promptParts }, hasBegunAnswer, Milliseconds(0) };
+        { this->admitted->service, isStreaming ? unproven : this->promptParts }, toSuspectProgress(outcome.progress),
+        Milliseconds(0), isRepeat };
     quarantine.noteSuspect(this->now(), suspect);
     this->context.log.write(this->now(), LogWeight::Notable, "upstream_crashed",
         { { "request", this->requestId }, { "upstream", upstream.id.string() },
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -124,6 +124,7 @@
     Milliseconds lastSilentFor; /**< The same. */
     Milliseconds lastEventsAt; /**< Time of the last events of an answer that has begun. */
     bool hasReachedUpstream = false; /**< Whether this VM has sent the request to an upstream. */
+    bool hasCrashedUpstream = false; /**< Whether an upstream crashed while it had this request. */
     bool isCrashSuspect = false; /**< Whether an upstream crashed as it began to answer this request. */
     bool wasLastAttemptRelayed = false; /**< Whether the last attempt went to another VM. */
 };
--- a/tests/gateway/PromptQuarantineTest.cpp
+++ b/tests/gateway/PromptQuarantineTest.cpp
@@ -21,9 +21,9 @@
     return parts;
 }
 
-CrashSuspect makeSuspect(int crash, const PromptParts& parts, bool hasBegunAnswer = true)
+CrashSuspect makeSuspect(int crash, const PromptParts& parts, SuspectProgress progress = SuspectProgress::Begun)
 {
-    return { "engine-" + std::to_string(crash), { engine, parts }, hasBegunAnswer, Milliseconds(0) };
+    return { "engine-" + std::to_string(crash), { engine, parts }, progress, Milliseconds(0) };
 }
 
 /** Lets one upstream after the other crash. Returns the time after the last crash. */
@@ -53,6 +53,10 @@
     CPPUNIT_TEST(testUpstreamsThatCrashTogetherBlameNoPrompt);
     CPPUNIT_TEST(testRequestsThatWaitedAreNotBlamedBesideABegunAnswer);
     CPPUNIT_TEST(testWaitingRequestsAreBlamedAfterMoreCrashes);
+    CPPUNIT_TEST(testStreamingRequestsAreBlamedAfterMoreCrashes);
+    CPPUNIT_TEST(testTwoUpstreamsThatCrashUnderOneRequestCountTwice);
+    CPPUNIT_TEST(testAnswerBetweenCrashesThatOtherVmSawEndsTheQuarantine);
+    CPPUNIT_TEST(testDeadlyPartIsFoundAmongManyStreams);
     CPPUNIT_TEST(testRepeatedEvidenceDoesNotCountTwice);
     CPPUNIT_TEST(testVmWithoutExperienceBlamesNoCommonPart);
     CPPUNIT_TEST(testOneCrashAfterItsEndRenewsTheQuarantine);
@@ -148,7 +152,7 @@
         PromptQuarantine quarantine;
         Milliseconds now = start;
         for (int crash = 0; crash < 8; ++crash) {
-            quarantine.noteSuspect(now, makeSuspect(crash, makeParts({ "waiting" }), false));
+            quarantine.noteSuspect(now, makeSuspect(crash, makeParts({ "waiting" }), SuspectProgress::Waiting));
             quarantine.noteSuspect(now, makeSuspect(crash, makeParts({ "begun-" + std::to_string(crash) })));
             now = now + betweenCrashes;
         }
@@ -162,12 +166,95 @@
         Milliseconds now = start;
         for (int crash = 0; crash < 5; ++crash) {
             CPPUNIT_ASSERT(!isQuarantined(quarantine, now, makeParts({ "deadly" })));
-            quarantine.noteSuspect(now, makeSuspect(crash, makeParts({ "deadly" }), false));
+            quarantine.noteSuspect(now, makeSuspect(crash, makeParts({ "deadly" }), SuspectProgress::Waiting));
             now = now + betweenCrashes;
         }
         CPPUNIT_ASSERT(isQuarantined(quarantine, now, makeParts({ "deadly" })));
     }
 
+    // Crashes after the first event of an answer were not counted.
+    void testStreamingRequestsAreBlamedAfterMoreCrashes()
+    {
+        PromptQuarantine quarantine;
+        Milliseconds now = start;
+        for (int crash = 0; crash < 5; ++crash) {
+            CPPUNIT_ASSERT(!isQuarantined(quarantine, now, makeParts({ "deadly" })));
+            // A request whose answer had just begun is no excuse for those that were streaming.
+            quarantine.noteSuspect(now, makeSuspect(crash, makeParts({ "begun-" + std::to_string(crash) })));
+            quarantine.noteSuspect(now, makeSuspect(crash, makeParts({ "deadly" }), SuspectProgress::Streaming));
+            now = now + betweenCrashes;
+        }
+        CPPUNIT_ASSERT(isQuarantined(quarantine, now, makeParts({ "deadly" })));
+    }
+
+    // A stream that is resumed at once crashes the next upstream within the time in which crashes count as one.
+    void testTwoUpstreamsThatCrashUnderOneRequestCountTwice()
+    {
+        PromptQuarantine quarantine;
+        Milliseconds now = start;
+        for (int crash = 0; crash < 5; ++crash) {
+            CPPUNIT_ASSERT(!isQuarantined(quarantine, now, makeParts({ "deadly" })));
+            CrashSuspect suspect = makeSuspect(crash, makeParts({ "deadly" }), SuspectProgress::Streaming);
+            suspect.isRepeat = crash % 2 == 1;
+            quarantine.noteSuspect(now, suspect);
+            now = now + (crash % 2 == 0 ? Milliseconds(40) : betweenCrashes);
+        }
+        CPPUNIT_ASSERT(isQuarantined(quarantine, now, makeParts({ "deadly" })));
+    }
+
+    // The VM that counts the crashes learns of the answers in between only afterwards.
+    void testAnswerBetweenCrashesThatOtherVmSawEndsTheQuarantine()
+    {
+        const PromptParts parts = makeParts({ "session" });
+        PromptQuarantine counting;
+        PromptQuarantine answering;
+        Milliseconds now = crashUpstreams(counting, start, 2, parts);
+        answering.noteAnswered(now, engine, parts);
+        now = crashUpstreams(counting, now + betweenCrashes, 1, parts);
+        CPPUNIT_ASSERT(isQuarantined(counting, now, parts));
+        answering.noteEvidence(now, counting.makeEvidence(now));
+        CPPUNIT_ASSERT(!isQuarantined(answering, now, parts));
+        counting.noteEvidence(now, answering.makeEvidence(now));
+        CPPUNIT_ASSERT(!isQuarantined(counting, now, parts));
+    }
+
+    // Load pattern: at each crash many more streams end than a message can name. The same sessions are there each time,
+    // and their next requests are answered by any VM.
+    void testDeadlyPartIsFoundAmongManyStreams()
+    {
+        constexpr int vmsPerRegion = 8;
+        constexpr int sessions = 60;
+        constexpr std::int64_t contactTime = 6'000; // The bound within which all VMs must act.
+        DigestFleet fleet({ "a", "b", "c" }, vmsPerRegion);
+        fleet.runUntil(fleet.now + 4 * DigestFleet::interval);
+        const auto vmAt = [](int number) {
+            return std::string(1, static_cast<char>('a' + number % 3)) + '-' + std::to_string(number % vmsPerRegion);
+        };
+        const auto nameSession = [](int number) { return makeParts({ "session-" + std::to_string(number) }); };
+        for (int crash = 0; crash < 5; ++crash) {
+            const auto note = [&](int vm, const PromptParts& parts) {
+                fleet.at(vmAt(vm)).getQuarantine().noteSuspect(
+                    Milliseconds(fleet.now), makeSuspect(crash, parts, SuspectProgress::Streaming));
+            };
+            note(5 * crash, makeParts({ "deadly" }));
+            for (int session = 0; session < sessions; ++session)
+                note(session + crash, nameSession(session));
+            fleet.runUntil(fleet.now + 1'000);
+            for (int session = 0; session < sessions; ++session)
+                fleet.at(vmAt(7 * session + crash))
+                    .getQuarantine()
+                    .noteAnswered(Milliseconds(fleet.now), engine, nameSession(session));
+            fleet.runUntil(fleet.now + 1'000);
+        }
+        fleet.runUntil(fleet.now + contactTime);
+        for (const auto& [vm, core] : fleet.cores) {
+            CPPUNIT_ASSERT(
+                isQuarantined(core->getQuarantine(), Milliseconds(fleet.now), makeParts({ "deadly", "new" })));
+            for (int session = 0; session < sessions; ++session)
+                CPPUNIT_ASSERT(!isQuarantined(core->getQuarantine(), Milliseconds(fleet.now), nameSession(session)));
+        }
+    }
+
     void testRepeatedEvidenceDoesNotCountTwice()
     {
         PromptQuarantine seesTwoCrashes;
@@ -280,9 +367,11 @@
         DigestReport report { VmId("vm-1"), RegionId("north"), false, {}, 5 };
         report.crashes.suspects = { makeSuspect(1, makeParts({ "a", "b" })) };
         report.crashes.suspects.front().age = Milliseconds(70);
+        report.crashes.suspects.push_back(makeSuspect(2, makeParts({ "c" }), SuspectProgress::Streaming));
+        report.crashes.suspects.back().isRepeat = true;
         report.crashes.answered = { { engine, PromptPartId("a"), Milliseconds(30) } };
         report.crashes.answering = { { engine, Milliseconds(20) } };
-        report.crashes.quarantined = { { { engine, makeParts({ "b" }) }, Milliseconds(10) } };
+        report.crashes.quarantined = { { { engine, makeParts({ "b" }) }, Milliseconds(10), Milliseconds(400) } };
         CPPUNIT_ASSERT(report == *decodeDigest(encodeDigest(report, "key")).value().report);
         const std::string text = encodeDigest(report, "key");
         const std::string damaged = std::string(text).replace(text.find("[\"engine\",\"b\"]"), 14, "[\"engine\"]    ");
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(testBrokenStreamWaitsForAnUpstreamThatSoonAccepts);
     CPPUNIT_TEST(testSlowCallerDoesNotMakeTheUpstreamSilent);
     CPPUNIT_TEST(testPromptPartDoesNotCrashOneUpstreamAfterTheOther);
+    CPPUNIT_TEST(testPromptPartThatCrashesUpstreamsAfterEventsIsQuarantined);
     CPPUNIT_TEST(testUpstreamGetsNoMoreRequestsThanItStates);
     CPPUNIT_TEST(testUnreadableLimitNeitherBeginsNorEndsOne);
     CPPUNIT_TEST(testUpstreamGetsNoRequestsOnceItStatesThatItLeaves);
@@ -277,6 +278,33 @@
         CPPUNIT_ASSERT_EQUAL(200, ask("sound-1", "c0:100,d1:50,own1:9").getStatus());
     }
 
+    // Crashes after the first event of an answer were not counted, and each such stream was resumed by another
+    // upstream.
+    void testPromptPartThatCrashesUpstreamsAfterEventsIsQuarantined()
+    {
+        constexpr int upstreamCount = 16;
+        constexpr std::size_t arrivalsUntilKnown = 5;
+        constexpr std::size_t arrivalsAfterwards = 3;
+        constexpr std::chrono::milliseconds timeBetweenCrashes { 150 };
+        for (const int events : { 1, 4 }) {
+            this->harness = std::make_unique<ServingHarness>(ServingHarness::ampleRetryRatio, upstreamCount);
+            this->harness->setEventsBeforeCrash(events);
+            for (int number = 1; number <= upstreamCount / 2; ++number) {
+                const std::string own = "own" + std::to_string(number);
+                const RawAnswer sound
+                    = this->get("/stream/again/x", this->nextId(), "Prompt-Prefix: c0:100,d1:50," + own + ":9\r\n");
+                CPPUNIT_ASSERT_EQUAL(200, sound.getStatus());
+                CPPUNIT_ASSERT(sound.isComplete());
+                this->get("/stream/again/x", this->nextId(), "Prompt-Prefix: c0:100,d1:50,dead:10," + own + ":9\r\n");
+                std::this_thread::sleep_for(timeBetweenCrashes);
+            }
+            std::size_t deadlyArrivals = 0;
+            for (const StandinRequest& arrival : this->harness->getArrivals())
+                deadlyArrivals += arrival.contains("dead:") ? 1 : 0;
+            CPPUNIT_ASSERT(deadlyArrivals <= arrivalsUntilKnown + arrivalsAfterwards);
+        }
+    }
+
     // The upstream with a limit is otherwise as good as the other one.
     void testUpstreamGetsNoMoreRequestsThanItStates()
     {
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -239,8 +239,13 @@
 asio::awaitable<bool> SealedUpstream::crash(const StandinHttp::Request& request, StandinHttp::Stream& stream)
 {
     this->http.stopListening();
-    const std::string text = formatResponseHead("200 OK", getHeader(request, "Attempt-Id"), true)
-        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1";
+    std::string text = formatResponseHead("200 OK", getHeader(request, "Attempt-Id"), true)
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string last = getHeader(request, "Last-Event-Id");
+    int id = last.empty() ? 1 : std::stoi(last) + 1;
+    for (int event = 0; event < this->eventsBeforeCrash; ++event, ++id)
+        text += chunk("id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n");
+    text += "10\r\nid: " + std::to_string(id);
     co_await asio::async_write(stream, asio::buffer(text), standinResult);
     co_return false;
 }
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -62,7 +62,7 @@
     /** Events of a large stream. */
     static constexpr int largeStreamEvents = 400;
 
-    /** Prompt part that crashes the upstream as soon as it begins to answer. */
+    /** Prompt part that crashes the upstream as it answers, after the events set by setEventsBeforeCrash(). */
     static constexpr std::string_view deadlyPart = "dead";
 
     /** Creates the server without starting it. */
@@ -84,6 +84,10 @@
     /** Sets header lines, each with its end, that answers to the request carry from now on; empty for none. */
     void setStatedHeaders(const std::string& lines);
 
+    /** Sets the number of events after which deadlyPart crashes the upstream; by default it crashes within the first.
+     */
+    void setEventsBeforeCrash(int events) { this->eventsBeforeCrash = events; }
+
     /** Returns the requests received so far. */
     std::vector<StandinRequest> getRequests() const { return this->http.getRequests(); }
 
@@ -98,7 +102,7 @@
     AnswerKind takeNextAnswer();
     boost::asio::awaitable<bool> sendWithPause(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     std::string addStatements(std::string answer) const;
-    /** Sends the head and a part of the first event, and refuses all connections from then on. */
+    /** Sends the head, some events and a part of the next one, and refuses all connections from then on. */
     boost::asio::awaitable<bool> crash(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendEndlessly(std::string begin, std::string repeated, StandinHttp::Stream& stream);
 
@@ -107,6 +111,7 @@
     std::string statedLimit;
     std::string statedHeaders;
     std::atomic<std::size_t> endlessBytes = 0;
+    std::atomic<int> eventsBeforeCrash = 0;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
     StandinHttp http;
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -109,6 +109,12 @@
     this->awaitEnd();
 }
 
+void ServingHarness::setEventsBeforeCrash(int events)
+{
+    for (SealedUpstream& upstream : this->upstreams)
+        upstream.setEventsBeforeCrash(events);
+}
+
 void ServingHarness::beginStopping()
 {
     std::promise<void> begun;
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -67,6 +67,9 @@
     /** Returns the second upstream. */
     SealedUpstream& second() { return this->upstreams[1]; }
 
+    /** Calls SealedUpstream::setEventsBeforeCrash() of all upstreams. */
+    void setEventsBeforeCrash(int events);
+
     /** Returns the gateway process under test. Precondition: it has not ended. */
     GatewayProcess& getProcess() { return *this->process; }
 
