Keep a silent upstream until the next one has accepted the request

Cause: the connection to a silent upstream was closed once a retry and a place for the next attempt were there. The place is a guess from load figures; where the next upstream refused, nothing was left and the answer was broken off, or, before its beginning, exchanged for a refusal.

Now the next attempt is opened beside the silent one. The silent one is given up when the answer of the other one has begun; if it sends anything before, the other one is ended, and if that one fails, the silent one is waited for. The same for first events, for plain requests that may be repeated and for relays. An attempt has two steps for this, open() and finish().

Evidence: testSilentStreamIsNotCutOffIfTheNextUpstreamFails (broken off) and testLateAnswerIsNotLostIfTheNextUpstreamFails (502) failed before.

--- a/modules/gateway/quarantine/PromptQuarantine.cpp
+++ b/modules/gateway/quarantine/PromptQuarantine.cpp
@@ -254,10 +254,11 @@
 std::vector<const PromptQuarantine::Suspect*> PromptQuarantine::chooseForExchange(Milliseconds now) const
 {
     std::vector<const Suspect*> chosen;
-    for (auto suspect = this->suspects.rbegin(); suspect != this->suspects.rend(); ++suspect) {
-        if (now - suspect->crashedAt <= exchangeTime && !this->isExplained(*suspect))
-            chosen.push_back(&*suspect);
+    for (const Suspect& suspect : this->suspects) {
+        if (now - suspect.crashedAt <= exchangeTime && !this->isExplained(suspect))
+            chosen.push_back(&suspect);
     }
+    std::reverse(chosen.begin(), chosen.end());
     if (chosen.size() <= maximumExchangedSuspects)
         return chosen;
     // A part is the more suspicious the more upstreams crashed under it.
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -121,6 +121,12 @@
     return std::pair(in, out);
 }
 
+bool mayHaveRun(const AttemptOutcome& outcome)
+{
+    return outcome.end == AttemptEnd::Complete || outcome.end == AttemptEnd::Unanswered
+        || outcome.end == AttemptEnd::Broken;
+}
+
 TimePoint toTimePoint(Milliseconds fromNow)
 {
     return std::chrono::steady_clock::now() + std::chrono::milliseconds(fromNow.count());
@@ -239,14 +245,18 @@
         co_await this->refuse(Refusal { RefusalCause::Stopping, stoppingRetryDelay });
         co_return NextAction::Done;
     }
-    const std::optional<PlacementDecision> reserved = std::exchange(this->reservedPlacement, std::nullopt);
-    const PlacementDecision decision = reserved
-        ? *reserved
-        : this->context.core.place(this->now(), this->makePlacementQuery(), this->admitted->priority);
+    const PlacementDecision decision
+        = this->context.core.place(this->now(), this->makePlacementQuery(), this->admitted->priority);
+    std::unique_ptr<RunningAttempt> running;
     if (const auto* upstream = std::get_if<UseUpstream>(&decision))
-        co_return co_await this->tryUpstream(*upstream);
-    if (const auto* relay = std::get_if<UseRelay>(&decision))
-        co_return co_await this->tryRelay(*relay);
+        running = this->begin(*upstream);
+    else if (const auto* relay = std::get_if<UseRelay>(&decision))
+        running = this->begin(*relay);
+    if (running) {
+        running->attempt.setSilenceHandler([this, &attempt = running->attempt] { return this->tryElsewhere(attempt); });
+        std::optional<AttemptOutcome> outcome = co_await this->open(*running);
+        co_return co_await this->complete(std::move(running), std::move(outcome));
+    }
     const auto [cause, retryAfter] = std::get<PlacementFailure>(decision);
     const bool mayEndInTime = cause == PlacementFailureCause::AllFull
         || (cause == PlacementFailureCause::AllRejecting && this->now() + retryAfter < this->getCapacityDeadline());
@@ -297,30 +307,125 @@
     return query;
 }
 
-asio::awaitable<RequestServer::NextAction> RequestServer::tryUpstream(const UseUpstream& choice)
+std::unique_ptr<RequestServer::RunningAttempt> RequestServer::begin(std::variant<UseUpstream, UseRelay> destination)
 {
+    Placement& placement = this->context.core.getPlacement();
+    ++this->attempts;
+    auto running = std::make_unique<RunningAttempt>(std::move(destination), this->context, this->activeRequest);
+    running->number = this->attempts;
+    const Milliseconds sentAt = this->now();
+    if (const auto* relay = std::get_if<UseRelay>(&running->destination)) {
+        this->triedRegions.insert(relay->region);
+        placement.noteRelayStarted(relay->region, this->promptTokens);
+        running->onFirstEvent
+            = [this, &placement, to = relay->region] { placement.noteRelayPrefillDone(to, this->promptTokens); };
+        return running;
+    }
+    const auto& choice = std::get<UseUpstream>(running->destination);
     const UpstreamId id = choice.upstream.id;
-    const PlacementInputs inputs = this->context.core.getPlacement().getInputs();
     UpstreamTable& table = this->context.core.getUpstreams();
     this->tried.insert(id);
-    this->lastUpstream = id.string();
-    this->wasLastAttemptRelayed = false;
     table.noteStarted(id, this->promptTokens);
     if (choice.isTrial)
-        table.noteTrial(this->now(), id);
-    this->context.core.getPlacement().noteUse(this->now(), id);
-    ++this->attempts;
-    const Milliseconds sentAt = this->now();
-    this->onFirstEvent = [this, id, sentAt] {
+        table.noteTrial(sentAt, id);
+    placement.noteUse(sentAt, id);
+    running->onFirstEvent = [this, id, sentAt] {
         this->context.core.getUpstreams().notePrefillDone(id, this->promptTokens);
         this->context.core.getPlacement().noteFirstEvent(
             this->admitted->service, this->promptTokens - this->sharedTokens, this->now() - sentAt);
     };
-    this->onStatement
-        = [this, &choice](const UpstreamStatement& statement) { this->noteStatement(choice.upstream, statement); };
-    AttemptOutcome outcome = co_await this->attempt(choice.upstream.endpoint, this->formatUpstreamRequest(choice));
-    this->onStatement = {};
-    if (std::exchange(this->onFirstEvent, {}))
+    running->attempt.setStatementHandler(
+        [this, &choice](const UpstreamStatement& statement) { this->noteStatement(choice.upstream, statement); });
+    return running;
+}
+
+asio::awaitable<std::optional<AttemptOutcome>> RequestServer::open(RunningAttempt& running)
+{
+    const auto* relay = std::get_if<UseRelay>(&running.destination);
+    this->wasLastAttemptRelayed = relay != nullptr;
+    std::string bytes;
+    Endpoint endpoint;
+    if (relay) {
+        this->lastUpstream = "relay:" + relay->vm.string();
+        endpoint = relay->endpoint;
+        bytes = this->formatRelayRequest(*relay);
+    } else {
+        const auto& choice = std::get<UseUpstream>(running.destination);
+        this->lastUpstream = choice.upstream.id.string();
+        endpoint = choice.upstream.endpoint;
+        bytes = this->formatUpstreamRequest(choice);
+    }
+    co_return co_await running.attempt.open(
+        endpoint, bytes, this->requestId, this->makeTimeouts(), this->splitter.has_value());
+}
+
+asio::awaitable<RequestServer::NextAction> RequestServer::complete(
+    std::unique_ptr<RunningAttempt> running, std::optional<AttemptOutcome> outcome)
+{
+    if (!outcome) {
+        StreamTarget target { &this->answer, this->splitter ? &*this->splitter : nullptr, [this, &running] {
+                                 this->context.metrics.noteFirstByteTime(this->now() - this->arrivedAt);
+                                 if (running->onFirstEvent)
+                                     std::exchange(running->onFirstEvent, {})();
+                             } };
+        outcome = co_await running->attempt.finish(this->splitter ? &target : nullptr);
+    }
+    co_await this->noteEnd(*running, *outcome);
+    std::unique_ptr<RunningAttempt> next = std::move(this->successor);
+    if (!next)
+        co_return co_await this->handleOutcome(*outcome);
+    this->noteFailure(*outcome);
+    running.reset();
+    ++this->possibleRuns;
+    next->attempt.setTimeouts(this->makeTimeouts());
+    next->attempt.setSilenceHandler([this, &attempt = next->attempt] { return this->tryElsewhere(attempt); });
+    co_return co_await this->complete(std::move(next), std::nullopt);
+}
+
+asio::awaitable<bool> RequestServer::tryElsewhere(UpstreamAttempt& silent)
+{
+    const std::optional<std::variant<UseUpstream, UseRelay>> destination
+        = this->reserveNextAttempt(silent.getSilence());
+    if (!destination)
+        co_return false;
+    std::unique_ptr<RunningAttempt> other = this->begin(*destination);
+    bool isAlone = false;
+    silent.setSignHandler([&](bool hasEnded) {
+        isAlone = hasEnded;
+        if (!hasEnded)
+            other->attempt.cancel();
+    });
+    // As long as the silent upstream may go on, the other one may take its time too.
+    other->attempt.setSilenceHandler([&isAlone]() -> asio::awaitable<bool> { co_return isAlone; });
+    const std::string silentUpstream = this->lastUpstream;
+    const bool wasSilentRelayed = this->wasLastAttemptRelayed;
+    const std::optional<AttemptOutcome> outcome = co_await this->open(*other);
+    silent.setSignHandler({});
+    if (!outcome) {
+        this->successor = std::move(other);
+        co_return true;
+    }
+    co_await this->noteEnd(*other, *outcome);
+    this->possibleRuns += mayHaveRun(*outcome) ? 1 : 0;
+    this->lastUpstream = silentUpstream;
+    this->wasLastAttemptRelayed = wasSilentRelayed;
+    co_return false;
+}
+
+asio::awaitable<void> RequestServer::noteEnd(RunningAttempt& running, const AttemptOutcome& outcome)
+{
+    if (std::holds_alternative<UseUpstream>(running.destination))
+        co_await this->noteUpstreamEnd(running, outcome);
+    else
+        this->noteRelayEnd(running, outcome);
+}
+
+asio::awaitable<void> RequestServer::noteUpstreamEnd(RunningAttempt& running, const AttemptOutcome& outcome)
+{
+    const auto& choice = std::get<UseUpstream>(running.destination);
+    const UpstreamId& id = choice.upstream.id;
+    UpstreamTable& table = this->context.core.getUpstreams();
+    if (std::exchange(running.onFirstEvent, {}))
         table.notePrefillDone(id, this->promptTokens);
     table.noteEnded(id);
     this->hasReachedUpstream = this->hasReachedUpstream || outcome.end != AttemptEnd::NotSent;
@@ -329,23 +434,39 @@
         this->context.metrics.noteConnectionLost(toString(outcome.progress));
     if (outcome.end == AttemptEnd::Complete && outcome.head.status == successStatus)
         this->context.core.getQuarantine().noteAnswered(this->now(), this->admitted->service, this->promptParts);
-    if (outcome.end != AttemptEnd::Complete) {
-        this->context.log.write(this->now(), LogWeight::Notable, "attempt_failed",
-            { { "request", this->requestId }, { "upstream", id.string() }, { "end", toString(outcome.end) },
-                { "detail", outcome.detail }, { "attempt", boost::json::value(this->attempts) },
-                { "reused_connection", boost::json::value(outcome.isReused) },
-                { "progress", toString(outcome.progress) }, { "ended_by", toString(outcome.endedBy) },
-                { "silent_ms", boost::json::value(outcome.silentFor.count()) },
-                { "connection_lost", boost::json::value(outcome.isConnectionLost) },
-                { "prompt_parts",
-                    describeSharedParts(findHeader(this->request.headers, this->context.names.promptParts)) },
-                { "candidates", boost::json::value(inputs.candidates) }, { "load", boost::json::value(inputs.load) },
-                { "cost_ms", boost::json::value(inputs.cost) },
-                { "load_age_ms", boost::json::value(inputs.loadAge.count()) },
-                { "cache_source", choice.cacheSource ? choice.cacheSource->string() : std::string() } });
-        co_await this->investigateLostConnection(choice.upstream, outcome);
-    }
-    co_return co_await this->handleOutcome(outcome);
+    if (outcome.end == AttemptEnd::Complete)
+        co_return;
+    this->context.log.write(this->now(), LogWeight::Notable, "attempt_failed",
+        { { "request", this->requestId }, { "upstream", id.string() }, { "end", toString(outcome.end) },
+            { "detail", outcome.detail }, { "attempt", boost::json::value(running.number) },
+            { "reused_connection", boost::json::value(outcome.isReused) }, { "progress", toString(outcome.progress) },
+            { "ended_by", toString(outcome.endedBy) }, { "silent_ms", boost::json::value(outcome.silentFor.count()) },
+            { "connection_lost", boost::json::value(outcome.isConnectionLost) },
+            { "prompt_parts", describeSharedParts(findHeader(this->request.headers, this->context.names.promptParts)) },
+            { "candidates", boost::json::value(running.inputs.candidates) },
+            { "load", boost::json::value(running.inputs.load) }, { "cost_ms", boost::json::value(running.inputs.cost) },
+            { "load_age_ms", boost::json::value(running.inputs.loadAge.count()) },
+            { "cache_source", choice.cacheSource ? choice.cacheSource->string() : std::string() } });
+    co_await this->investigateLostConnection(choice.upstream, outcome);
+}
+
+void RequestServer::noteRelayEnd(const RunningAttempt& running, const AttemptOutcome& outcome)
+{
+    const auto& choice = std::get<UseRelay>(running.destination);
+    if (running.onFirstEvent)
+        running.onFirstEvent();
+    this->context.metrics.noteAttempt(outcome.isOverLimit ? "over_limit" : toString(outcome.end));
+    this->isCrashSuspect = this->isCrashSuspect || outcome.isCrashSuspect;
+    if (outcome.end == AttemptEnd::Complete)
+        return;
+    const bool isFailure = outcome.end == AttemptEnd::NotSent || outcome.end == AttemptEnd::Unanswered;
+    if (isFailure && outcome.endedBy != AttemptEndedBy::OtherAttempt)
+        this->context.core.getPlacement().noteRelayFailed(this->now(), choice.vm);
+    this->context.log.write(this->now(), LogWeight::Notable, "relay_failed",
+        { { "request", this->requestId }, { "vm", choice.vm.string() }, { "region", choice.region.string() },
+            { "end", toString(outcome.end) }, { "detail", outcome.detail }, { "ended_by", toString(outcome.endedBy) },
+            { "silent_ms", boost::json::value(outcome.silentFor.count()) },
+            { "attempt", boost::json::value(running.number) } });
 }
 
 asio::awaitable<void> RequestServer::investigateLostConnection(
@@ -377,49 +498,6 @@
                 describeSharedParts(findHeader(this->request.headers, this->context.names.promptParts)) } });
 }
 
-asio::awaitable<RequestServer::NextAction> RequestServer::tryRelay(const UseRelay& choice)
-{
-    this->triedRegions.insert(choice.region);
-    this->lastUpstream = "relay:" + choice.vm.string();
-    this->wasLastAttemptRelayed = true;
-    ++this->attempts;
-    Placement& placement = this->context.core.getPlacement();
-    placement.noteRelayStarted(choice.region, this->promptTokens);
-    this->onFirstEvent
-        = [this, &placement, to = choice.region] { placement.noteRelayPrefillDone(to, this->promptTokens); };
-    AttemptOutcome outcome = co_await this->attempt(choice.endpoint, this->formatRelayRequest(choice));
-    if (const auto reportPrefillDone = std::exchange(this->onFirstEvent, {}))
-        reportPrefillDone();
-    this->context.metrics.noteAttempt(outcome.isOverLimit ? "over_limit" : toString(outcome.end));
-    this->isCrashSuspect = this->isCrashSuspect || outcome.isCrashSuspect;
-    if (outcome.end != AttemptEnd::Complete) {
-        if (outcome.end == AttemptEnd::NotSent || outcome.end == AttemptEnd::Unanswered)
-            this->context.core.getPlacement().noteRelayFailed(this->now(), choice.vm);
-        this->context.log.write(this->now(), LogWeight::Notable, "relay_failed",
-            { { "request", this->requestId }, { "vm", choice.vm.string() }, { "region", choice.region.string() },
-                { "end", toString(outcome.end) }, { "detail", outcome.detail },
-                { "ended_by", toString(outcome.endedBy) },
-                { "silent_ms", boost::json::value(outcome.silentFor.count()) },
-                { "attempt", boost::json::value(this->attempts) } });
-    }
-    co_return co_await this->handleOutcome(outcome);
-}
-
-asio::awaitable<AttemptOutcome> RequestServer::attempt(const Endpoint& endpoint, const std::string& bytes)
-{
-    UpstreamAttempt attempt(this->context.pool, this->context.answerMemory, this->context.names, this->activeRequest);
-    attempt.setStatementHandler(this->onStatement);
-    attempt.setAbandonHandler([this](Milliseconds silentFor) { return this->reserveNextAttempt(silentFor); });
-    if (!this->splitter)
-        co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimeouts(), nullptr);
-    StreamTarget target { &this->answer, &*this->splitter, [this] {
-                             this->context.metrics.noteFirstByteTime(this->now() - this->arrivedAt);
-                             if (this->onFirstEvent)
-                                 std::exchange(this->onFirstEvent, {})();
-                         } };
-    co_return co_await attempt.run(endpoint, bytes, this->requestId, this->makeTimeouts(), &target);
-}
-
 void RequestServer::noteStatement(const UpstreamRecord& upstream, const UpstreamStatement& statement)
 {
     const KnownUpstream* known = this->context.core.getUpstreams().find(upstream.id);
@@ -445,6 +523,8 @@
     this->context.metrics.noteAttempt(outcome.isOverLimit ? "over_limit" : toString(outcome.end));
     if (outcome.load)
         table.noteLoad(this->now(), upstream, *outcome.load);
+    if (outcome.endedBy == AttemptEndedBy::OtherAttempt)
+        return;
     switch (outcome.end) {
     case AttemptEnd::Complete:
         table.noteHealthObservation(this->now(), upstream,
@@ -494,7 +574,7 @@
         || this->possibleRuns >= this->admitted->route->maximumAttempts;
 }
 
-asio::awaitable<RequestServer::NextAction> RequestServer::handleOutcome(AttemptOutcome& outcome)
+void RequestServer::noteFailure(const AttemptOutcome& outcome)
 {
     if (outcome.end != AttemptEnd::Complete) {
         const bool isDeadline = outcome.endedBy == AttemptEndedBy::Deadline;
@@ -503,13 +583,16 @@
     }
     if (outcome.progress == AnswerProgress::Events)
         this->lastEventsAt = this->now() - outcome.silentFor;
+}
+
+asio::awaitable<RequestServer::NextAction> RequestServer::handleOutcome(AttemptOutcome& outcome)
+{
+    this->noteFailure(outcome);
     if (outcome.end == AttemptEnd::CallerDisconnected) {
         this->logRequestEnd("request_left", LogWeight::Notable, "caller_gone", 0);
         co_return NextAction::Done;
     }
-    const bool mayHaveRun = outcome.end == AttemptEnd::Complete || outcome.end == AttemptEnd::Unanswered
-        || outcome.end == AttemptEnd::Broken;
-    this->possibleRuns += mayHaveRun ? 1 : 0;
+    this->possibleRuns += mayHaveRun(outcome) ? 1 : 0;
     if (outcome.end != AttemptEnd::Complete)
         co_return co_await this->retryOrGiveUp(outcome);
     if (this->splitter && outcome.head.status == 200) {
@@ -547,7 +630,7 @@
         isSent ? "stream" : "caller_gone", outcome.head.status);
 }
 
-bool RequestServer::reserveNextAttempt(Milliseconds silentFor)
+std::optional<std::variant<UseUpstream, UseRelay>> RequestServer::reserveNextAttempt(Milliseconds silentFor)
 {
     const ServingRoute& route = *this->admitted->route;
     const bool hasBegun = this->answer.hasBegun();
@@ -557,28 +640,26 @@
     if (this->isRelayed || this->isCrashSuspect || !route.isRetryable || (hasBegun && !mayContinueStream)
         || !hasAttemptsLeft || this->getRemaining() <= minimumAttemptTime
         || !this->context.core.hasRetry(this->now(), this->admitted->service))
-        return false;
-    // Without another place, abandoning a slow attempt would only turn a late answer into a failure.
+        return std::nullopt;
     PlacementQuery query = this->makePlacementQuery();
-    // A suspect upstream or another region may refuse, which would break off an answer that has begun. Shortly before
-    // its caller leaves, there is nothing to lose.
+    // For an answer that has begun, a sound upstream of the own region is better. Shortly before its caller leaves, any
+    // is.
     const bool isCallerAboutToLeave
         = silentFor >= route.getStreamPatience() - route.getStreamPatience() / lastChanceDivisor;
     query.mayTrySuspects = query.mayRelay = !hasBegun || isCallerAboutToLeave;
     const PlacementDecision decision = this->context.core.place(this->now(), query, this->admitted->priority);
     if (std::holds_alternative<PlacementFailure>(decision)
         || !this->context.core.tryRetry(this->now(), this->admitted->service))
-        return false;
-    this->reservedPlacement = decision;
-    return true;
+        return std::nullopt;
+    if (const auto* upstream = std::get_if<UseUpstream>(&decision))
+        return *upstream;
+    return std::get<UseRelay>(decision);
 }
 
 std::string_view RequestServer::takeRetry(const AttemptOutcome& outcome)
 {
     const ServingRoute& route = *this->admitted->route;
     const bool mayContinueStream = route.isResumable && this->splitter && !this->splitter->hasEventWithoutId();
-    if (this->reservedPlacement)
-        return {};
     if (this->isRelayed)
         return "relayed";
     // Another attempt would probably crash another upstream, and end all that runs there.
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -8,6 +8,7 @@
 #include "serving/request/OpenRequests.h"
 #include "serving/request/ServingMetrics.h"
 #include "serving/upstream/UpstreamAttempt.h"
+#include <variant>
 
 namespace papayashelf {
 
@@ -51,17 +52,47 @@
 
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<NextAction> tryOnce();
-    boost::asio::awaitable<NextAction> tryUpstream(const UseUpstream& choice);
-    boost::asio::awaitable<NextAction> tryRelay(const UseRelay& choice);
-    boost::asio::awaitable<AttemptOutcome> attempt(const Endpoint& endpoint, const std::string& bytes);
+    /** An attempt at an upstream or another VM. */
+    struct RunningAttempt {
+        RunningAttempt(std::variant<UseUpstream, UseRelay> to, ServingContext& context, ActiveRequest& activeRequest)
+            : destination(std::move(to))
+            , attempt(context.pool, context.answerMemory, context.names, activeRequest)
+            , inputs(context.core.getPlacement().getInputs())
+        {
+        }
+
+        std::variant<UseUpstream, UseRelay> destination;
+        UpstreamAttempt attempt;
+        PlacementInputs inputs; /**< What the upstream was chosen by. */
+        std::function<void()> onFirstEvent; /**< Reports the end of prefill; empty once called. */
+        int number = 0;
+    };
+
+    /** Records the beginning of an attempt. */
+    std::unique_ptr<RunningAttempt> begin(std::variant<UseUpstream, UseRelay> destination);
+    /** Sends the request. Returns how the attempt ended, or nothing if its answer has begun. */
+    boost::asio::awaitable<std::optional<AttemptOutcome>> open(RunningAttempt& running);
+    /** Reads the rest of the answer, unless the attempt has ended, and acts on the outcome. */
+    boost::asio::awaitable<NextAction> complete(
+        std::unique_ptr<RunningAttempt> running, std::optional<AttemptOutcome> outcome);
+    /** Records the end of an attempt. */
+    boost::asio::awaitable<void> noteEnd(RunningAttempt& running, const AttemptOutcome& outcome);
+    boost::asio::awaitable<void> noteUpstreamEnd(RunningAttempt& running, const AttemptOutcome& outcome);
+    void noteRelayEnd(const RunningAttempt& running, const AttemptOutcome& outcome);
+    /**
+        Makes another attempt while the upstream of the current one is silent. Returns true, and sets this->successor,
+       once the answer to the other attempt has begun; false to go on with the current one.
+    */
+    boost::asio::awaitable<bool> tryElsewhere(UpstreamAttempt& silent);
     /** May move the answer out of the outcome. */
     boost::asio::awaitable<NextAction> handleOutcome(AttemptOutcome& outcome);
     boost::asio::awaitable<NextAction> retryOrGiveUp(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> forwardAnswer(const AttemptOutcome& outcome);
     boost::asio::awaitable<void> finishStream(const AttemptOutcome& outcome);
-    /** Reserves a retry and an upstream or region, so that the attempt at an upstream that is silent may be abandoned.
-     */
-    bool reserveNextAttempt(Milliseconds silentFor);
+    /** Takes a retry for another attempt beside one at a silent upstream. Returns its destination, or nothing. */
+    std::optional<std::variant<UseUpstream, UseRelay>> reserveNextAttempt(Milliseconds silentFor);
+    /** Remembers what an attempt without a complete answer ended by. */
+    void noteFailure(const AttemptOutcome& outcome);
     /** @param obstacle  stable name of the reason why no other attempt follows, for the log */
     boost::asio::awaitable<void> giveUp(const AttemptOutcome& outcome, std::string_view obstacle);
     /** Takes a retry for another attempt. Returns the stable name of what forbids it, or an empty text. */
@@ -108,10 +139,7 @@
     std::optional<std::int64_t> totalTokens; /**< Prompt tokens and maximum answer tokens, if stated. */
     PromptParts promptParts; /**< Shared parts of the prompt. */
     std::uint64_t cacheKey = 0;
-    /** Processes what the upstream of the current attempt states of itself; empty for a relay. */
-    std::function<void(const UpstreamStatement&)> onStatement;
-    std::function<void()> onFirstEvent; /**< Reports the end of prefill of the current attempt; empty once called. */
-    std::optional<PlacementDecision> reservedPlacement; /**< For the next attempt, whose retry is already taken. */
+    std::unique_ptr<RunningAttempt> successor; /**< Whose answer has begun while the current attempt was silent. */
     std::set<UpstreamId> tried;
     std::set<RegionId> triedRegions;
     int attempts = 0; /**< Attempts at upstreams or other VMs. */
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -32,8 +32,10 @@
 /** Milliseconds without a TCP acknowledgement until the connection is closed. */
 constexpr unsigned int unacknowledgedLimit = 2'000;
 
-/** Interval at which an attempt at a silent upstream checks again whether it may be abandoned. */
-constexpr std::chrono::milliseconds abandonCheckInterval { 200 };
+/** Interval at which the silence handler of an attempt at a silent upstream is called again. */
+constexpr std::chrono::milliseconds silenceCheckInterval { 200 };
+constexpr int successStatus = 200;
+constexpr int firstServerErrorStatus = 500;
 constexpr double longestTimeSeconds = 86'400; /**< Keeps any stated time within the range of Milliseconds. */
 
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -145,6 +147,8 @@
         return "caller";
     case AttemptEndedBy::Stop:
         return "stop";
+    case AttemptEndedBy::OtherAttempt:
+        return "other_attempt";
     }
     return "unknown";
 }
@@ -152,23 +156,23 @@
 void ActiveRequest::noteCallerGone()
 {
     this->callerGone = true;
-    this->closeActiveConnection();
+    this->closeConnections();
 }
 
 void ActiveRequest::noteStopped()
 {
     if (std::exchange(this->stopped, true))
         return;
-    this->closeActiveConnection();
+    this->closeConnections();
     if (this->onStopped)
         this->onStopped();
 }
 
-void ActiveRequest::closeActiveConnection()
+void ActiveRequest::closeConnections()
 {
     boost::system::error_code ignored;
-    if (this->activeConnection)
-        this->activeConnection->socket.close(ignored);
+    for (UpstreamConnection* connection : this->connections)
+        connection->socket.close(ignored);
 }
 
 UpstreamAttempt::UpstreamAttempt(
@@ -186,8 +190,12 @@
         return AttemptEndedBy::Caller;
     if (this->request.isStopped())
         return AttemptEndedBy::Stop;
+    if (this->isCancelled)
+        return AttemptEndedBy::OtherAttempt;
     if (!this->exceededBound.empty())
         return AttemptEndedBy::Bound;
+    if (this->isAbandoned && !this->isConnectionLost)
+        return AttemptEndedBy::Silence;
     if (!this->connection || !this->connection->deadline.hasPassed())
         return AttemptEndedBy::Upstream;
     return std::chrono::steady_clock::now() < this->timeouts.end ? AttemptEndedBy::Silence : AttemptEndedBy::Deadline;
@@ -207,37 +215,73 @@
     return result;
 }
 
-asio::awaitable<AttemptOutcome> UpstreamAttempt::run(const Endpoint& endpoint, std::string_view requestBytes,
-    std::string_view requestId, AttemptTimeouts newTimeouts, StreamTarget* stream)
+asio::awaitable<std::optional<AttemptOutcome>> UpstreamAttempt::open(const Endpoint& endpoint,
+    std::string_view requestBytes, std::string_view requestId, AttemptTimeouts newTimeouts, bool isStream)
 {
     this->timeouts = newTimeouts;
     this->lastBytesAt = std::chrono::steady_clock::now();
     this->connection = this->pool.takeIdle(endpoint);
     if (!this->connection) {
         this->connection = this->pool.makeConnection(endpoint);
-        this->request.setActiveConnection(this->connection.get());
-        if (!co_await this->connect(endpoint, newTimeouts.connect)) {
-            this->request.setActiveConnection(nullptr);
+        this->request.addConnection(this->connection.get());
+        if (!co_await this->connect(endpoint, newTimeouts.connect))
             co_return this->fail(AttemptEnd::NotSent, "no connection");
-        }
     }
-    this->request.setActiveConnection(this->connection.get());
+    this->request.addConnection(this->connection.get());
     this->connection->deadline.setExtension([this] { return this->extendWait(); });
     this->connection->deadline.set(this->timeouts.firstByte);
     const auto [failure, written]
         = co_await asio::async_write(this->connection->socket, asio::buffer(requestBytes), useResult);
     this->lastBytesAt = std::chrono::steady_clock::now();
-    AttemptOutcome result;
     if (failure && written == 0 && !this->connection->isReused)
-        result = this->fail(AttemptEnd::NotSent, "connection broke before the request");
-    else
-        result = co_await this->readAnswer(requestId, stream);
-    this->request.setActiveConnection(nullptr);
-    if (this->connection)
-        result.isReused = this->connection->isReused;
+        co_return this->fail(AttemptEnd::NotSent, "connection broke before the request");
+    std::optional<AttemptOutcome> result = co_await this->readAnswer(requestId, isStream);
+    if (!result && this->isCancelled)
+        result = this->fail(AttemptEnd::Unanswered, "cancelled");
     co_return result;
 }
 
+asio::awaitable<AttemptOutcome> UpstreamAttempt::finish(StreamTarget* stream)
+{
+    if (stream && this->parser->get().result_int() == successStatus)
+        co_return co_await this->forwardStream(*this->parser, *stream);
+    const bool isWhole = co_await this->readBody(*this->parser, maximumBodyBytes);
+    co_return isWhole ? this->evaluateAnswer(*this->parser) : this->fail(AttemptEnd::Unanswered, "answer broke off");
+}
+
+void UpstreamAttempt::cancel()
+{
+    this->isCancelled = true;
+    boost::system::error_code ignored;
+    if (this->connection)
+        this->connection->socket.close(ignored);
+}
+
+bool UpstreamAttempt::isEnded() const
+{
+    return !this->connection->socket.is_open() || this->request.isCallerGone() || this->request.isStopped();
+}
+
+void UpstreamAttempt::setSignHandler(std::function<void(bool hasEnded)> handler)
+{
+    this->onSign.reset();
+    if (!handler || this->isEnded())
+        return;
+    this->onSign = std::make_shared<std::function<void(bool)>>(std::move(handler));
+    this->connection->socket.async_wait(asio::ip::tcp::socket::wait_read,
+        [this, weak = std::weak_ptr(this->onSign)](const boost::system::error_code& failure) {
+            const auto sign = weak.lock();
+            if (!sign)
+                return;
+            boost::system::error_code ended = failure;
+            std::array<char, 1> byte {};
+            if (!ended)
+                this->connection->socket.receive(asio::buffer(byte), asio::ip::tcp::socket::message_peek, ended);
+            this->isConnectionLost = ended.failed() && !this->isEnded();
+            (*sign)(ended.failed());
+        });
+}
+
 asio::awaitable<bool> UpstreamAttempt::connect(const Endpoint& endpoint, Milliseconds limit)
 {
     boost::system::error_code ignored;
@@ -257,12 +301,32 @@
     return Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
 }
 
-std::optional<TimePoint> UpstreamAttempt::extendWait() const
+std::optional<TimePoint> UpstreamAttempt::extendWait()
 {
     const TimePoint now = std::chrono::steady_clock::now();
-    if (now >= this->timeouts.end || !this->mayAbandon || this->mayAbandon(this->getSilence()))
+    if (now >= this->timeouts.end || !this->onSilence)
         return std::nullopt;
-    return std::min(this->timeouts.end, now + abandonCheckInterval);
+    if (!this->isReading)
+        return std::min(this->timeouts.end, now + silenceCheckInterval);
+    this->isSilentTooLong = true;
+    boost::system::error_code ignored;
+    this->connection->socket.cancel(ignored);
+    return this->timeouts.end;
+}
+
+asio::awaitable<bool> UpstreamAttempt::outlastSilence()
+{
+    const bool isReplaced = co_await this->onSilence();
+    boost::system::error_code ignored;
+    if (this->onSign) {
+        this->onSign.reset();
+        this->connection->socket.cancel(ignored);
+    }
+    if (this->isEnded() || !isReplaced)
+        co_return !this->isEnded();
+    this->isAbandoned = true;
+    this->connection->socket.close(ignored);
+    co_return false;
 }
 
 bool UpstreamAttempt::exceed(std::string_view bound)
@@ -275,17 +339,29 @@
 {
     if (this->connection->buffer.size() > answerbounds::maximumUnparsedBytes)
         co_return this->exceed("maximum_unparsed_bytes");
-    this->connection->deadline.set(std::min(until, this->timeouts.end));
     const auto space = this->connection->buffer.prepare(receiveBytes);
-    const auto [failure, count] = co_await this->connection->socket.async_read_some(space, useResult);
-    this->hasEnded = failure == asio::error::eof;
-    this->isConnectionLost = failure && !this->connection->deadline.hasPassed() && !this->request.isCallerGone()
-        && !this->request.isStopped();
-    if (failure)
+    while (true) {
+        this->connection->deadline.set(std::min(until, this->timeouts.end));
+        this->isReading = true;
+        const auto [failure, count] = co_await this->connection->socket.async_read_some(space, useResult);
+        this->isReading = false;
+        const bool wasSilentTooLong = std::exchange(this->isSilentTooLong, false);
+        if (!failure) {
+            this->connection->buffer.commit(count);
+            this->lastBytesAt = std::chrono::steady_clock::now();
+            co_return true;
+        }
+        if (failure == asio::error::operation_aborted && wasSilentTooLong && !this->isEnded()) {
+            if (!co_await this->outlastSilence())
+                co_return false;
+            until = std::chrono::steady_clock::now() + silenceCheckInterval;
+            continue;
+        }
+        this->hasEnded = failure == asio::error::eof;
+        this->isConnectionLost = !this->connection->deadline.hasPassed() && !this->isCancelled
+            && !this->request.isCallerGone() && !this->request.isStopped();
         co_return false;
-    this->connection->buffer.commit(count);
-    this->lastBytesAt = std::chrono::steady_clock::now();
-    co_return true;
+    }
 }
 
 asio::awaitable<bool> UpstreamAttempt::readHead(Parser& parser)
@@ -340,16 +416,16 @@
     co_return true;
 }
 
-asio::awaitable<AttemptOutcome> UpstreamAttempt::readAnswer(std::string_view requestId, StreamTarget* stream)
+asio::awaitable<std::optional<AttemptOutcome>> UpstreamAttempt::readAnswer(std::string_view requestId, bool isStream)
 {
     int interimAnswers = 0;
     for (int strayAnswers = 0; strayAnswers <= maximumStrayAnswers; ++strayAnswers) {
-        auto parser = std::make_unique<Parser>();
-        if (!co_await this->readHead(*parser))
+        this->parser = std::make_unique<Parser>();
+        if (!co_await this->readHead(*this->parser))
             co_return this->fail(AttemptEnd::Unanswered, "no answer");
-        if (const std::string_view fault = findFramingFault(parser->get()); !fault.empty())
+        if (const std::string_view fault = findFramingFault(this->parser->get()); !fault.empty())
             co_return this->fail(AttemptEnd::Unanswered, std::string(fault));
-        const auto status = static_cast<int>(parser->get().result_int());
+        const auto status = static_cast<int>(this->parser->get().result_int());
         if (status >= 100 && status < 200) {
             if (++interimAnswers > answerbounds::maximumInterimAnswers) {
                 this->exceed("maximum_interim_answers");
@@ -358,34 +434,36 @@
             --strayAnswers;
             continue;
         }
-        const auto echoed = parser->get()[this->names.requestId];
+        const auto echoed = this->parser->get()[this->names.requestId];
         const bool isForThisRequest = std::string_view(echoed.data(), echoed.size()) == requestId;
-        const bool isSealed = parser->get().find(this->names.seal) != parser->get().end();
-        const bool isContentEncoded = parser->get().find(http::field::content_encoding) != parser->get().end();
+        const bool isSealed = this->parser->get().find(this->names.seal) != this->parser->get().end();
+        const bool isContentEncoded
+            = this->parser->get().find(http::field::content_encoding) != this->parser->get().end();
         if (isForThisRequest && isSealed)
             this->progress = AnswerProgress::Head;
         // On a kept connection it may be an earlier refusal that the upstream has written once more.
         const bool isFirstAnswer = strayAnswers == 0 && !this->connection->isReused;
         const bool isRefusal
-            = this->hasNotRunGuarantee(*parser) && (isForThisRequest || (echoed.empty() && isFirstAnswer));
+            = this->hasNotRunGuarantee(*this->parser) && (isForThisRequest || (echoed.empty() && isFirstAnswer));
         // Anybody may have sent an answer without a seal, other requests' answers may be old, and an upstream that the
         // request was not meant for says nothing of the one that it was meant for.
         if (this->onStatement && status != misdirectedRequestStatus && ((isForThisRequest && isSealed) || isRefusal))
-            this->onStatement(this->readStatement(*parser));
-        if (isForThisRequest && stream && status == 200 && isSealed && !isContentEncoded)
-            co_return co_await this->forwardStream(*parser, *stream);
+            this->onStatement(this->readStatement(*this->parser));
         const bool isUsable = isForThisRequest && isSealed && !isContentEncoded;
-        if (isForThisRequest && !isUsable && !this->hasNotRunGuarantee(*parser)) {
+        if (isUsable && !this->hasNotRunGuarantee(*this->parser)
+            && (isStream ? status == successStatus : status < firstServerErrorStatus))
+            co_return std::nullopt;
+        if (isForThisRequest && !isUsable && !this->hasNotRunGuarantee(*this->parser)) {
             AttemptOutcome unusable = this->fail(AttemptEnd::Unanswered, "not an upstream's answer");
-            unusable.isCrashSuspect = hasHeader(*parser, relayheaders::crashSuspect);
+            unusable.isCrashSuspect = hasHeader(*this->parser, relayheaders::crashSuspect);
             co_return unusable;
         }
-        if (!co_await this->readBody(*parser, isUsable ? maximumBodyBytes : maximumUnusedBodyBytes))
+        if (!co_await this->readBody(*this->parser, isUsable ? maximumBodyBytes : maximumUnusedBodyBytes))
             co_return this->fail(AttemptEnd::Unanswered, "answer broke off");
         if (isForThisRequest)
-            co_return this->evaluateAnswer(*parser);
+            co_return this->evaluateAnswer(*this->parser);
         if (isRefusal)
-            co_return this->evaluateAnswer(*parser);
+            co_return this->evaluateAnswer(*this->parser);
     }
     co_return this->fail(AttemptEnd::Unanswered, "answers of other requests");
 }
@@ -531,6 +609,7 @@
     if (const auto limit = readIdleLimit(std::string_view(stated.data(), stated.size())))
         this->connection->idleLimit = std::clamp(*limit - idleCloseMargin, Milliseconds(0), maximumIdleTime);
     this->connection->deadline.setExtension({});
+    this->request.removeConnection(this->connection.get());
     this->pool.giveBack(std::move(this->connection));
 }
 
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <set>
 
 namespace papayashelf {
 
@@ -46,6 +47,7 @@
     Bound, /**< This VM, as the answer exceeded a bound on its size. */
     Caller, /**< The caller disconnected. */
     Stop, /**< This VM, as the grace of its planned stop was over. */
+    OtherAttempt, /**< This VM, as an earlier attempt at the same request went on. */
 };
 
 /** Returns the stable name of an AttemptEndedBy, for logs. */
@@ -79,18 +81,18 @@
 
 /**
     State that a request shares with its attempts: whether the caller is still connected, whether the VM stops, and the
-    connection in use.
+    connections in use.
 
-    When the caller disconnects or the time of a stop is over, the attempt in progress is aborted immediately.
+    When the caller disconnects or the time of a stop is over, the attempts in progress are aborted immediately.
 
     Thread safety: none; owned by one I/O thread.
 */
 class ActiveRequest {
 public:
-    /** Records that the caller has disconnected and aborts the attempt in progress. */
+    /** Records that the caller has disconnected and aborts the attempts in progress. */
     void noteCallerGone();
 
-    /** Records that the VM stops too soon to go on, aborts the attempt in progress and calls the stop handler. */
+    /** Records that the VM stops too soon to go on, aborts the attempts in progress and calls the stop handler. */
     void noteStopped();
 
     /** Whether the VM stops too soon to go on. */
@@ -102,16 +104,19 @@
     /** Whether the caller has disconnected. */
     bool isCallerGone() const { return this->callerGone; }
 
-    /** Sets the connection to close if the caller disconnects; null for none. */
-    void setActiveConnection(UpstreamConnection* connection) { this->activeConnection = connection; }
+    /** Adds a connection to close if the caller disconnects. It must be removed before it is destroyed. */
+    void addConnection(UpstreamConnection* connection) { this->connections.insert(connection); }
+
+    /** Removes a connection; does nothing if it was not added. */
+    void removeConnection(UpstreamConnection* connection) { this->connections.erase(connection); }
 
 private:
-    void closeActiveConnection();
+    void closeConnections();
 
     bool callerGone = false;
     bool stopped = false;
     std::function<void()> onStopped;
-    UpstreamConnection* activeConnection = nullptr;
+    std::set<UpstreamConnection*> connections;
 };
 
 /** Destination of the events of a stream. */
@@ -141,24 +146,50 @@
         this->onStatement = std::move(handler);
     }
 
+    /** Called while the upstream is silent; returns true to abandon the attempt. */
+    using SilenceHandler = std::function<boost::asio::awaitable<bool>()>;
+
     /**
-        Sets a function that is asked again and again while the upstream is silent for longer than AttemptTimeouts
-        allow. The attempt is abandoned once it returns true; without it, at once.
+        Sets a function that is called again and again while the answer is awaited and the upstream is silent for longer
+        than AttemptTimeouts allow. It may take its time: nothing that the upstream sends meanwhile is lost. The attempt
+       is abandoned once it returns true; without it, at once.
     */
-    void setAbandonHandler(std::function<bool(Milliseconds silentFor)> handler)
-    {
-        this->mayAbandon = std::move(handler);
-    }
+    void setSilenceHandler(SilenceHandler handler) { this->onSilence = std::move(handler); }
+
+    /** Sets a function that the silence handler needs if the upstream sends something, or ends the connection,
+       meanwhile. Empty for none. */
+    void setSignHandler(std::function<void(bool hasEnded)> handler);
+
+    /** Returns the time since the last bytes of the upstream. */
+    Milliseconds getSilence() const;
+
+    /** Ends the attempt, as an earlier one at the same request goes on. */
+    void cancel();
+
+    ~UpstreamAttempt() { this->request.removeConnection(this->connection.get()); }
+    UpstreamAttempt(const UpstreamAttempt&) = delete;
+    UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
     /**
-        Runs the attempt.
+        Sends the request and reads the answer's head. Returns nothing if the upstream has accepted the request, and
+        finish() can read the rest; otherwise how the attempt ended.
 
         @param requestBytes  the complete request, head and body
         @param requestId     the id that the answer must echo
-        @param stream        destination of the events of a successful stream; null to read the answer completely
+        @param isStream      whether a success is a stream of events
     */
-    boost::asio::awaitable<AttemptOutcome> run(const Endpoint& endpoint, std::string_view requestBytes,
-        std::string_view requestId, AttemptTimeouts timeouts, StreamTarget* stream);
+    boost::asio::awaitable<std::optional<AttemptOutcome>> open(const Endpoint& endpoint, std::string_view requestBytes,
+        std::string_view requestId, AttemptTimeouts timeouts, bool isStream);
+
+    /** Replaces the time limits, for the rest of the answer. */
+    void setTimeouts(AttemptTimeouts newTimeouts) { this->timeouts = newTimeouts; }
+
+    /**
+        Reads the rest of the answer. Precondition: open() returned nothing.
+
+        @param stream  destination of the events of a stream; null for an answer that is read completely
+    */
+    boost::asio::awaitable<AttemptOutcome> finish(StreamTarget* stream);
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -166,18 +197,20 @@
     boost::asio::awaitable<bool> connect(const Endpoint& endpoint, Milliseconds limit);
     boost::asio::awaitable<bool> readHead(Parser& parser);
     boost::asio::awaitable<bool> readBody(Parser& parser, std::size_t maximumBytes);
-    boost::asio::awaitable<AttemptOutcome> readAnswer(std::string_view requestId, StreamTarget* stream);
+    boost::asio::awaitable<std::optional<AttemptOutcome>> readAnswer(std::string_view requestId, bool isStream);
     boost::asio::awaitable<AttemptOutcome> forwardStream(Parser& parser, StreamTarget& stream);
     boost::asio::awaitable<bool> receive(TimePoint until);
+    /** Returns true to go on with an upstream that was silent for too long. */
+    boost::asio::awaitable<bool> outlastSilence();
+    bool isEnded() const;
     AttemptOutcome evaluateAnswer(Parser& parser);
     bool hasNotRunGuarantee(const Parser& parser) const;
     std::optional<ReportedLoad> readLoad(const Parser& parser) const;
     UpstreamStatement readStatement(const Parser& parser) const;
     AttemptOutcome fail(AttemptEnd end, std::string detail) const;
     AttemptEndedBy findWhoEndedIt() const;
-    Milliseconds getSilence() const;
     /** Returns until when to wait for a silent upstream, or nothing to abandon the attempt. */
-    std::optional<TimePoint> extendWait() const;
+    std::optional<TimePoint> extendWait();
     bool exceed(std::string_view bound);
     void release(const Parser& parser);
 
@@ -185,12 +218,18 @@
     const HeaderNames& names;
     ActiveRequest& request;
     std::unique_ptr<UpstreamConnection> connection;
+    std::unique_ptr<Parser> parser; /**< Of the answer whose head was read last. */
     AttemptTimeouts timeouts;
     TimePoint
         lastBytesAt; /**< Time of the request's last byte, the last read from the upstream or the last events sent. */
     AnswerMemory::Reservation reservation;
     std::function<void(const UpstreamStatement&)> onStatement;
-    std::function<bool(Milliseconds silentFor)> mayAbandon;
+    SilenceHandler onSilence;
+    std::shared_ptr<std::function<void(bool hasEnded)>> onSign;
+    bool isReading = false;
+    bool isSilentTooLong = false; /**< Whether the read in progress was ended to call the silence handler. */
+    bool isAbandoned = false;
+    bool isCancelled = false;
     std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the connection ended other than by a time limit of this VM. */
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -44,6 +44,9 @@
     CPPUNIT_TEST(testSilentStreamIsNotCutOffWithoutAnotherUpstream);
     CPPUNIT_TEST(testSilentStreamIsNotCutOffWithoutRetryBudget);
     CPPUNIT_TEST(testSilentStreamIsResumedByAnotherUpstream);
+    CPPUNIT_TEST(testSilentStreamIsNotCutOffIfTheNextUpstreamFails);
+    CPPUNIT_TEST(testLateAnswerIsNotLostIfTheNextUpstreamFails);
+    CPPUNIT_TEST(testCallerThatLeavesEndsBothAttempts);
     CPPUNIT_TEST(testPauseThatCallersWaitForDoesNotMoveTheStream);
     CPPUNIT_TEST(testBrokenStreamWaitsForAnUpstreamThatSoonAccepts);
     CPPUNIT_TEST(testSlowCallerDoesNotMakeTheUpstreamSilent);
@@ -668,6 +671,56 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->harness->getArrivals().size());
     }
 
+    // The silent connection was closed before the next upstream had accepted the stream, and that one did not.
+    void testSilentStreamIsNotCutOffIfTheNextUpstreamFails()
+    {
+        for (const AnswerKind next : { AnswerKind::Rejected, AnswerKind::NotRun, AnswerKind::Reset,
+                 AnswerKind::NoResponse, AnswerKind::Unsealed, AnswerKind::Failure }) {
+            this->harness = std::make_unique<ServingHarness>();
+            this->queueAnswersOnBoth({ AnswerKind::Paused });
+            auto stream = std::async(std::launch::async, [this] { return this->get("/stream/again/x", "id-1"); });
+            while (this->harness->getArrivals().empty())
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            this->queueAnswersOnBoth({ next });
+            this->assertEachEventOnce(stream.get());
+            CPPUNIT_ASSERT(this->harness->getArrivals().size() > 1);
+        }
+    }
+
+    // The same before the answer had begun: a late answer was turned into a failure.
+    void testLateAnswerIsNotLostIfTheNextUpstreamFails()
+    {
+        for (const AnswerKind next : { AnswerKind::Rejected, AnswerKind::Reset, AnswerKind::NoResponse }) {
+            for (const char* path : { "/stream/again/x", "/again/x" }) {
+                this->harness = std::make_unique<ServingHarness>();
+                this->queueAnswersOnBoth({ AnswerKind::Late });
+                auto answer = std::async(std::launch::async, [this, path] { return this->get(path, "id-1"); });
+                while (this->harness->getArrivals().empty())
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                this->queueAnswersOnBoth({ next, next });
+                const RawAnswer received = answer.get();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 200, received.getStatus());
+                CPPUNIT_ASSERT_MESSAGE(path, received.isComplete());
+                CPPUNIT_ASSERT(this->harness->getArrivals().size() > 1);
+            }
+        }
+    }
+
+    void testCallerThatLeavesEndsBothAttempts()
+    {
+        constexpr std::chrono::milliseconds allowedTime { 500 };
+        this->queueAnswersOnBoth({ AnswerKind::NoResponse });
+        asio::ip::tcp::socket caller = this->harness->connect(this->harness->getProcess().getCallersEndpoint());
+        asio::write(caller, asio::buffer(ServingHarness::makeHead("GET", "/stream/again/x", "id-1") + "\r\n"));
+        while (this->harness->getArrivals().size() < 2)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        const auto leftAt = std::chrono::steady_clock::now();
+        caller.close();
+        CPPUNIT_ASSERT(this->harness->first().waitUntilAbandoned());
+        CPPUNIT_ASSERT(this->harness->second().waitUntilAbandoned());
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - leftAt < allowedTime);
+    }
+
     // Callers wait for eight usual pauses; the upstream is silent for three of them.
     void testPauseThatCallersWaitForDoesNotMoveTheStream()
     {
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -1,5 +1,6 @@
 #include "serving/SealedUpstream.h"
 
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
@@ -220,6 +221,13 @@
     return std::set<unsigned short>(this->ports.begin(), this->ports.end()).size();
 }
 
+asio::awaitable<void> SealedUpstream::waitUntilClosed(StandinHttp::Stream& stream)
+{
+    std::array<char, 1> byte {};
+    co_await stream.async_read_some(asio::buffer(byte), standinResult);
+    this->http.count("abandoned");
+}
+
 asio::awaitable<bool> SealedUpstream::sendEndlessly(
     std::string begin, std::string repeated, StandinHttp::Stream& stream)
 {
@@ -273,8 +281,10 @@
     if (getHeader(request, "Prompt-Prefix").find(std::string(deadlyPart) + ':') != std::string::npos)
         co_return co_await this->crash(request, stream);
     const AnswerKind kind = this->takeNextAnswer();
-    if (kind == AnswerKind::NoResponse)
-        co_return true;
+    if (kind == AnswerKind::NoResponse) {
+        co_await this->waitUntilClosed(stream);
+        co_return false;
+    }
     if (kind == AnswerKind::Reset)
         co_return false;
     if (kind == AnswerKind::Late || kind == AnswerKind::LateRejected) {
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -94,12 +94,16 @@
     /** Returns the bytes of endless answers that were sent so far. */
     std::size_t countEndlessBytes() const { return this->endlessBytes; }
 
+    /** Waits until a connection with a request that got no answer was closed; false if that takes implausibly long. */
+    bool waitUntilAbandoned() const { return this->http.waitForCount("abandoned", 1); }
+
     /** Returns the number of connections over which requests arrived. */
     std::size_t countConnectionsUsed() const;
 
 private:
     boost::asio::awaitable<bool> handle(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     AnswerKind takeNextAnswer();
+    boost::asio::awaitable<void> waitUntilClosed(StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendWithPause(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     std::string addStatements(std::string answer) const;
     /** Sends the head, some events and a part of the next one, and refuses all connections from then on. */
