Cut off streams that carry nothing

Cause: the bounds are where something is kept, and every read counts as a sign of life, so neither size nor silence ended it.

At most 8 MiB may come between two events that bring something new, in both commands, for relayed and resumed streams too.

Evidence: testStreamThatCarriesNothingIsCutOff failed before in tests/serving and in tests/entrance.

--- a/modules/entrance/upstream/AnswerBounds.h
+++ b/modules/entrance/upstream/AnswerBounds.h
@@ -7,6 +7,8 @@
 
 /** Bytes that were received but not parsed yet, such as a chunk extension without an end. */
 constexpr std::size_t maximumUnparsedBytes = 64 * kibibyte;
+/** Bytes of a stream between two events that bring something new: comments, empty lines, repeated events, framing. */
+constexpr std::size_t maximumBytesBetweenEvents = 8 * mebibyte;
 constexpr int maximumInterimAnswers = 8; /**< Answers with a status below 200 ahead of the final one. */
 
 } // namespace papayashelf::answerbounds
--- a/modules/entrance/upstream/TokenStream.cpp
+++ b/modules/entrance/upstream/TokenStream.cpp
@@ -1,5 +1,6 @@
 #include "entrance/upstream/TokenStream.h"
 
+#include "entrance/upstream/AnswerBounds.h"
 #include <boost/json/monotonic_resource.hpp>
 #include <boost/json/parse.hpp>
 
@@ -15,6 +16,9 @@
 
 TokenStream::State TokenStream::read(std::string_view bytes, std::string& forwarded)
 {
+    this->bytesSinceToken += bytes.size();
+    if (this->bytesSinceToken > answerbounds::maximumBytesBetweenEvents)
+        return State::Broken;
     this->events.append(bytes);
     while (const auto data = this->events.next()) {
         const bool isEnd = *data == endMark;
@@ -54,6 +58,7 @@
     if (token->get_int64() != this->delivered + 1)
         return Verdict::Break;
     ++this->delivered;
+    this->bytesSinceToken = 0;
     this->hasNewToken = true;
     return Verdict::Forward;
 }
--- a/modules/entrance/upstream/TokenStream.h
+++ b/modules/entrance/upstream/TokenStream.h
@@ -18,7 +18,7 @@
     enum class State {
         Running,
         Complete, /**< The end mark came. */
-        Broken, /**< A token is missing, the engine reported an error, or an event cannot be read. */
+        Broken, /**< A token is missing, the engine reported an error, an event cannot be read, or no token comes. */
     };
 
     /** @param delivered  tokens that the caller already has */
@@ -54,6 +54,7 @@
 
     SseReader events { maximumEventBytes };
     std::int64_t delivered = 0;
+    std::size_t bytesSinceToken = 0;
     std::int64_t promptTokens = 0;
     bool isResumed = false;
     bool hasNewToken = false; /**< Whether this attempt has brought a token that the caller lacked. */
--- a/modules/gateway/streams/EventSplitter.cpp
+++ b/modules/gateway/streams/EventSplitter.cpp
@@ -46,6 +46,12 @@
     return std::nullopt;
 }
 
+bool hasData(std::string_view event)
+{
+    constexpr std::string_view field = "data:";
+    return event.starts_with(field) || event.find("\ndata:") != std::string_view::npos;
+}
+
 } // namespace
 
 std::string EventSplitter::push(std::string_view bytes)
@@ -88,6 +94,7 @@
     else
         this->deliveredEventWithoutId = true;
     ++this->deliveredEvents;
+    this->eventsWithContent += id || hasData(event) ? 1 : 0;
     return true;
 }
 
--- a/modules/gateway/streams/EventSplitter.h
+++ b/modules/gateway/streams/EventSplitter.h
@@ -47,6 +47,9 @@
     /** Returns true if an event without an id was delivered, so that no other upstream can continue the stream. */
     bool hasEventWithoutId() const { return this->deliveredEventWithoutId; }
 
+    /** Returns the number of delivered events that have an id or data, and are more than comments. */
+    std::size_t countEventsWithContent() const { return this->eventsWithContent; }
+
     /** Returns the number of delivered events. */
     std::size_t countEvents() const { return this->deliveredEvents; }
 
@@ -58,6 +61,7 @@
     bool overlong = false;
     std::optional<std::uint64_t> lastId;
     std::size_t deliveredEvents = 0;
+    std::size_t eventsWithContent = 0;
     bool deliveredEventWithoutId = false;
 };
 
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -506,14 +506,19 @@
     parser.eager(true);
     parser.body_limit(boost::none);
     bool hasFirstEvent = false;
+    std::size_t bytesSinceContent = 0;
     while (true) {
         boost::system::error_code failure;
         if (!parser.is_done() && this->connection->buffer.size() > 0) {
             const std::size_t consumed = parser.put(this->connection->buffer.cdata(), failure);
             this->connection->buffer.consume(consumed);
+            bytesSinceContent += consumed;
         }
+        const std::size_t contentBefore = stream.splitter->countEventsWithContent();
         const std::string completeEvents = stream.splitter->push(parser.get().body());
         parser.get().body().clear();
+        if (stream.splitter->countEventsWithContent() > contentBefore)
+            bytesSinceContent = 0;
         // The first event may arrive at the moment at which the connection is closed for its silence or for a stop. To
         // begin an answer then would only break it off.
         if (!hasFirstEvent && (this->connection->deadline.hasPassed() || this->request.isStopped()))
@@ -538,6 +543,8 @@
             this->exceed("maximum_event_bytes");
         else if (!this->reservation.resize(stream.splitter->countPendingBytes()))
             this->exceed("answer_memory");
+        else if (bytesSinceContent > answerbounds::maximumBytesBetweenEvents)
+            this->exceed("maximum_bytes_between_events");
         if (!this->exceededBound.empty())
             break;
         const bool isBroken = failure && failure != http::error::need_more;
--- a/tests/entrance/RequestPartsTest.cpp
+++ b/tests/entrance/RequestPartsTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(testEventsAreBounded);
     CPPUNIT_TEST(testResumedStreamDropsWhatCallerHas);
     CPPUNIT_TEST(testErrorEventBreaksStream);
+    CPPUNIT_TEST(testStreamThatCarriesNothingIsCutOff);
     CPPUNIT_TEST(testRetryAfterIsRoundedUp);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +116,27 @@
         }
     }
 
+    // What parses as a part of a stream but brings no token was read at the speed of the link until the deadline.
+    void testStreamThatCarriesNothingIsCutOff()
+    {
+        constexpr std::size_t pieceBytes = 65'536;
+        constexpr std::size_t maximumBytes = 16U << 20U;
+        for (const std::string& nothing : { std::string(": nothing\n\n"), std::string("\n\n"), token(1),
+                 std::string("data: {\"role\":\"assistant\"}\n\n") }) {
+            TokenStream tokens(0);
+            std::string forwarded;
+            std::string piece = token(1);
+            std::size_t bytes = 0;
+            while (tokens.read(piece, forwarded) == TokenStream::State::Running && bytes <= maximumBytes) {
+                bytes += piece.size();
+                piece.clear();
+                while (piece.size() < pieceBytes)
+                    piece += nothing;
+            }
+            CPPUNIT_ASSERT_MESSAGE(nothing, bytes <= maximumBytes);
+        }
+    }
+
     void testRetryAfterIsRoundedUp()
     {
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, retryAfterSeconds(Milliseconds(1)));
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(testConnectionWithTrailingBytesIsNotReused);
     CPPUNIT_TEST(testAnswersWithoutEndAreCutOff);
     CPPUNIT_TEST(testAnswersWithoutEndFailBeforeTheDeadline);
+    CPPUNIT_TEST(testStreamThatCarriesNothingIsCutOff);
     CPPUNIT_TEST(testCompleteStreamIsForwarded);
     CPPUNIT_TEST(testBrokenStreamIsResumedWithoutGapOrDuplicate);
     CPPUNIT_TEST(testBrokenNonResumableStreamStaysIncomplete);
@@ -248,6 +249,24 @@
     }
 
     // A 504 would mean that the process read on until the deadline. The other upstream answers the repeated request.
+    // What parses as a part of a stream but brings nothing new was read at the speed of the link until the deadline.
+    void testStreamThatCarriesNothingIsCutOff()
+    {
+        // The 8 MiB that may come between two events, and what the sockets of one connection hold besides.
+        constexpr std::size_t maximumBytesPerAnswer = 24U << 20U;
+        std::size_t before = 0;
+        for (const AnswerKind kind :
+            { AnswerKind::EndlessComments, AnswerKind::EndlessEmptyLines, AnswerKind::EndlessRepeats }) {
+            this->queueAnswersOnBoth({ kind });
+            CPPUNIT_ASSERT(!this->get("/stream/once/x", this->nextId()).isComplete());
+            const std::size_t sent
+                = this->harness->first().countEndlessBytes() + this->harness->second().countEndlessBytes();
+            CPPUNIT_ASSERT(sent - before <= maximumBytesPerAnswer);
+            before = sent;
+        }
+        CPPUNIT_ASSERT_EQUAL(200, this->get("/once/x", this->nextId()).getStatus());
+    }
+
     void testAnswersWithoutEndFailBeforeTheDeadline()
     {
         for (const AnswerKind kind : { AnswerKind::EndlessInterim, AnswerKind::EndlessChunkExtension }) {
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -147,6 +147,12 @@
     case AnswerKind::EndlessBody:
     case AnswerKind::EndlessEvent:
         return EndlessAnswer { formatResponseHead("200 OK", id, true) + chunked, chunk(line) };
+    case AnswerKind::EndlessComments:
+        return EndlessAnswer { formatResponseHead("200 OK", id, true) + chunked, chunk(": nothing\n\n") };
+    case AnswerKind::EndlessEmptyLines:
+        return EndlessAnswer { formatResponseHead("200 OK", id, true) + chunked, chunk("\n\n\n\n") };
+    case AnswerKind::EndlessRepeats:
+        return EndlessAnswer { formatResponseHead("200 OK", id, true) + chunked, chunk("id: 1\ndata: piece 1\n\n") };
     case AnswerKind::EndlessChunkExtension:
         return EndlessAnswer { formatResponseHead("200 OK", id, true) + chunked + "10;name=", std::string(1'000, 'x') };
     default:
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -37,6 +37,9 @@
     EndlessUnsealedBody, /**< A body without end that no seal announces. */
     EndlessBody, /**< A sealed chunked body without end. */
     EndlessEvent, /**< A sealed stream whose first event has no end. */
+    EndlessComments, /**< A sealed stream of comments without end. */
+    EndlessEmptyLines, /**< A sealed stream of empty lines without end. */
+    EndlessRepeats, /**< A sealed stream that repeats its first event without end. */
     EndlessChunkExtension, /**< A sealed body whose first chunk size has an extension without end. */
     StatedInInterim, /**< Complete, after an interim answer that states leaving, a limit and a time. */
     StatedInTrailer, /**< Complete, with a trailer that states the same. */
