Accept crash evidence of earlier versions, and name the activity handler

During a rolling update a VM of the earlier version sends suspects and quarantined prompts without the elements that the change to streaming suspects added. Such a message was refused whole, with its load figures; now the elements have defaults. testEvidenceOfEarlierVersionsIsAccepted guards it. Found by reading the change.

--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -126,6 +126,7 @@
         = json::object { { "s", suspects }, { "a", answered }, { "q", quarantined }, { "v", answering } };
 }
 
+/** Accepts evidence of earlier versions, which lacks the last element of suspects and of quarantined prompts. */
 CrashEvidence decodeCrashes(const json::object& message)
 {
     CrashEvidence crashes;
@@ -136,7 +137,7 @@
     for (const json::value& value : object.at("s").as_array()) {
         const json::array& fields = value.as_array();
         crashes.suspects.push_back({ json::value_to<std::string>(fields.at(0)), decodePrompt(fields.at(3).as_array()),
-            decodeProgress(fields.at(2)), decodeAge(fields.at(1)), fields.at(4).as_bool() });
+            decodeProgress(fields.at(2)), decodeAge(fields.at(1)), fields.size() > 4 && fields[4].as_bool() });
     }
     for (const json::value& value : object.at("a").as_array()) {
         const json::array& fields = value.as_array();
@@ -145,8 +146,8 @@
     }
     for (const json::value& value : object.at("q").as_array()) {
         const json::array& fields = value.as_array();
-        crashes.quarantined.push_back(
-            { decodePrompt(fields.at(1).as_array()), decodeAge(fields.at(0)), decodeAge(fields.at(2)) });
+        crashes.quarantined.push_back({ decodePrompt(fields.at(1).as_array()), decodeAge(fields.at(0)),
+            decodeAge(fields.size() > 2 ? fields[2] : fields[0]) });
     }
     for (const json::value& value : object.at("v").as_array()) {
         const json::array& fields = value.as_array();
--- a/modules/gateway/quarantine/PromptQuarantine.h
+++ b/modules/gateway/quarantine/PromptQuarantine.h
@@ -44,9 +44,9 @@
 
     A crash has suspects: the requests whose answer had begun, but had no event yet, or else those that still waited,
     and in any case those whose answer was streaming. A part that is among the suspects of several crashes in a row,
-   with no answer completed in between, is the cause. Which of the parts that those requests have in common it is may
-   stay open, so prompts with all of these parts are quarantined. Prompts with only some of them go on being served, and
-   show which parts are harmless.
+    with no answer completed in between, is the cause. Which of the parts that those requests have in common it is may
+    stay open, so prompts with all of these parts are quarantined. Prompts with only some of them go on being served,
+    and show which parts are harmless.
 
     A service that answers no prompt at all may be faulty itself, and then all its prompts may have the part. Until it
     answers another prompt, a quarantine is unconfirmed and lasts only for unconfirmedDuration.
@@ -132,8 +132,7 @@
     bool isCleared(const Suspect& suspect, const PromptPartId& part) const;
     /** Removes a suspect that can no longer be blamed or, if there is none, the oldest one. */
     void dropLeastUseful();
-    /** Returns the unexplained suspects of the last exchangeTime that other VMs need most, at most so many as a message
-     * holds. */
+    /** Returns the recent unexplained suspects that other VMs need most, as many as a message may hold. */
     std::vector<const Suspect*> chooseForExchange(Milliseconds now) const;
     std::optional<Milliseconds> findAnswered(const ServiceId& service, const PromptPartId& part) const;
     void start(Milliseconds beganAt, Milliseconds blamedSince, const PromptSignature& prompt, std::string_view cause);
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -390,7 +390,7 @@
         co_return false;
     std::unique_ptr<RunningAttempt> other = this->begin(*destination);
     bool isAlone = false;
-    silent.setSignHandler([&](bool hasEnded) {
+    silent.setActivityHandler([&](bool hasEnded) {
         isAlone = hasEnded;
         if (!hasEnded)
             other->attempt.cancel();
@@ -400,7 +400,7 @@
     const std::string silentUpstream = this->lastUpstream;
     const bool wasSilentRelayed = this->wasLastAttemptRelayed;
     const std::optional<AttemptOutcome> outcome = co_await this->open(*other);
-    silent.setSignHandler({});
+    silent.setActivityHandler({});
     if (!outcome) {
         this->successor = std::move(other);
         co_return true;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -262,23 +262,23 @@
     return !this->connection->socket.is_open() || this->request.isCallerGone() || this->request.isStopped();
 }
 
-void UpstreamAttempt::setSignHandler(std::function<void(bool hasEnded)> handler)
+void UpstreamAttempt::setActivityHandler(std::function<void(bool hasEnded)> handler)
 {
-    this->onSign.reset();
+    this->onActivity.reset();
     if (!handler || this->isEnded())
         return;
-    this->onSign = std::make_shared<std::function<void(bool)>>(std::move(handler));
+    this->onActivity = std::make_shared<std::function<void(bool)>>(std::move(handler));
     this->connection->socket.async_wait(asio::ip::tcp::socket::wait_read,
-        [this, weak = std::weak_ptr(this->onSign)](const boost::system::error_code& failure) {
-            const auto sign = weak.lock();
-            if (!sign)
+        [this, weak = std::weak_ptr(this->onActivity)](const boost::system::error_code& failure) {
+            const auto onEvent = weak.lock();
+            if (!onEvent)
                 return;
             boost::system::error_code ended = failure;
             std::array<char, 1> byte {};
             if (!ended)
                 this->connection->socket.receive(asio::buffer(byte), asio::ip::tcp::socket::message_peek, ended);
             this->isConnectionLost = ended.failed() && !this->isEnded();
-            (*sign)(ended.failed());
+            (*onEvent)(ended.failed());
         });
 }
 
@@ -318,8 +318,8 @@
 {
     const bool isReplaced = co_await this->onSilence();
     boost::system::error_code ignored;
-    if (this->onSign) {
-        this->onSign.reset();
+    if (this->onActivity) {
+        this->onActivity.reset();
         this->connection->socket.cancel(ignored);
     }
     if (this->isEnded() || !isReplaced)
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -150,15 +150,17 @@
     using SilenceHandler = std::function<boost::asio::awaitable<bool>()>;
 
     /**
-        Sets a function that is called again and again while the answer is awaited and the upstream is silent for longer
-        than AttemptTimeouts allow. It may take its time: nothing that the upstream sends meanwhile is lost. The attempt
-       is abandoned once it returns true; without it, at once.
+        Sets a function that is called again and again while the upstream is silent for longer than AttemptTimeouts
+        allow. It may take its time: nothing that the upstream sends meanwhile is lost. The attempt is abandoned once it
+        returns true; without it, at once.
     */
     void setSilenceHandler(SilenceHandler handler) { this->onSilence = std::move(handler); }
 
-    /** Sets a function that the silence handler needs if the upstream sends something, or ends the connection,
-       meanwhile. Empty for none. */
-    void setSignHandler(std::function<void(bool hasEnded)> handler);
+    /**
+        Sets a function that is called once if the upstream sends something, or ends the connection, while the silence
+        handler runs; empty for none. Only for the silence handler.
+    */
+    void setActivityHandler(std::function<void(bool hasEnded)> handler);
 
     /** Returns the time since the last bytes of the upstream. */
     Milliseconds getSilence() const;
@@ -225,7 +227,7 @@
     AnswerMemory::Reservation reservation;
     std::function<void(const UpstreamStatement&)> onStatement;
     SilenceHandler onSilence;
-    std::shared_ptr<std::function<void(bool hasEnded)>> onSign;
+    std::shared_ptr<std::function<void(bool hasEnded)>> onActivity;
     bool isReading = false;
     bool isSilentTooLong = false; /**< Whether the read in progress was ended to call the silence handler. */
     bool isAbandoned = false;
--- a/tests/gateway/PromptQuarantineTest.cpp
+++ b/tests/gateway/PromptQuarantineTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(testPartIsHarmfulToOneServiceOnly);
     CPPUNIT_TEST(testQuarantinedRequestsUseNothingOfTheLimit);
     CPPUNIT_TEST(testEvidenceRoundTrips);
+    CPPUNIT_TEST(testEvidenceOfEarlierVersionsIsAccepted);
     CPPUNIT_TEST(testPartsAreParsedWithoutTokens);
     CPPUNIT_TEST_SUITE_END();
 
@@ -378,6 +379,21 @@
         CPPUNIT_ASSERT(!decodeDigest(damaged));
     }
 
+    void testEvidenceOfEarlierVersionsIsAccepted()
+    {
+        DigestReport report { VmId("vm-1"), RegionId("north"), false, {}, 5 };
+        report.crashes.suspects = { makeSuspect(1, makeParts({ "a" })) };
+        report.crashes.quarantined = { { { engine, makeParts({ "b" }) }, Milliseconds(10), Milliseconds(10) } };
+        std::string text = encodeDigest(report, "key");
+        for (const std::string& added :
+            { std::string(R"(["engine","a"],false)"), std::string(R"(["engine","b"],10)") }) {
+            const std::size_t at = text.find(added);
+            CPPUNIT_ASSERT(at != std::string::npos);
+            text.replace(at, added.size(), added.substr(0, added.find(']') + 1));
+        }
+        CPPUNIT_ASSERT(report == *decodeDigest(text).value().report);
+    }
+
     void testPartsAreParsedWithoutTokens()
     {
         CPPUNIT_ASSERT(makeParts({ "1f", "2e" }) == parsePromptParts("2e:100, 1f:7,2e:3"));
