Do not take a caller's pause for silence of the upstream

Callers of `serve` that read nothing for longer than the limit between two pieces (5 s at engines, 10 s at plain services) and then went on got a broken answer, and the upstream counted as failed.

Cause: UpstreamSource::read() sets the connection's deadline and leaves it set when it returns a piece. While that piece waits for a caller whose buffers are full, nobody reads from the upstream, yet the time goes on; when it has passed, the connection is closed as silent. `gateway` moves its deadline before it writes to the caller; relays count time only while they read.

Now the deadline goes back to that of the whole attempt as soon as a piece has been read, so only waiting for the upstream counts.

testStreamIsNotCutOffWhileCallerPauses and testPlainAnswerIsNotCutOffWhileCallerPauses (limit 1 s, pause of 2 and 3 s) failed before, "!piece.empty()" and "answer"; all 68 cases of the entrance tests pass now.

--- a/modules/entrance/upstream/UpstreamSource.cpp
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -76,6 +76,8 @@
             co_return read;
     }
     read.isEnd = this->parser->is_done();
+    // A caller that takes its time over this piece is no silence of the upstream.
+    this->connection->deadline.set(this->deadline);
     co_return read;
 }
 
--- a/tests/entrance/EntranceHarness.cpp
+++ b/tests/entrance/EntranceHarness.cpp
@@ -182,13 +182,13 @@
     };
 }
 
-EntranceHarness::Script EntranceHarness::impatient(const Endpoint& upstream, ServiceKind kind)
+EntranceHarness::Script EntranceHarness::impatient(const Endpoint& upstream, ServiceKind kind, Milliseconds limit)
 {
-    return [this, upstream, kind](const RequestReport& report) {
+    return [this, upstream, kind, limit](const RequestReport& report) {
         if (const auto* const arrival = std::get_if<RequestArrival>(&report)) {
             StartAttempt start = attemptOf(arrival->request, upstream, kind);
-            start.firstByteLimit = Milliseconds(300);
-            start.betweenBytesLimit = Milliseconds(300);
+            start.firstByteLimit = limit;
+            start.betweenBytesLimit = limit;
             this->direct(start);
         }
         if (const auto* const ended = std::get_if<AttemptEnded>(&report)) {
--- a/tests/entrance/EntranceHarness.h
+++ b/tests/entrance/EntranceHarness.h
@@ -78,7 +78,7 @@
     Script retryOver(const std::vector<Endpoint>& endpoints);
 
     /** Each request goes to the endpoint once, with limits on its silence that pass soon. */
-    Script impatient(const Endpoint& upstream, ServiceKind kind);
+    Script impatient(const Endpoint& upstream, ServiceKind kind, Milliseconds limit = Milliseconds(300));
 
     /** Fails the test unless a stream began and then broke off visibly, with an error event. */
     static void assertVisiblyIncomplete(const std::string& answer);
--- a/tests/entrance/StreamTest.cpp
+++ b/tests/entrance/StreamTest.cpp
@@ -3,7 +3,9 @@
 #include "standins/engine/StandinService.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
+#include <thread>
 
 namespace papayashelf {
 
@@ -17,6 +19,7 @@
     CPPUNIT_TEST(testStreamWithoutEndMarkIsNotShownAsComplete);
     CPPUNIT_TEST(testRefusalMidwayIsVisible);
     CPPUNIT_TEST(testSlowCallerHoldsBackUpstream);
+    CPPUNIT_TEST(testStreamIsNotCutOffWhileCallerPauses);
     CPPUNIT_TEST(testRefusalStopsAnswerToStuckCaller);
     CPPUNIT_TEST(testCancelReachesEngineWhenCallerGoes);
     CPPUNIT_TEST(testCancelDirectiveReachesEngine);
@@ -170,6 +173,27 @@
         CPPUNIT_ASSERT(engine.getHttp().waitForCount("completed", 3));
     }
 
+    // A pause of the caller was taken for silence of the upstream.
+    void testStreamIsNotCutOffWhileCallerPauses()
+    {
+        constexpr Milliseconds limit { 1'000 };
+        StandinEngine engine;
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(harness.impatient(engine.start(), ServiceKind::ModelEngine, limit));
+        TestCaller caller(entry);
+        caller.send(TestCaller::chatRequest(true, 80'000));
+        std::string answer = caller.readUntil("\"token\":1,");
+        std::this_thread::sleep_for(std::chrono::milliseconds(2 * limit.count()));
+        for (std::string piece;
+             answer.find("[DONE]", answer.size() - std::min(answer.size(), piece.size() + 8)) == std::string::npos;) {
+            piece = caller.readSome();
+            CPPUNIT_ASSERT(!piece.empty());
+            answer += piece;
+        }
+        CPPUNIT_ASSERT(countTo(80'000) == tokensOf(answer));
+        CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Completed);
+    }
+
     void testRefusalStopsAnswerToStuckCaller()
     {
         StandinEngine engine;
--- a/tests/entrance/UpstreamFaultTest.cpp
+++ b/tests/entrance/UpstreamFaultTest.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <future>
+#include <thread>
 
 namespace papayashelf {
 
@@ -22,6 +24,7 @@
     CPPUNIT_TEST(testPlainAnswerCutIsVisible);
     CPPUNIT_TEST(testPlainCallRunsOnWhenCallerGoes);
     CPPUNIT_TEST(testAnswerOfUncertainLengthIsNotForwarded);
+    CPPUNIT_TEST(testPlainAnswerIsNotCutOffWhileCallerPauses);
     CPPUNIT_TEST_SUITE_END();
 
     AttemptResult resultOfPost(const Endpoint& upstream)
@@ -167,6 +170,33 @@
         }
     }
 
+    // A pause of the caller was taken for silence of the upstream.
+    void testPlainAnswerIsNotCutOffWhileCallerPauses()
+    {
+        constexpr Milliseconds limit { 1'000 };
+        const std::string body(std::size_t { 8 } * 1024 * 1024, 'b');
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(harness.impatient(
+            Endpoint { "127.0.0.1", acceptor.local_endpoint().port() }, ServiceKind::PlainService, limit));
+        TestCaller caller(entry);
+        caller.send("GET /a HTTP/1.1\r\nhost: g\r\n\r\n");
+        const std::future<void> sent = std::async(std::launch::async, [&acceptor, &body] {
+            asio::ip::tcp::socket upstream = acceptor.accept();
+            std::string request;
+            boost::system::error_code ignored;
+            asio::read_until(upstream, asio::dynamic_buffer(request), "\r\n\r\n", ignored);
+            const std::string head = "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n";
+            asio::write(upstream, asio::buffer(head + body), ignored);
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(3 * limit.count()));
+        const auto answer = caller.readAnswer();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT(body == answer->body());
+        CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Completed);
+    }
+
     void testPlainCallRunsOnWhenCallerGoes()
     {
         StandinService service;
