--- a/tests/entrance/EntranceHarness.cpp
+++ b/tests/entrance/EntranceHarness.cpp
@@ -147,6 +147,14 @@
     return start;
 }
 
+AttemptEnded EntranceHarness::waitForEnd(RequestId request, std::uint32_t attempt)
+{
+    return std::get<AttemptEnded>(this->waitFor([request, attempt](const RequestReport& report) {
+        const auto* const ended = std::get_if<AttemptEnded>(&report);
+        return ended && ended->request == request && ended->attempt == attempt;
+    }));
+}
+
 RequestReport EntranceHarness::waitFor(const std::function<bool(const RequestReport&)>& condition)
 {
     std::unique_lock lock(this->mutex);
@@ -189,6 +197,7 @@
             StartAttempt start = attemptOf(arrival->request, upstream, kind);
             start.firstByteLimit = limit;
             start.betweenBytesLimit = limit;
+            start.remaining = Milliseconds(20 * limit.count());
             this->direct(start);
         }
         if (const auto* const ended = std::get_if<AttemptEnded>(&report)) {
