serve: keep a silent upstream until the next one has accepted

Callers of `serve` whose upstream paused for longer than the limit of an attempt (between bytes 5 s at engines and 10 s at plain services, first byte 15 and 20 s) got a broken answer or 502 even if nothing else could take the request and the upstream went on a moment later.

Cause: the limits were armed as deadlines of the socket (for relays as an alarm of the call between the VMs). When one passed, the connection was closed, and only then was it asked where the request could go.

Now the entrance reports AttemptSilent and reads on. The entrance ends the silent one when the head of the other has arrived in a usable form, and ends the other one if the silent upstream sends anything first, or if it is silent too. A failed attempt beside a silent one returns the request to the silent one. Without another place the attempt goes on until the request's deadline. Both are handled on one I/O thread, so that only one of them ever sends to the caller. The silence counts against the upstream when it is noted, as an ended attempt did, and the idle connections to it are closed then. A relay's silence is watched by the entrance of the relaying VM; the call between the VMs gets the remaining time as its limit.

--- a/modules/dispatch/dispatcher/AttemptMessages.cpp
+++ b/modules/dispatch/dispatcher/AttemptMessages.cpp
@@ -24,7 +24,7 @@
     const auto limits = in_flight_rules::chooseResponseTimeouts(inFlight.admitted, settings, remaining);
     return { inFlight.id(), inFlight.attempt, inFlight.admitted.workspace, choice.upstream, choice.endpoint,
         choice.kind, inFlight.admitted.priority, inFlight.answerTokens, limits.firstByte, limits.betweenBytes,
-        remaining };
+        remaining, inFlight.kept ? inFlight.kept->attempt : 0 };
 }
 
 StartRelay makeRelay(
@@ -33,7 +33,8 @@
     const Milliseconds remaining = inFlight.admitted.deadline - now;
     const auto limits = in_flight_rules::chooseResponseTimeouts(inFlight.admitted, settings, remaining);
     return { inFlight.id(), inFlight.attempt, inFlight.admitted.workspace, choice.vm, choice.endpoint,
-        inFlight.answerTokens, limits.firstByte, limits.betweenBytes, remaining };
+        inFlight.answerTokens, limits.firstByte, limits.betweenBytes, remaining,
+        inFlight.kept ? inFlight.kept->attempt : 0 };
 }
 
 } // namespace papayashelf::attempt_messages
--- a/modules/dispatch/dispatcher/DispatchEventNames.cpp
+++ b/modules/dispatch/dispatcher/DispatchEventNames.cpp
@@ -15,6 +15,10 @@
         return "retried";
     case DispatchEventKind::Resumed:
         return "resumed";
+    case DispatchEventKind::Silent:
+        return "silent";
+    case DispatchEventKind::Kept:
+        return "kept";
     case DispatchEventKind::Refused:
         return "refused";
     case DispatchEventKind::Finished:
--- a/modules/dispatch/dispatcher/DispatchMessages.h
+++ b/modules/dispatch/dispatcher/DispatchMessages.h
@@ -38,6 +38,8 @@
     Relayed,
     Retried,
     Resumed,
+    Silent, /**< The attempt has been silent for longer than its limit, and goes on. */
+    Kept, /**< The attempt beside a silent one has ended; the silent one goes on. */
     Refused,
     Finished,
     Claimed,
--- a/modules/dispatch/dispatcher/Dispatcher.h
+++ b/modules/dispatch/dispatcher/Dispatcher.h
@@ -18,8 +18,9 @@
     Runs the attempts of each admitted request and ends it with exactly one final directive.
 
     A request waits in a fair queue and is sent. If an attempt fails, it is retried or resumed where this is permitted.
-    It ends with FinishRequest, RefuseRequest or StoredAnswer. A request that is not idempotent runs at most once: it is
-    sent again only if the earlier attempt certainly did not run.
+    An attempt that is silent goes on, and ends only when another one has been accepted or the request's deadline
+   passes. It ends with FinishRequest, RefuseRequest or StoredAnswer. A request that is not idempotent runs at most
+   once: it is sent again only if the earlier attempt certainly did not run.
 
     Thread safety: none; owned by one thread, together with its Router.
 */
@@ -35,6 +36,7 @@
 
     /** Handles a report of the entrance. Reports for ended requests or earlier attempts are discarded. */
     DispatchOutput handle(Milliseconds now, const AttemptBegan& began, Router& router);
+    DispatchOutput handle(Milliseconds now, const AttemptSilent& silent, Router& router);
     DispatchOutput handle(Milliseconds now, const AttemptEnded& ended, Router& router);
     DispatchOutput handle(Milliseconds now, const CallerDisconnected& disconnected, Router& router);
     DispatchOutput handle(Milliseconds now, const AnswerToKeep& answer);
@@ -88,6 +90,13 @@
         DispatchOutput& output);
     void beginAttempt(Milliseconds now, InFlightRequest& inFlight, const std::string& where, DispatchOutput& output);
     void releaseTarget(Milliseconds now, InFlightRequest& inFlight, AttemptSignal signal, Router& router);
+    void noteSilence(Milliseconds now, InFlightRequest& inFlight, Router& router, DispatchOutput& output);
+    void startBesideSilent(Milliseconds now, InFlightRequest& inFlight, const RoutingChoice& choice, Router& router,
+        DispatchOutput& output);
+    void releaseKept(Milliseconds now, InFlightRequest& inFlight, AttemptSignal signal, Router& router);
+    void endKept(
+        Milliseconds now, InFlightRequest& inFlight, const AttemptEnded& ended, Router& router, DispatchOutput& output);
+    void returnToKept(InFlightRequest& inFlight, DispatchOutput& output);
     void endAttempt(
         Milliseconds now, InFlightRequest& inFlight, const AttemptEnded& ended, Router& router, DispatchOutput& output);
     void scheduleRetry(
--- a/modules/dispatch/dispatcher/DispatcherAttempts.cpp
+++ b/modules/dispatch/dispatcher/DispatcherAttempts.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <utility>
 
 namespace papayashelf {
 
@@ -51,7 +52,8 @@
         else
             queue.remove(inFlight.id());
     }
-    ++inFlight.attempt;
+    inFlight.attempt = ++inFlight.lastAttempt;
+    inFlight.isSilenceNoted = false;
     inFlight.stage = InFlightStage::Running;
     inFlight.startedAt = now;
     this->inFlightRequests.setTimer(inFlight, inFlight.admitted.deadline);
@@ -79,7 +81,9 @@
 {
     DispatchOutput output;
     InFlightRequest* const inFlight = this->inFlightRequests.find(began.request);
-    if (inFlight && inFlight->stage == InFlightStage::Running && inFlight->attempt == began.attempt)
+    const bool isRunning = inFlight && inFlight->stage == InFlightStage::Running;
+    const bool isKept = isRunning && inFlight->kept && inFlight->kept->attempt == began.attempt;
+    if (isKept || (isRunning && inFlight->attempt == began.attempt))
         inFlight->hasAnswerBegun = true;
     else
         output.events.push_back({ DispatchEventKind::StaleReport, began.request, began.attempt, {} });
@@ -100,6 +104,12 @@
     InFlightRequest* const inFlight = this->inFlightRequests.find(ended.request);
     const bool isExpected
         = inFlight && (inFlight->stage == InFlightStage::Running || inFlight->stage == InFlightStage::Stopping);
+    if (isExpected && inFlight->kept && inFlight->kept->attempt == ended.attempt) {
+        const ServiceId service = inFlight->admitted.service;
+        this->endKept(now, *inFlight, ended, router, output);
+        this->dispatchQueue(now, service, router, output);
+        return output;
+    }
     if (!isExpected || inFlight->attempt != ended.attempt) {
         output.events.push_back({ DispatchEventKind::StaleReport, ended.request, ended.attempt, {} });
         return output;
@@ -124,6 +134,11 @@
     const bool isCertainlyNotRun
         = ended.result == AttemptResult::NotSent || ended.result == AttemptResult::RejectedBusy;
     inFlight.mayHaveRun = inFlight.mayHaveRun || !isCertainlyNotRun;
+    if (inFlight.kept && ended.result != AttemptResult::Completed) {
+        this->returnToKept(inFlight, output);
+        return;
+    }
+    this->releaseKept(now, inFlight, AttemptSignal::Cancelled, router);
     inFlight.stage = InFlightStage::BackingOff;
     if (ended.result == AttemptResult::Completed) {
         this->finish(now, inFlight, ended.status, output);
@@ -158,6 +173,92 @@
     this->inFlightRequests.setTimer(inFlight, std::min(inFlight.admitted.deadline, at));
 }
 
+//======================================================================================================================
+DispatchOutput Dispatcher::handle(Milliseconds now, const AttemptSilent& silent, Router& router)
+{
+    DispatchOutput output;
+    InFlightRequest* const inFlight = this->inFlightRequests.find(silent.request);
+    if (!inFlight || inFlight->stage != InFlightStage::Running || inFlight->attempt != silent.attempt)
+        return output;
+    this->noteSilence(now, *inFlight, router, output);
+    const bool hasProgressed = silent.answerTokens > inFlight->answerTokens;
+    const int attempts = hasProgressed ? 0 : inFlight->attemptsWithoutProgress + 1;
+    if (!in_flight_rules::mayStartBesideSilent(*inFlight) || attempts >= this->settings.attemptsPerRequest)
+        return output;
+    const RoutingChoice choice = this->chooseTarget(now, *inFlight, Milliseconds(), router);
+    const auto* const upstream = std::get_if<UpstreamChoice>(&choice);
+    const auto* const silentUpstream = std::get_if<UpstreamChoice>(&inFlight->target);
+    const bool isSame = upstream && silentUpstream && upstream->upstream == silentUpstream->upstream;
+    if (isSame || std::holds_alternative<NoChoice>(choice) || (!hasProgressed && !this->budget.tryTake(now)))
+        return output;
+    inFlight->attemptsWithoutProgress = attempts;
+    inFlight->answerTokens = std::max(inFlight->answerTokens, silent.answerTokens);
+    this->startBesideSilent(now, *inFlight, choice, router, output);
+    return output;
+}
+
+void Dispatcher::noteSilence(Milliseconds now, InFlightRequest& inFlight, Router& router, DispatchOutput& output)
+{
+    if (std::exchange(inFlight.isSilenceNoted, true))
+        return;
+    if (const auto* const upstream = std::get_if<UpstreamChoice>(&inFlight.target)) {
+        router.noteSilent(now, *upstream, this->generator);
+        inFlight.triedUpstreams.push_back(upstream->upstream);
+    } else if (const auto* const region = std::get_if<RegionChoice>(&inFlight.target)) {
+        router.noteSilent(now, *region);
+        inFlight.triedRegions.push_back(region->region);
+    }
+    output.events.push_back({ DispatchEventKind::Silent, inFlight.id(), inFlight.attempt, {} });
+}
+
+void Dispatcher::startBesideSilent(
+    Milliseconds now, InFlightRequest& inFlight, const RoutingChoice& choice, Router& router, DispatchOutput& output)
+{
+    inFlight.mayHaveRun = true;
+    inFlight.kept = KeptAttempt { inFlight.attempt, inFlight.startedAt, std::move(inFlight.target) };
+    const auto kind = inFlight.hasAnswerBegun ? DispatchEventKind::Resumed : DispatchEventKind::Retried;
+    output.events.push_back({ kind, inFlight.id(), inFlight.attempt, {} });
+    this->applyChoice(now, inFlight, choice, router, output);
+}
+
+void Dispatcher::releaseKept(Milliseconds now, InFlightRequest& inFlight, AttemptSignal signal, Router& router)
+{
+    if (!inFlight.kept)
+        return;
+    std::swap(inFlight.target, inFlight.kept->target);
+    std::swap(inFlight.startedAt, inFlight.kept->startedAt);
+    this->releaseTarget(now, inFlight, signal, router);
+    inFlight.target = std::move(inFlight.kept->target);
+    inFlight.startedAt = inFlight.kept->startedAt;
+    inFlight.kept.reset();
+}
+
+void Dispatcher::endKept(
+    Milliseconds now, InFlightRequest& inFlight, const AttemptEnded& ended, Router& router, DispatchOutput& output)
+{
+    inFlight.answerTokens = std::max(inFlight.answerTokens, ended.answerTokens);
+    inFlight.promptTokens = std::max(inFlight.promptTokens, ended.promptTokens);
+    // The router heard of the silence when it was noted.
+    const bool isSilent = ended.result == AttemptResult::TimedOut;
+    this->releaseKept(now, inFlight,
+        isSilent ? AttemptSignal::Cancelled : in_flight_rules::classifyResult(ended.result, ended.status), router);
+    if (ended.result != AttemptResult::Completed)
+        return;
+    this->releaseTarget(now, inFlight, AttemptSignal::Cancelled, router);
+    inFlight.stage = InFlightStage::BackingOff;
+    this->finish(now, inFlight, ended.status, output);
+}
+
+void Dispatcher::returnToKept(InFlightRequest& inFlight, DispatchOutput& output)
+{
+    inFlight.attempt = inFlight.kept->attempt;
+    inFlight.startedAt = inFlight.kept->startedAt;
+    inFlight.target = std::move(inFlight.kept->target);
+    inFlight.isSilenceNoted = true;
+    inFlight.kept.reset();
+    output.events.push_back({ DispatchEventKind::Kept, inFlight.id(), inFlight.attempt, {} });
+}
+
 //======================================================================================================================
 DispatchOutput Dispatcher::handle(Milliseconds now, const CallerDisconnected& disconnected, Router& router)
 {
@@ -198,7 +299,10 @@
         this->refuse(now, inFlight, code, output);
         return;
     }
+    if (inFlight.kept)
+        output.directives.push_back(CancelAttempt { inFlight.id(), inFlight.kept->attempt });
     output.directives.push_back(CancelAttempt { inFlight.id(), inFlight.attempt });
+    this->releaseKept(now, inFlight, AttemptSignal::Cancelled, router);
     this->releaseTarget(now, inFlight, AttemptSignal::Cancelled, router);
     inFlight.stage = InFlightStage::Stopping;
     inFlight.mayHaveRun = true;
--- a/modules/dispatch/dispatcher/InFlightRequest.cpp
+++ b/modules/dispatch/dispatcher/InFlightRequest.cpp
@@ -9,6 +9,11 @@
     return inFlight.admitted.isIdempotent || !inFlight.mayHaveRun;
 }
 
+bool mayStartBesideSilent(const InFlightRequest& inFlight)
+{
+    return inFlight.admitted.isIdempotent && !inFlight.kept && (!inFlight.hasAnswerBegun || canResume(inFlight));
+}
+
 bool canResume(const InFlightRequest& inFlight)
 {
     return inFlight.admitted.kind == ServiceKind::ModelEngine && inFlight.admitted.arrival.isStreamed;
--- a/modules/dispatch/dispatcher/InFlightRequest.h
+++ b/modules/dispatch/dispatcher/InFlightRequest.h
@@ -19,6 +19,16 @@
     Stopping, /**< The final directive was issued, but the cancelled attempt has not reported its tokens. */
 };
 
+/** Where an attempt runs. */
+using AttemptTarget = std::variant<std::monostate, UpstreamChoice, RegionChoice>;
+
+/** A silent attempt that goes on until the one after it has been accepted. */
+struct KeptAttempt {
+    std::uint32_t attempt = 0;
+    Milliseconds startedAt;
+    AttemptTarget target;
+};
+
 /** An admitted request and the state of its attempts. */
 struct InFlightRequest {
     AdmittedRequest admitted;
@@ -26,9 +36,12 @@
     Milliseconds startedAt; /**< Start of the current attempt. */
     /** When the timer is due; set through InFlightRequestTable::setTimer(). */
     Milliseconds timerDueAt = Milliseconds::never();
-    std::uint32_t attempt = 0; /**< Number of the last attempt; 0 before the first. */
+    std::uint32_t attempt = 0; /**< Number of the current attempt; 0 before the first. */
+    std::uint32_t lastAttempt = 0; /**< Number of the attempt that was started last. */
+    bool isSilenceNoted = false; /**< The router knows that the current attempt has been silent. */
+    std::optional<KeptAttempt> kept;
     int attemptsWithoutProgress = 0;
-    std::variant<std::monostate, UpstreamChoice, RegionChoice> target;
+    AttemptTarget target;
     std::vector<UpstreamId> triedUpstreams;
     std::vector<RegionId> triedRegions;
     bool hasAnswerBegun = false; /**< Part of an answer was sent to the caller. */
@@ -49,6 +62,9 @@
 /** Whether an attempt may start: it must not run a non-idempotent request a second time. */
 bool mayStart(const InFlightRequest& inFlight);
 
+/** Whether another attempt may run while an earlier one, which is silent, goes on. */
+bool mayStartBesideSilent(const InFlightRequest& inFlight);
+
 /** Whether an answer that has begun can be continued by another upstream. */
 bool canResume(const InFlightRequest& inFlight);
 
--- a/modules/dispatch/messages/RequestMessages.h
+++ b/modules/dispatch/messages/RequestMessages.h
@@ -90,6 +90,15 @@
     bool operator==(const AttemptBegan&) const = default;
 };
 
+/** Reports that an attempt has been silent for longer than its limit. It goes on; repeated while the silence lasts. */
+struct AttemptSilent {
+    RequestId request = 0;
+    std::uint32_t attempt = 0;
+    std::int64_t answerTokens = 0; /**< Tokens delivered to the caller over all attempts. */
+
+    bool operator==(const AttemptSilent&) const = default;
+};
+
 /** Reports the end of an attempt. */
 struct AttemptEnded {
     RequestId request = 0;
@@ -121,8 +130,8 @@
 };
 
 /** A report from the entrance to the decision code. */
-using RequestReport
-    = std::variant<RequestArrival, AttemptBegan, AttemptEnded, AnswerToKeep, CallerDisconnected, LoadReport>;
+using RequestReport = std::variant<RequestArrival, AttemptBegan, AttemptSilent, AttemptEnded, AnswerToKeep,
+    CallerDisconnected, LoadReport>;
 
 /** Directs the entrance to send the request to an upstream of this region. */
 struct StartAttempt {
@@ -137,6 +146,9 @@
     Milliseconds firstByteLimit;
     Milliseconds betweenBytesLimit;
     Milliseconds remaining; /**< Time until the deadline of the whole request. */
+    /** A silent attempt that goes on until this one's answer begins, and ends it if it sends anything first; 0: none.
+     */
+    std::uint32_t keptAttempt = 0;
 
     bool operator==(const StartAttempt&) const = default;
 };
@@ -152,6 +164,7 @@
     Milliseconds firstByteLimit;
     Milliseconds betweenBytesLimit;
     Milliseconds remaining;
+    std::uint32_t keptAttempt = 0; /**< As in StartAttempt. */
 
     bool operator==(const StartRelay&) const = default;
 };
--- a/modules/entrance/exchange/AttemptSource.h
+++ b/modules/entrance/exchange/AttemptSource.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/messages/RequestMessages.h"
 #include "entrance/relay/RelayExchange.h"
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -9,6 +10,9 @@
 
 namespace papayashelf {
 
+/** Interval at which the silence of a source is reported again while it lasts. */
+constexpr std::chrono::milliseconds silenceReportInterval { 200 };
+
 /** What came of opening a source: Completed with a head, or why there is none. */
 struct SourceHead {
     AttemptResult result = AttemptResult::NotSent;
--- a/modules/entrance/exchange/Exchange.cpp
+++ b/modules/entrance/exchange/Exchange.cpp
@@ -5,6 +5,7 @@
 #include "entrance/exchange/ExchangeAttempts.h"
 #include "entrance/relay/RelaySource.h"
 #include <algorithm>
+#include <utility>
 
 namespace papayashelf {
 
@@ -113,14 +114,15 @@
 
 template <AnswerSink Sink> void Exchange<Sink>::obey(const CancelAttempt& directive)
 {
-    if (this->running && this->running->attempt == directive.attempt)
-        this->cancelRunning();
+    for (const std::optional<Running>* const slot : { &this->running, &this->silent }) {
+        if (*slot && (*slot)->attempt == directive.attempt)
+            (*slot)->cancel();
+    }
     if (!this->queued
         || std::visit([](const auto& start) { return start.attempt; }, *this->queued) != directive.attempt)
         return;
     this->queued.reset();
-    this->thread.report(
-        AttemptEnded { this->id, directive.attempt, AttemptResult::Cancelled, 0, this->request.deliveredTokens, 0 });
+    this->decline(directive.attempt, AttemptResult::Cancelled);
 }
 
 template <AnswerSink Sink> void Exchange<Sink>::obey(const RefuseRequest& directive)
@@ -166,10 +168,91 @@
     if (directive.attempt <= this->lastAttempt || this->refusal || this->finished)
         return;
     this->lastAttempt = directive.attempt;
-    this->cancelRunning();
+    if (directive.keptAttempt == 0) {
+        this->cancelRunning();
+    } else if (this->mayKeep(directive.keptAttempt)) {
+        this->silent = std::exchange(this->running, std::nullopt);
+    } else {
+        // The attempt has gone on or ended meanwhile; its next report tells.
+        this->decline(directive.attempt, AttemptResult::Cancelled);
+        return;
+    }
     this->queued = directive;
 }
 
+template <AnswerSink Sink> bool Exchange<Sink>::mayKeep(std::uint32_t attempt) const
+{
+    return this->running && this->running->attempt == attempt && this->running->isSilent && !this->silent;
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::decline(std::uint32_t attempt, AttemptResult result)
+{
+    if (!this->running)
+        this->running = std::exchange(this->silent, std::nullopt);
+    this->thread.report(AttemptEnded { this->id, attempt, result, 0, this->request.deliveredTokens, 0 });
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::noteSilent(std::uint32_t attempt)
+{
+    if (!this->running || this->running->attempt != attempt || this->running->isGivenUp)
+        return;
+    // Of two silent attempts the later one is given up, so that another place can be tried beside the first.
+    if (this->silent && !this->silent->isGivenUp) {
+        this->running->isGivenUp = true;
+        this->running->cancel();
+        return;
+    }
+    this->running->isSilent = true;
+    this->thread.report(AttemptSilent { this->id, attempt, this->request.deliveredTokens });
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::noteActive(std::uint32_t attempt)
+{
+    if (this->running && this->running->attempt == attempt)
+        this->running->isSilent = false;
+    if (!this->silent || this->silent->attempt != attempt || this->silent->isGivenUp)
+        return;
+    if (this->running)
+        this->running->cancel();
+    this->running = std::exchange(this->silent, std::nullopt);
+    this->running->isSilent = false;
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::notePiece(const SourcePiece& piece, const AttemptEnded& attempt)
+{
+    if (piece.result == AttemptResult::Completed)
+        this->noteActive(attempt.attempt);
+}
+
+template <AnswerSink Sink> AttemptResult Exchange<Sink>::acceptHead(const SourceHead& head, std::uint32_t attempt)
+{
+    constexpr int firstServerErrorStatus = 500;
+    this->noteActive(attempt);
+    if (!this->running || this->running->attempt != attempt || this->running->isGivenUp)
+        return AttemptResult::Cancelled;
+    if (!this->silent || this->silent->isGivenUp)
+        return AttemptResult::Completed;
+    const bool isStream = this->request.isChat && this->request.arrival.isStreamed;
+    if (isStream ? !isEventStreamHead(head) : head.status >= firstServerErrorStatus)
+        return AttemptResult::NoAnswer;
+    this->silent->isGivenUp = true;
+    this->silent->cancel();
+    return AttemptResult::Completed;
+}
+
+template <AnswerSink Sink> void Exchange<Sink>::noteEnded(AttemptEnded& ended)
+{
+    const bool isRunning = this->running && this->running->attempt == ended.attempt;
+    const bool isKept = this->silent && this->silent->attempt == ended.attempt;
+    const bool isGivenUp = (isRunning && this->running->isGivenUp) || (isKept && this->silent->isGivenUp);
+    if (isGivenUp && ended.result == AttemptResult::Cancelled)
+        ended.result = AttemptResult::TimedOut;
+    if (isRunning)
+        this->running = std::exchange(this->silent, std::nullopt);
+    else if (isKept)
+        this->silent.reset();
+}
+
 template <AnswerSink Sink> void Exchange<Sink>::noticeCallerGone()
 {
     if (!this->callerGone || this->isCallerGoneReported)
@@ -193,49 +276,57 @@
 template <AnswerSink Sink> void Exchange<Sink>::begin(const StartAttempt& directive)
 {
     const AttemptLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
-    auto source = std::make_shared<UpstreamSource>(
+    const auto source = std::make_shared<UpstreamSource>(
         this->thread.getPool(), this->thread.getSettings(), this->makeUpstreamRequest(directive), limits);
-    this->running = Running { directive.attempt, [source] { source->cancel(); } };
+    this->run(source, directive.attempt, limits);
+}
+
+template <AnswerSink Sink>
+template <typename Source>
+void Exchange<Sink>::run(const std::shared_ptr<Source>& source, std::uint32_t attempt, AttemptLimits limits)
+{
+    source->setSilenceHandler([this, attempt] { this->noteSilent(attempt); });
+    this->running = Running { attempt, [source] { source->cancel(); } };
     AttemptEnded ended;
     ended.request = this->id;
-    ended.attempt = directive.attempt;
-    spawnLogged(this->thread.getExecutor(), this->runAttempt(std::move(source), ended, limits));
+    ended.attempt = attempt;
+    spawnLogged(this->thread.getExecutor(), this->runAttempt(source, ended, limits));
 }
 
 template <AnswerSink Sink> void Exchange<Sink>::begin(const StartRelay& directive)
 {
-    AttemptEnded ended;
-    ended.request = this->id;
-    ended.attempt = directive.attempt;
     const RelayTransport& transport = this->thread.getShared().relayTransport;
     if (!transport) {
-        ended.result = AttemptResult::NotSent;
-        ended.answerTokens = this->request.deliveredTokens;
-        this->thread.report(ended);
+        this->decline(directive.attempt, AttemptResult::NotSent);
         return;
     }
+    const AttemptLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
     const auto exchange = std::make_shared<RelayExchange>(this->thread.getSettings().relayWindowBytes);
-    auto source = std::make_shared<RelaySource>(this->thread.getExecutor(), exchange);
+    const auto source = std::make_shared<RelaySource>(this->thread.getExecutor(), exchange, limits);
     source->listen();
     RelayedRequest relayed { this->request.arrival, this->request.head, this->request.body,
         std::max(directive.resumeFromToken, this->request.deliveredTokens) };
     relayed.arrival.key = KeyDigest();
     relayed.arrival.relayedFor = directive.workspace;
-    transport(directive, std::move(relayed), exchange);
-    this->running = Running { directive.attempt, [source] { source->cancel(); } };
-    const AttemptLimits limits { directive.firstByteLimit, directive.betweenBytesLimit, directive.remaining };
-    spawnLogged(this->thread.getExecutor(), this->runAttempt(std::move(source), ended, limits));
+    // The source watches for silence itself, so that a silent relay can be kept.
+    StartRelay patient = directive;
+    patient.firstByteLimit = directive.remaining;
+    patient.betweenBytesLimit = directive.remaining;
+    transport(patient, std::move(relayed), exchange);
+    this->run(source, directive.attempt, limits);
 }
 
 template <AnswerSink Sink> void Exchange<Sink>::cancelRunning()
 {
     if (this->running)
         this->running->cancel();
+    if (this->silent)
+        this->silent->cancel();
 }
 
 template <AnswerSink Sink> bool Exchange<Sink>::isOver() const
 {
-    return !this->running && !this->queued && !this->isHeartbeatPending
+    return !this->running && !this->silent && !this->queued && !this->isHeartbeatPending
         && (this->refusal || this->finished || this->callerGone);
 }
 
--- a/modules/entrance/exchange/Exchange.h
+++ b/modules/entrance/exchange/Exchange.h
@@ -50,8 +50,9 @@
 /**
     Carries out what the decisions direct for one request, from its arrival to its last byte.
 
-    Attempts follow each other, never overlap: an attempt begins when the one before it has ended, so that no piece of
-    an older answer can reach the caller. Thread safety: none; owned by one I/O thread.
+    An attempt begins when the one before it has ended, so that no piece of an older answer can reach the caller. Beside
+    an attempt that is silent another one may be opened: the one that sends something first, a usable head for the
+    later attempt, ends the other. Thread safety: none; owned by one I/O thread.
 */
 template <AnswerSink Sink> class Exchange : public std::enable_shared_from_this<Exchange<Sink>> {
 public:
@@ -70,10 +71,12 @@
 private:
     using StartDirective = std::variant<StartAttempt, StartRelay>;
 
-    /** The attempt under way. */
+    /** An attempt under way. */
     struct Running {
         std::uint32_t attempt = 0;
         std::function<void()> cancel;
+        bool isSilent = false;
+        bool isGivenUp = false; /**< Cancelled because it was silent. */
     };
 
     boost::asio::awaitable<void> serve();
@@ -90,6 +93,15 @@
     void obey(const StoredAnswer& directive);
     boost::asio::awaitable<void> sendStored();
     template <typename Directive> void queueStart(const Directive& directive);
+    bool mayKeep(std::uint32_t attempt) const;
+    void decline(std::uint32_t attempt, AttemptResult result);
+    template <typename Source>
+    void run(const std::shared_ptr<Source>& source, std::uint32_t attempt, AttemptLimits limits);
+    void noteSilent(std::uint32_t attempt);
+    void noteActive(std::uint32_t attempt);
+    void notePiece(const SourcePiece& piece, const AttemptEnded& attempt);
+    AttemptResult acceptHead(const SourceHead& head, std::uint32_t attempt);
+    void noteEnded(AttemptEnded& ended);
     void noticeCallerGone();
     void startQueued();
     void begin(const StartAttempt& directive);
@@ -126,7 +138,8 @@
     Sink& sink;
     const RequestId id;
     DirectiveInbox inbox;
-    std::optional<Running> running;
+    std::optional<Running> running; /**< The attempt that was begun last. */
+    std::optional<Running> silent; /**< A silent attempt that goes on until the running one is accepted. */
     std::optional<StartDirective> queued;
     std::optional<RefuseRequest> refusal;
     std::optional<StoredAnswer> stored;
--- a/modules/entrance/exchange/ExchangeAttempts.h
+++ b/modules/entrance/exchange/ExchangeAttempts.h
@@ -12,6 +12,13 @@
 
 namespace papayashelf {
 
+/** Whether a head begins a stream of events. */
+inline bool isEventStreamHead(const SourceHead& head)
+{
+    constexpr std::string_view eventStream = "text/event-stream";
+    return head.status == 200 && findHeader(head.headers, "content-type").substr(0, eventStream.size()) == eventStream;
+}
+
 template <AnswerSink Sink>
 template <typename Source>
 boost::asio::awaitable<void> Exchange<Sink>::runAttempt(
@@ -22,12 +29,14 @@
     ended.status = head.status;
     ended.result = head.result;
     if (head.result == AttemptResult::Completed)
+        ended.result = this->acceptHead(head, ended.attempt);
+    if (ended.result == AttemptResult::Completed)
         ended.result = co_await this->carry(*source, head, ended, limits);
     if (ended.result != AttemptResult::Completed)
         source->cancel();
     source->release();
     ended.answerTokens = std::max(ended.answerTokens, this->request.deliveredTokens);
-    this->running.reset();
+    this->noteEnded(ended);
     this->thread.report(ended);
     this->inbox.signal.notify();
 }
@@ -37,9 +46,7 @@
 boost::asio::awaitable<AttemptResult> Exchange<Sink>::carry(
     Source& source, const SourceHead& head, AttemptEnded& ended, AttemptLimits limits)
 {
-    constexpr std::string_view eventStream = "text/event-stream";
-    const bool isEvents = findHeader(head.headers, "content-type").substr(0, eventStream.size()) == eventStream;
-    if (this->request.isChat && this->request.arrival.isStreamed && head.status == 200 && isEvents)
+    if (this->request.isChat && this->request.arrival.isStreamed && isEventStreamHead(head))
         co_return co_await this->carryTokens(source, ended, limits);
     // An answer that has begun can only be gone on with token by token.
     if (this->sink.hasBegun())
@@ -58,6 +65,7 @@
     bool hasBegun = false;
     while (true) {
         const SourcePiece piece = co_await source.read(hasBegun ? limits.betweenBytes : limits.firstByte);
+        this->notePiece(piece, ended);
         std::string forwarded;
         const TokenStream::State state = tokens.read(piece.bytes, forwarded);
         ended.promptTokens = tokens.getPromptTokens();
@@ -88,6 +96,7 @@
     std::string answer;
     while (true) {
         const SourcePiece piece = co_await source.read(answer.empty() ? limits.firstByte : limits.betweenBytes);
+        this->notePiece(piece, ended);
         if (piece.result != AttemptResult::Completed)
             co_return piece.result;
         answer += piece.bytes;
@@ -122,6 +131,7 @@
         this->kept.emplace();
     while (true) {
         const SourcePiece piece = co_await source.read(limits.betweenBytes);
+        this->notePiece(piece, ended);
         if (piece.result != AttemptResult::Completed)
             co_return piece.result;
         this->keep(piece.bytes);
--- a/modules/entrance/relay/RelaySource.cpp
+++ b/modules/entrance/relay/RelaySource.cpp
@@ -1,5 +1,6 @@
 #include "entrance/relay/RelaySource.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -18,9 +19,12 @@
 
 } // namespace
 
-RelaySource::RelaySource(const asio::any_io_executor& executor, std::shared_ptr<RelayExchange> exchange)
+RelaySource::RelaySource(
+    const asio::any_io_executor& executor, std::shared_ptr<RelayExchange> exchange, AttemptLimits limits)
     : executor(executor)
     , exchange(std::move(exchange))
+    , limits(limits)
+    , deadline(std::chrono::steady_clock::now() + std::chrono::milliseconds(limits.remaining.count()))
     , signal(executor)
 {
 }
@@ -38,9 +42,9 @@
 asio::awaitable<SourceHead> RelaySource::open()
 {
     SourceHead result;
-    const auto event = co_await this->next(TimePoint::max());
+    const auto event = co_await this->next(this->limits.firstByte);
     if (!event) {
-        result.result = AttemptResult::Cancelled;
+        result.result = this->cancelled ? AttemptResult::Cancelled : AttemptResult::TimedOut;
     } else if (const auto* const head = std::get_if<RelayAnswerHead>(&*event)) {
         result.result = AttemptResult::Completed;
         result.status = head->status;
@@ -56,7 +60,7 @@
 asio::awaitable<SourcePiece> RelaySource::read(Milliseconds limit)
 {
     SourcePiece result;
-    auto event = co_await this->next(std::chrono::steady_clock::now() + std::chrono::milliseconds(limit.count()));
+    auto event = co_await this->next(limit);
     if (!event) {
         result.result = this->cancelled ? AttemptResult::Cancelled : AttemptResult::TimedOut;
     } else if (auto* const bytes = std::get_if<RelayAnswerBytes>(&*event)) {
@@ -78,14 +82,21 @@
     this->signal.notify();
 }
 
-asio::awaitable<std::optional<RelayAnswerEvent>> RelaySource::next(TimePoint until)
+asio::awaitable<std::optional<RelayAnswerEvent>> RelaySource::next(Milliseconds limit)
 {
+    TimePoint until = std::chrono::steady_clock::now() + std::chrono::milliseconds(limit.count());
     while (!this->cancelled) {
         if (auto event = this->exchange->read())
             co_return event;
-        if (std::chrono::steady_clock::now() >= until)
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (now >= this->deadline || (now >= until && !this->onSilence))
             break;
-        co_await this->signal.wait(until);
+        if (now < until) {
+            co_await this->signal.wait(std::min(until, this->deadline));
+            continue;
+        }
+        until = now + silenceReportInterval;
+        this->onSilence();
     }
     co_return std::nullopt;
 }
--- a/modules/entrance/relay/RelaySource.h
+++ b/modules/entrance/relay/RelaySource.h
@@ -3,6 +3,7 @@
 #include "entrance/exchange/AttemptSource.h"
 #include "entrance/relay/RelayTransport.h"
 #include "entrance/server/Signal.h"
+#include <functional>
 #include <memory>
 
 namespace papayashelf {
@@ -14,7 +15,11 @@
 */
 class RelaySource : public std::enable_shared_from_this<RelaySource> {
 public:
-    RelaySource(const boost::asio::any_io_executor& executor, std::shared_ptr<RelayExchange> exchange);
+    RelaySource(
+        const boost::asio::any_io_executor& executor, std::shared_ptr<RelayExchange> exchange, AttemptLimits limits);
+
+    /** As UpstreamSource::setSilenceHandler(). */
+    void setSilenceHandler(std::function<void()> handler) { this->onSilence = std::move(handler); }
 
     /** Starts to wait for the answer. Call once, before open(). */
     void listen();
@@ -34,12 +39,15 @@
     bool isSelfDelimited() const { return true; }
 
 private:
-    /** Waits for the next event; nothing if cancelled or the limit passed. */
-    boost::asio::awaitable<std::optional<RelayAnswerEvent>> next(TimePoint until);
+    /** Waits for the next event; nothing if cancelled, or the limit passed without a silence handler. */
+    boost::asio::awaitable<std::optional<RelayAnswerEvent>> next(Milliseconds limit);
 
     boost::asio::any_io_executor executor;
     std::shared_ptr<RelayExchange> exchange;
+    AttemptLimits limits;
+    TimePoint deadline;
     Signal signal;
+    std::function<void()> onSilence;
     std::string piece;
     bool cancelled = false;
 };
--- a/modules/entrance/upstream/UpstreamSource.cpp
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
+#include <utility>
 
 namespace papayashelf {
 
@@ -103,6 +104,7 @@
     const auto space = connection.buffer.prepare(receiveBytes);
     const auto [error, count] = co_await connection.socket.async_read_some(space, useResult);
     connection.buffer.commit(count);
+    this->isSilent = false;
     if (!error && !this->cancelled)
         co_return AttemptResult::Completed;
     boost::system::error_code endError = error;
@@ -125,6 +127,8 @@
 void UpstreamSource::release()
 {
     const bool isWhole = this->connection && this->parser && this->parser->is_done() && !this->cancelled;
+    if (this->connection)
+        this->connection->deadline.setExtension({});
     if (isWhole && this->parser->keep_alive())
         this->pool.giveBack(std::move(this->connection));
     this->connection.reset();
@@ -165,6 +169,7 @@
 
 asio::awaitable<AttemptResult> UpstreamSource::send()
 {
+    this->connection->deadline.setExtension([this] { return this->extendWait(); });
     const std::string head = this->formatHead();
     const std::array<asio::const_buffer, 2> pieces { asio::buffer(head), asio::buffer(*this->request.body) };
     this->limitNext(this->limits.firstByte);
@@ -239,6 +244,18 @@
     this->connection->deadline.set(std::min(until, this->deadline));
 }
 
+std::optional<TimePoint> UpstreamSource::extendWait()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!this->onSilence || this->cancelled || now >= this->deadline)
+        return std::nullopt;
+    // Other connections to a silent upstream may be dead too.
+    if (!std::exchange(this->isSilent, true))
+        this->pool.forget(this->request.endpoint);
+    this->onSilence();
+    return std::min(this->deadline, now + silenceReportInterval);
+}
+
 AttemptResult UpstreamSource::resultOf(AttemptResult otherwise) const
 {
     if (this->cancelled)
--- a/modules/entrance/upstream/UpstreamSource.h
+++ b/modules/entrance/upstream/UpstreamSource.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,13 @@
     /** @param pool, settings  must outlive the source */
     UpstreamSource(UpstreamPool& pool, const EntranceSettings& settings, UpstreamRequest request, AttemptLimits limits);
 
+    /**
+        Sets a function that is called when the upstream has been silent for longer than the limit of a wait, and
+        repeatedly while it stays silent. The wait then goes on until the remaining time has passed; without a function
+        it ends with the limit. Call before open().
+    */
+    void setSilenceHandler(std::function<void()> handler) { this->onSilence = std::move(handler); }
+
     /** Connects, sends the request and reads the answer's head. */
     boost::asio::awaitable<SourceHead> open();
 
@@ -61,6 +69,7 @@
     SourceHead describeHead() const;
     std::string formatHead() const;
     void limitNext(Milliseconds limit);
+    std::optional<TimePoint> extendWait();
     AttemptResult resultOf(AttemptResult otherwise) const;
     void closeConnection();
     AttemptResult fail(AttemptResult result);
@@ -76,6 +85,8 @@
     std::unique_ptr<UpstreamConnection> connection;
     std::optional<Parser> parser;
     std::unique_ptr<std::array<char, pieceBytes>> piece;
+    std::function<void()> onSilence;
+    bool isSilent = false;
     bool cancelled = false;
 };
 
--- a/modules/node/node/NodeRequests.cpp
+++ b/modules/node/node/NodeRequests.cpp
@@ -30,7 +30,7 @@
     std::visit(
         [&](const auto& typedReport) {
             using Report = std::decay_t<decltype(typedReport)>;
-            if constexpr (std::is_same_v<Report, AttemptEnded>)
+            if constexpr (std::is_same_v<Report, AttemptEnded> || std::is_same_v<Report, AttemptSilent>)
                 this->applyDispatch(now, this->dispatcher.handle(now, typedReport, this->router), output);
             else if constexpr (std::is_same_v<Report, AnswerToKeep>)
                 this->applyDispatch(now, this->dispatcher.handle(now, typedReport), output);
--- a/modules/routing/choice/Router.cpp
+++ b/modules/routing/choice/Router.cpp
@@ -210,6 +210,16 @@
     this->regions.noteStarted(now, choice.region, choice.service, choice.vm, choice.bytes);
 }
 
+void Router::noteSilent(Milliseconds now, const UpstreamChoice& choice, std::mt19937_64& generator)
+{
+    this->upstreams.noteSilent(now, choice.upstream, generator);
+}
+
+void Router::noteSilent(Milliseconds now, const RegionChoice& choice)
+{
+    this->regions.noteSilent(now, choice.vm);
+}
+
 void Router::noteEnded(Milliseconds now, const UpstreamChoice& choice, AttemptSignal signal, Milliseconds duration,
     std::mt19937_64& generator)
 {
--- a/modules/routing/choice/Router.h
+++ b/modules/routing/choice/Router.h
@@ -77,6 +77,12 @@
     /** Records a relay that was started. */
     void noteStarted(Milliseconds now, const RegionChoice& choice);
 
+    /** Records that a started attempt has been silent for too long. It counts as a failure, and has not ended. */
+    void noteSilent(Milliseconds now, const UpstreamChoice& choice, std::mt19937_64& generator);
+
+    /** Records that a started relay has been silent for too long. */
+    void noteSilent(Milliseconds now, const RegionChoice& choice);
+
     /** Records how an attempt ended. Precondition: noteStarted() was called for the same choice. */
     void noteEnded(Milliseconds now, const UpstreamChoice& choice, AttemptSignal signal, Milliseconds duration,
         std::mt19937_64& generator);
--- a/modules/routing/regions/RegionTracker.cpp
+++ b/modules/routing/regions/RegionTracker.cpp
@@ -170,6 +170,13 @@
     link.decayedAt = now;
 }
 
+void RegionTracker::noteSilent(Milliseconds now, const VmId& vm)
+{
+    const auto relay = this->relays.find(vm);
+    if (relay != this->relays.end())
+        relay->second.avoidedUntil = now + failedVmBackoff;
+}
+
 void RegionTracker::noteEnded(
     Milliseconds now, const RegionId& region, const ServiceId& service, const VmId& vm, bool hasFailed)
 {
--- a/modules/routing/regions/RegionTracker.h
+++ b/modules/routing/regions/RegionTracker.h
@@ -63,6 +63,8 @@
     /** Records a relay that was started, with its expected bytes. */
     void noteStarted(
         Milliseconds now, const RegionId& region, const ServiceId& service, const VmId& vm, std::int64_t bytes);
+    /** Records a relay that goes on in silence; its VM is avoided for a short time. */
+    void noteSilent(Milliseconds now, const VmId& vm);
     /** Records a relay that ended. The VM is avoided for a short time if it failed. */
     void noteEnded(Milliseconds now, const RegionId& region, const ServiceId& service, const VmId& vm, bool hasFailed);
 
--- a/modules/routing/upstreams/UpstreamTracker.cpp
+++ b/modules/routing/upstreams/UpstreamTracker.cpp
@@ -155,6 +155,12 @@
     state->breaker.noteFailed(now, this->settings, this->mayEjectAnother(state->service), generator);
 }
 
+void UpstreamTracker::noteSilent(Milliseconds now, const UpstreamId& upstream, std::mt19937_64& generator)
+{
+    if (UpstreamState* const state = this->find(upstream))
+        state->breaker.noteFailed(now, this->settings, this->mayEjectAnother(state->service), generator);
+}
+
 void UpstreamTracker::noteCancelled(const UpstreamId& upstream)
 {
     if (UpstreamState* const state = this->find(upstream)) {
--- a/modules/routing/upstreams/UpstreamTracker.h
+++ b/modules/routing/upstreams/UpstreamTracker.h
@@ -81,6 +81,8 @@
     void noteBusy(Milliseconds now, const UpstreamId& upstream);
     /** Records a failed attempt, which may eject the upstream. */
     void noteFailed(Milliseconds now, const UpstreamId& upstream, std::mt19937_64& generator);
+    /** Records an attempt that goes on in silence, as a failure that may eject the upstream. */
+    void noteSilent(Milliseconds now, const UpstreamId& upstream, std::mt19937_64& generator);
     /** Records a cancelled attempt, which gives no information about the upstream's health. */
     void noteCancelled(const UpstreamId& upstream);
 
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -10,6 +10,14 @@
     CPPUNIT_TEST_SUITE(DispatcherTest);
     CPPUNIT_TEST(testStreamResumesAfterDeliveredTokens);
     CPPUNIT_TEST(testReportsOfEndedAttemptsAreDiscarded);
+    CPPUNIT_TEST(testSilentAttemptGoesOnWithoutAnotherUpstream);
+    CPPUNIT_TEST(testSilentAttemptGoesOnIfItMayNotRunAgain);
+    CPPUNIT_TEST(testSilentAttemptIsKeptUntilAnotherIsAccepted);
+    CPPUNIT_TEST(testSilentAttemptGoesOnAfterTheOtherOneFailed);
+    CPPUNIT_TEST(testAnswerOfKeptAttemptEndsTheRequest);
+    CPPUNIT_TEST(testDeadlineCancelsBothAttempts);
+    CPPUNIT_TEST(testSilentUpstreamsUseTheRetryBudget);
+    CPPUNIT_TEST(testSilentUpstreamIsAvoided);
     CPPUNIT_TEST(testNonIdempotentRequestIsRetriedOnlyIfCertainlyNotRun);
     CPPUNIT_TEST(testRetryBudgetLimitsRetries);
     CPPUNIT_TEST(testTruncatedUnstreamedAnswerIsRefused);
@@ -80,6 +88,137 @@
         CPPUNIT_ASSERT(later.directives.empty() && later.settlements.empty());
     }
 
+    void testSilentAttemptGoesOnWithoutAnotherUpstream()
+    {
+        Router router = makeRouter(makeGovernance(1));
+        Dispatcher dispatcher = makeDispatcher();
+        const StartAttempt first = this->expectStart(dispatcher.submit(this->now, makeRequest(1), router));
+        for (int report = 0; report < 3; ++report)
+            CPPUNIT_ASSERT(dispatcher.handle(this->now, AttemptSilent { 1, 1, 3 }, router).directives.empty());
+        const DispatchOutput output
+            = dispatcher.handle(this->now, makeAttemptEnded(first, AttemptResult::Completed, 40), router);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, selectDirectives<FinishRequest>(output).size());
+    }
+
+    void testSilentAttemptGoesOnIfItMayNotRunAgain()
+    {
+        Router router = makeRouter(makeGovernance(3));
+        Dispatcher dispatcher = makeDispatcher();
+        this->expectStart(dispatcher.submit(this->now, makeReservation(1), router));
+        CPPUNIT_ASSERT(dispatcher.handle(this->now, AttemptSilent { 1, 1, 0 }, router).directives.empty());
+        AdmittedRequest whole = makeRequest(2);
+        whole.arrival.isStreamed = false;
+        this->expectStart(dispatcher.submit(this->now, whole, router));
+        dispatcher.handle(this->now, AttemptBegan { 2, 1, 200 }, router);
+        CPPUNIT_ASSERT(dispatcher.handle(this->now, AttemptSilent { 2, 1, 0 }, router).directives.empty());
+    }
+
+    void testSilentAttemptIsKeptUntilAnotherIsAccepted()
+    {
+        Router router = makeRouter(makeGovernance(3));
+        Dispatcher dispatcher = makeDispatcher();
+        const StartAttempt first = this->expectStart(dispatcher.submit(this->now, makeRequest(1), router));
+        dispatcher.handle(this->now, AttemptBegan { 1, 1, 200 }, router);
+        const DispatchOutput beside = dispatcher.handle(this->now, AttemptSilent { 1, 1, 17 }, router);
+        const StartAttempt second = this->expectStart(beside);
+        CPPUNIT_ASSERT(selectDirectives<CancelAttempt>(beside).empty());
+        CPPUNIT_ASSERT(second.upstream != first.upstream);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 1 }, second.keptAttempt);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 2 }, second.attempt);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 17 }, second.resumeFromToken);
+        // While two attempts are under way, no third one is started.
+        CPPUNIT_ASSERT(dispatcher.handle(this->now, AttemptSilent { 1, 1, 17 }, router).directives.empty());
+        CPPUNIT_ASSERT(dispatcher.handle(this->now, AttemptSilent { 1, 2, 17 }, router).directives.empty());
+        CPPUNIT_ASSERT(dispatcher.handle(this->now, makeAttemptEnded(first, AttemptResult::TimedOut, 17), router)
+                           .directives.empty());
+        const DispatchOutput output
+            = dispatcher.handle(this->now, makeAttemptEnded(second, AttemptResult::Completed, 40), router);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, selectDirectives<FinishRequest>(output).size());
+        const std::vector<Settlement> settled { { 1, unrestrictedWorkspace, 140 } };
+        CPPUNIT_ASSERT(output.settlements == settled);
+    }
+
+    void testSilentAttemptGoesOnAfterTheOtherOneFailed()
+    {
+        Router router = makeRouter(makeGovernance(3));
+        Dispatcher dispatcher = makeDispatcher();
+        const StartAttempt first = this->expectStart(dispatcher.submit(this->now, makeRequest(1), router));
+        const StartAttempt second = this->expectStart(dispatcher.handle(this->now, AttemptSilent { 1, 1, 0 }, router));
+        CPPUNIT_ASSERT(dispatcher.handle(this->now, makeAttemptEnded(second, AttemptResult::RejectedBusy), router)
+                           .directives.empty());
+        const StartAttempt third = this->expectStart(dispatcher.handle(this->now, AttemptSilent { 1, 1, 0 }, router));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 3 }, third.attempt);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 1 }, third.keptAttempt);
+        CPPUNIT_ASSERT(third.upstream != first.upstream && third.upstream != second.upstream);
+        // When the silent one breaks off too, the other one is the request's only attempt, and then a retry follows.
+        CPPUNIT_ASSERT(
+            dispatcher.handle(this->now, makeAttemptEnded(first, AttemptResult::NoAnswer), router).directives.empty());
+        CPPUNIT_ASSERT(
+            dispatcher.handle(this->now, makeAttemptEnded(third, AttemptResult::NoAnswer), router).directives.empty());
+        const StartAttempt fourth = this->tickUntilStart(dispatcher, router);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 4 }, fourth.attempt);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 0 }, fourth.keptAttempt);
+    }
+
+    void testAnswerOfKeptAttemptEndsTheRequest()
+    {
+        Router router = makeRouter(makeGovernance(3));
+        Dispatcher dispatcher = makeDispatcher();
+        const StartAttempt first = this->expectStart(dispatcher.submit(this->now, makeRequest(1), router));
+        const StartAttempt second = this->expectStart(dispatcher.handle(this->now, AttemptSilent { 1, 1, 0 }, router));
+        dispatcher.handle(this->now, AttemptBegan { 1, 1, 200 }, router);
+        const DispatchOutput output
+            = dispatcher.handle(this->now, makeAttemptEnded(first, AttemptResult::Completed, 40), router);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, selectDirectives<FinishRequest>(output).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, dispatcher.countRequests());
+        CPPUNIT_ASSERT(dispatcher.handle(this->now, makeAttemptEnded(second, AttemptResult::Cancelled), router)
+                           .directives.empty());
+    }
+
+    void testDeadlineCancelsBothAttempts()
+    {
+        Router router = makeRouter(makeGovernance(3));
+        Dispatcher dispatcher = makeDispatcher();
+        this->expectStart(dispatcher.submit(this->now, makeRequest(1), router));
+        this->expectStart(dispatcher.handle(this->now, AttemptSilent { 1, 1, 0 }, router));
+        const DispatchOutput output = dispatcher.tick(makeRequest(1).deadline, router);
+        const std::vector<CancelAttempt> cancelled { { 1, 1 }, { 1, 2 } };
+        CPPUNIT_ASSERT(cancelled == selectDirectives<CancelAttempt>(output));
+        const auto refused = this->expectRefusal(output);
+        CPPUNIT_ASSERT(refused.code == RefusalCode::DeadlinePassed && refused.ran == Ran::Unknown);
+    }
+
+    // Without a budget, attempts beside silent ones would multiply the load when all upstreams are slow.
+    void testSilentUpstreamsUseTheRetryBudget()
+    {
+        DispatchSettings settings;
+        settings.retryBudgetLimit = 5;
+        Router router = makeRouter(makeGovernance(64));
+        Dispatcher dispatcher = makeDispatcher(settings);
+        std::size_t besides = 0;
+        constexpr RequestId requests = 100;
+        for (RequestId id = 1; id <= requests; ++id)
+            this->expectStart(dispatcher.submit(this->now, makeRequest(id), router));
+        for (RequestId id = 1; id <= requests; ++id)
+            besides += selectDirectives<StartAttempt>(dispatcher.handle(this->now, AttemptSilent { id, 1, 0 }, router))
+                           .size();
+        CPPUNIT_ASSERT(besides >= 5);
+        CPPUNIT_ASSERT(besides <= 5 + static_cast<std::size_t>(requests * settings.retriesPerRequest) + 1);
+    }
+
+    void testSilentUpstreamIsAvoided()
+    {
+        Router router = makeRouter(makeGovernance(3));
+        Dispatcher dispatcher = makeDispatcher();
+        const StartAttempt first = this->expectStart(dispatcher.submit(this->now, makeReservation(1), router));
+        dispatcher.handle(this->now, AttemptSilent { 1, 1, 0 }, router);
+        for (RequestId id = 2; id <= 5; ++id) {
+            const StartAttempt other = this->expectStart(dispatcher.submit(this->now, makeReservation(id), router));
+            CPPUNIT_ASSERT(other.upstream != first.upstream);
+            dispatcher.handle(this->now, makeAttemptEnded(other, AttemptResult::Completed), router);
+        }
+    }
+
     // A non-idempotent request could run twice if it were retried after an attempt that may have run.
     void testNonIdempotentRequestIsRetriedOnlyIfCertainlyNotRun()
     {
