Answer the second of two requests that a caller sends at once

Callers that wrote two requests in one go on one connection got the second answer only after they had sent more, or not at all before the connection had been idle for too long (15 s).

Cause: CallerRequestReader::awaitRequest() has "not empty || co_await more" in a co_return. g++ 12 evaluates the right side all the same, and so the reader waited for more although it had the request. Evidence: a trial program with each form; in co_return, ||, && and ?: evaluate the right side each time, optimised or not. In initialisers and loops they do not; at the top level of a function a condition with co_await traps at once.

awaitRequest() now returns early.

--- a/modules/entrance/answer/AnswerWriter.cpp
+++ b/modules/entrance/answer/AnswerWriter.cpp
@@ -95,8 +95,9 @@
     std::vector<asio::const_buffer> pieces { asio::buffer(head) };
     if (this->isChunked)
         pieces.push_back(asio::buffer(lastChunk));
-    const bool isNothingOwed = head.empty() && !this->isChunked;
-    this->ended = isNothingOwed || co_await this->send(pieces);
+    this->ended = head.empty() && !this->isChunked;
+    if (!this->ended)
+        this->ended = co_await this->send(pieces);
     co_return this->ended;
 }
 
@@ -117,7 +118,10 @@
         head.headers.emplace_back("retry-after", std::to_string(retryAfterSeconds(*error.retryAfter)));
     head.length = body.size();
     this->begin(head);
-    if (this->isHead || co_await this->write(body))
+    bool isSent = this->isHead;
+    if (!isSent)
+        isSent = co_await this->write(body);
+    if (isSent)
         co_await this->end();
 }
 
--- a/modules/entrance/caller/CallerConnection.cpp
+++ b/modules/entrance/caller/CallerConnection.cpp
@@ -107,10 +107,12 @@
     const bool isAboutGateway = isProvided(head) && this->thread.getShared().entryProvider;
     if (const auto refused = check && !isAboutGateway ? check(head.digest, head.path) : std::nullopt)
         co_return co_await this->refuseEarly(*refused, this->thread.makeRequestId(), head.hasBody);
-    const std::vector<asio::const_buffer> goOn { asio::buffer(goOnAnswer) };
-    if (head.expectsContinue && head.hasBody
-        && !co_await this->stream.write(goOn, this->thread.getSettings().writeTimeout))
-        co_return false;
+    if (head.expectsContinue && head.hasBody) {
+        const std::vector<asio::const_buffer> goOn { asio::buffer(goOnAnswer) };
+        const bool isSent = co_await this->stream.write(goOn, this->thread.getSettings().writeTimeout);
+        if (!isSent)
+            co_return false;
+    }
     const auto bodyResult = co_await reader.readBody();
     if (bodyResult == RequestReader::Result::Gone)
         co_return false;
--- a/modules/entrance/caller/RequestReader.cpp
+++ b/modules/entrance/caller/RequestReader.cpp
@@ -65,7 +65,10 @@
 
 asio::awaitable<RequestReader::Result> RequestReader::readHead()
 {
-    if (this->input.isEmpty() && !co_await this->input.waitForMore(after(this->settings.idleTimeout)))
+    bool hasBytes = !this->input.isEmpty();
+    if (!hasBytes)
+        hasBytes = co_await this->input.waitForMore(after(this->settings.idleTimeout));
+    if (!hasBytes)
         co_return Result::Gone;
     const Result result = co_await this->parseUntil(false, this->settings.headTimeout, EntranceFault::HeadTimeout);
     co_return result == Result::Read ? this->interpretHead() : result;
--- a/modules/entrance/exchange/Exchange.cpp
+++ b/modules/entrance/exchange/Exchange.cpp
@@ -159,7 +159,10 @@
     if (!this->stored->isBodyHeld)
         head.headers.emplace_back("papayashelf-body-held", "false");
     this->sink.begin(head);
-    if (this->stored->body.empty() || co_await this->send(this->stored->body))
+    bool isSent = this->stored->body.empty();
+    if (!isSent)
+        isSent = co_await this->send(this->stored->body);
+    if (isSent)
         co_await this->endAnswer();
 }
 
--- a/modules/entrance/exchange/ExchangeAttempts.h
+++ b/modules/entrance/exchange/ExchangeAttempts.h
@@ -76,8 +76,11 @@
             head.isEventStream = true;
             this->beginAnswer(head, ended);
         }
-        if (!forwarded.empty() && !co_await this->send(forwarded))
-            co_return AttemptResult::Cancelled;
+        if (!forwarded.empty()) {
+            const bool isSent = co_await this->send(forwarded);
+            if (!isSent)
+                co_return AttemptResult::Cancelled;
+        }
         this->request.deliveredTokens = tokens.getDelivered();
         if (state == TokenStream::State::Complete)
             co_return co_await this->endAnswer() ? AttemptResult::Completed : AttemptResult::Cancelled;
@@ -113,7 +116,9 @@
     whole.headers = head.headers;
     whole.length = answer.size();
     this->beginAnswer(whole, ended);
-    const bool isSent = co_await this->send(answer) && co_await this->endAnswer();
+    bool isSent = co_await this->send(answer);
+    if (isSent)
+        isSent = co_await this->endAnswer();
     co_return isSent ? AttemptResult::Completed : AttemptResult::Cancelled;
 }
 
@@ -136,13 +141,19 @@
             co_return piece.result;
         this->keep(piece.bytes);
         // The rest is still read when the caller is gone: it tells whether the call ran to its end.
-        if (!this->callerGone && !co_await this->send(piece.bytes))
-            this->leave();
+        if (!this->callerGone) {
+            const bool isSent = co_await this->send(piece.bytes);
+            if (!isSent)
+                this->leave();
+        }
         if (piece.isEnd)
             break;
     }
-    if (!this->callerGone && !co_await this->endAnswer())
-        this->leave();
+    if (!this->callerGone) {
+        const bool isEnded = co_await this->endAnswer();
+        if (!isEnded)
+            this->leave();
+    }
     this->reportKept(head, ended);
     co_return AttemptResult::Completed;
 }
--- a/modules/serving/caller/CallerRequestReader.cpp
+++ b/modules/serving/caller/CallerRequestReader.cpp
@@ -30,7 +30,9 @@
 
 asio::awaitable<bool> CallerRequestReader::awaitRequest()
 {
-    co_return !this->input.isEmpty() || co_await this->input.waitForMore(deadlineAfter(this->limits.idleTimeout));
+    if (!this->input.isEmpty())
+        co_return true;
+    co_return co_await this->input.waitForMore(deadlineAfter(this->limits.idleTimeout));
 }
 
 asio::awaitable<ReadResult> CallerRequestReader::read()
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(testMalformedAndSmuggledRequestsAreRefused);
     CPPUNIT_TEST(testRequestInsideTheBodyOfAnotherIsNotRun);
     CPPUNIT_TEST(testConnectionsAreReused);
+    CPPUNIT_TEST(testSecondRequestSentAtOnceIsAnsweredAtOnce);
     CPPUNIT_TEST(testRelayWithWrongKeyIsRefused);
     CPPUNIT_TEST(testRefusedRelayStatesWhetherUpstreamWasReached);
     CPPUNIT_TEST(testRefusalOfRelayedRequestUsesRetryBudget);
@@ -603,6 +604,21 @@
         CPPUNIT_ASSERT(used <= 2); // One connection to each upstream serves all three requests.
     }
 
+    // The second request was not answered before the caller sent more or the connection had been idle for too long.
+    void testSecondRequestSentAtOnceIsAnsweredAtOnce()
+    {
+        constexpr std::chrono::seconds longerThanBothAnswers { 3 }; // Connections may be idle for 15 s.
+        asio::ip::tcp::socket socket = this->harness->connect(this->harness->getProcess().getCallersEndpoint());
+        std::string first = ServingHarness::makeHead("GET", "/once/x", "id-1");
+        first.replace(first.find("Connection: close"), 17, "X-Pad: none-here1");
+        const std::string second = ServingHarness::makeHead("GET", "/once/x", "id-2");
+        const auto sentAt = std::chrono::steady_clock::now();
+        asio::write(socket, asio::buffer(first + "\r\n" + second + "\r\n"));
+        const RawAnswer answers = ServingHarness::readAnswer(socket);
+        CPPUNIT_ASSERT(answers.has("body of id-1") && answers.text.ends_with("body of id-2"));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - sentAt < longerThanBothAnswers);
+    }
+
     void testRelayWithWrongKeyIsRefused()
     {
         GatewayProcess& process = this->harness->getProcess();
--- a/tests/standins/engine/StandinEngine.cpp
+++ b/tests/standins/engine/StandinEngine.cpp
@@ -208,8 +208,11 @@
     chat.generation->prefixes = readPrefixes(request);
     this->batch.add(chat.generation);
     asio::co_spawn(this->http.getExecutor(), this->watch(chat.generation, connection), asio::detached);
-    const bool isWhole = chat.isStreamed ? co_await this->stream(chat, connection)
-                                         : co_await this->answerWhole(request, chat, connection);
+    bool isWhole = false;
+    if (chat.isStreamed)
+        isWhole = co_await this->stream(chat, connection);
+    else
+        isWhole = co_await this->answerWhole(request, chat, connection);
     this->http.count(isWhole ? "completed" : "cancelled");
     chat.generation->isCancelled = true;
     connection.socket().cancel();
