Let figures of lost VMs expire although nothing arrives any more

The last VM of a region refused every request for a service (503, all_full) for as long as it ran, if the last report of another VM, since lost, showed all slots of the upstream taken. Workspaces got a part of their limit only, for good, if the callers of a region in which no VM was left had asked for much.

Cause: LoadExchange removes old figures when a figure of some VM of the region arrives. With no other VM left none arrives; the upstream counts as full, nothing is sent to it, and so nothing can show that it is not. Figures of whole regions had no age at all.

With two VMs left the others' reports removed the figures, which is why testLoadOfAVmThatIsGoneExpires passed.

Figures of VMs and of the own region now expire with each round of reports, which does not depend on anything that arrives; those of another region when no VM of it is known.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -209,6 +209,7 @@
     std::vector<std::pair<const VmAnnouncement*, DigestReport>> reports;
     // A collector without other regions sends no reports, but its replies contain its own load.
     this->loadExchange.setOwnLoad(this->measureLoad(now));
+    this->loadExchange.expire(now, this->vms);
     for (const VmAnnouncement* receiver : this->loadExchange.chooseReceivers(now, this->vms)) {
         DigestReport report = this->loadExchange.makeReport(now, receiver->region);
         report.configuration = this->inForce;
--- a/modules/gateway/digest/LoadExchange.cpp
+++ b/modules/gateway/digest/LoadExchange.cpp
@@ -77,24 +77,35 @@
 void LoadExchange::replaceFigures(const VmId& from, ReceivedFigures figures)
 {
     // The sum is kept up to date here, because it is needed for each upstream at each request.
-    const auto removeFromSum = [this](const LoadFigures& old) {
-        for (const auto& [upstream, load] : old.upstreams)
-            this->reportedSum.upstreams[upstream].add({ -load.running, -load.pendingPrefillTokens });
-    };
     const auto known = this->byVm.find(from);
     if (known != this->byVm.end())
-        removeFromSum(known->second.figures);
+        this->removeFromSum(known->second.figures);
     for (const auto& [upstream, load] : figures.figures.upstreams)
         this->reportedSum.upstreams[upstream].add(load);
-    const Milliseconds now = figures.receivedAt;
     this->byVm[from] = std::move(figures);
+    std::erase_if(this->reportedSum.upstreams, [](const auto& entry) { return entry.second == UpstreamLoad {}; });
+}
+
+void LoadExchange::removeFromSum(const LoadFigures& figures)
+{
+    for (const auto& [upstream, load] : figures.upstreams)
+        this->reportedSum.upstreams[upstream].add({ -load.running, -load.pendingPrefillTokens });
+}
+
+void LoadExchange::expire(Milliseconds now, const VmRegistry& vms)
+{
     std::erase_if(this->byVm, [&](const auto& entry) {
         const bool isExpired = now - entry.second.receivedAt >= figuresLifetime;
         if (isExpired)
-            removeFromSum(entry.second.figures);
+            this->removeFromSum(entry.second.figures);
         return isExpired;
     });
     std::erase_if(this->reportedSum.upstreams, [](const auto& entry) { return entry.second == UpstreamLoad {}; });
+    const std::set<RegionId> regions = vms.getRegions();
+    std::erase_if(this->byRegion, [&](const auto& entry) {
+        const bool isRenewedByItsVms = entry.first != this->region && regions.contains(entry.first);
+        return !isRenewedByItsVms && now - entry.second.receivedAt >= figuresLifetime;
+    });
 }
 
 void LoadExchange::noteReport(Milliseconds now, const DigestReport& report)
--- a/modules/gateway/digest/LoadExchange.h
+++ b/modules/gateway/digest/LoadExchange.h
@@ -47,6 +47,13 @@
     /** Creates the report for a receiver in the given region. */
     DigestReport makeReport(Milliseconds now, const RegionId& receiver) const;
 
+    /**
+        Discards the figures of VMs of the own region that have not been heard of for the lifetime of figures, and of
+        regions in which no VM is known any more. Those of other regions count as long as VMs are known there. Call it
+        periodically, since nothing else may arrive.
+    */
+    void expire(Milliseconds now, const VmRegistry& vms);
+
     /** Stores the figures of another VM's report. */
     void noteReport(Milliseconds now, const DigestReport& report);
 
@@ -87,6 +94,7 @@
     const VmAnnouncement* findCollector(Milliseconds now, const VmRegistry& vms, const RegionId& targetRegion);
     LoadFigures sumRegion(Milliseconds now) const;
     void replaceFigures(const VmId& from, ReceivedFigures figures);
+    void removeFromSum(const LoadFigures& figures);
 
     VmId vm;
     RegionId region;
--- a/tests/gateway/DigestTest.cpp
+++ b/tests/gateway/DigestTest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(testSilentCollectorIsReplaced);
     CPPUNIT_TEST(testEveryVmLearnsTheLoadOfEachUpstream);
     CPPUNIT_TEST(testLoadOfAVmThatIsGoneExpires);
+    CPPUNIT_TEST(testLastVmOfARegionDoesNotRefuseForTheLoadOfOneThatIsGone);
+    CPPUNIT_TEST(testDemandOfARegionThatIsGoneExpires);
     CPPUNIT_TEST(testLargeRegionWithFreeCapacityIsNotFull);
     CPPUNIT_TEST(testMessagesGrowLinearlyWithVms);
     CPPUNIT_TEST(testDemandOfOtherRegionsReducesTheShare);
@@ -217,6 +219,74 @@
             CPPUNIT_ASSERT_EQUAL(0, fleet.at(vm).getLoadOfOtherVms(UpstreamId("engine-1"))->running);
     }
 
+    // The last report of a VM counted for good if no other VM of the region reported after it.
+    void testLastVmOfARegionDoesNotRefuseForTheLoadOfOneThatIsGone()
+    {
+        constexpr int slots = 6;
+        for (const int vmsLeft : { 1, 2 }) {
+            // The VM that is gone is the last in name order, or the collector.
+            for (const bool isCollector : { false, true }) {
+                DigestFleet fleet({ "north", "south" }, vmsLeft + 1);
+                for (const auto& [vm, core] : fleet.cores)
+                    core->getUpstreams().put(Milliseconds(fleet.now), makeUpstream("engine-1", "north", slots));
+                const std::string gone = "north-" + std::to_string(isCollector ? 0 : vmsLeft);
+                for (int request = 0; request < slots; ++request)
+                    fleet.at(gone).getUpstreams().noteStarted(UpstreamId("engine-1"), 9'000);
+                fleet.runUntil(fleet.now + 4 * interval);
+                PlacementQuery query;
+                query.service = ServiceId("engine");
+                const auto canPlace = [&](const std::string& vm) {
+                    return std::holds_alternative<UseUpstream>(fleet.at(vm).place(Milliseconds(fleet.now), query, 0));
+                };
+                const std::string left = "north-" + std::to_string(isCollector ? 1 : 0);
+                CPPUNIT_ASSERT(!canPlace(left));
+                fleet.makeUnreachable(gone);
+                fleet.runUntil(fleet.now + 12 * interval);
+                for (int number = 0; number <= vmsLeft; ++number) {
+                    const std::string vm = "north-" + std::to_string(number);
+                    CPPUNIT_ASSERT_MESSAGE(vm + " of " + std::to_string(vmsLeft), vm == gone || canPlace(vm));
+                }
+            }
+        }
+    }
+
+    // Workspaces got less than their limit for the callers of a region that no VM was left in.
+    void testDemandOfARegionThatIsGoneExpires()
+    {
+        DigestFleet fleet({ "a", "b" }, 1);
+        ServingDocument document = makeDocument(1);
+        document.workspaces.front().unitsPerSecond = 1000;
+        document.workspaces.front().burstUnits = 1000;
+        for (const auto& [vm, core] : fleet.cores) {
+            core->applyConfiguration(document);
+            core->noteConfigurationConfirmation(Milliseconds(12'000));
+        }
+        const auto admit = [&fleet](const std::string& vm, int count) {
+            int granted = 0;
+            for (int request = 0; request < count; ++request) {
+                const auto decision
+                    = fleet.at(vm).admit(Milliseconds(fleet.now), { "h.example", "/a/x", "first-key", {} });
+                granted += std::holds_alternative<Admitted>(decision) ? 1 : 0;
+            }
+            return granted;
+        };
+        while (fleet.now < 14'000) {
+            admit("b-0", 5'000);
+            fleet.runUntil(fleet.now + interval);
+        }
+        fleet.makeUnreachable("b-0");
+        fleet.at("a-0").removeVm(VmId("b-0"), Milliseconds(fleet.now));
+        fleet.runUntil(fleet.now + 12 * interval);
+        fleet.at("a-0").noteConfigurationConfirmation(Milliseconds(fleet.now));
+        int granted = 0;
+        const std::int64_t until = fleet.now + 2'000;
+        while (fleet.now < until) {
+            granted += admit("a-0", 1'000);
+            fleet.runUntil(fleet.now + interval);
+        }
+        CPPUNIT_ASSERT(granted >= 1'500);
+    }
+
     void testLargeRegionWithFreeCapacityIsNotFull()
     {
         // Load pattern: long streams at 32 VMs. Each VM has two at each engine of 64 slots by chance on a few engines,
