--- a/modules/dispatch/dispatcher/Dispatcher.h
+++ b/modules/dispatch/dispatcher/Dispatcher.h
@@ -18,9 +18,9 @@
     Runs the attempts of each admitted request and ends it with exactly one final directive.
 
     A request waits in a fair queue and is sent. If an attempt fails, it is retried or resumed where this is permitted.
-    An attempt that is silent goes on, and ends only when another one has been accepted or the request's deadline
-   passes. It ends with FinishRequest, RefuseRequest or StoredAnswer. A request that is not idempotent runs at most
-   once: it is sent again only if the earlier attempt certainly did not run.
+    A silent attempt goes on until another one has been accepted or the request's deadline has passed. A request ends
+    with FinishRequest, RefuseRequest or StoredAnswer. One that is not idempotent runs at most once: it is sent again
+    only if the earlier attempt certainly did not run.
 
     Thread safety: none; owned by one thread, together with its Router.
 */
--- a/modules/dispatch/messages/RequestMessages.h
+++ b/modules/dispatch/messages/RequestMessages.h
@@ -146,8 +146,7 @@
     Milliseconds firstByteLimit;
     Milliseconds betweenBytesLimit;
     Milliseconds remaining; /**< Time until the deadline of the whole request. */
-    /** A silent attempt that goes on until this one's answer begins, and ends it if it sends anything first; 0: none.
-     */
+    /** A silent attempt that goes on until the answer of this one begins; 0 if there is none. */
     std::uint32_t keptAttempt = 0;
 
     bool operator==(const StartAttempt&) const = default;
