Entrance tests: wait for reported silence, and one check for answers that nobody reads

testSilentStreamIsNotCutOffWithoutAnotherUpstream slept for four limits; it now waits for three reports of silence. The check that an unread answer is held back stood in two tests.

--- a/tests/entrance/EntranceHarness.cpp
+++ b/tests/entrance/EntranceHarness.cpp
@@ -80,6 +80,17 @@
     this->socket.close();
 }
 
+void TestCaller::assertUnreadAnswerIsHeldBack(const Endpoint& entry, StandinHttp& engine, int tokens)
+{
+    TestCaller quick(entry);
+    for (const int length : { tokens, 3 }) {
+        quick.send(chatRequest(false, length));
+        CPPUNIT_ASSERT(quick.readAnswer());
+    }
+    CPPUNIT_ASSERT(engine.waitForCount("completed", 2));
+    CPPUNIT_ASSERT_EQUAL(2, engine.getCount("completed"));
+}
+
 std::string TestCaller::chatRequest(bool isStreamed, int tokens, const std::string& extraHeaders)
 {
     std::string body
--- a/tests/entrance/EntranceHarness.h
+++ b/tests/entrance/EntranceHarness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entrance/entrance.h"
+#include "standins/engine/StandinHttp.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -40,6 +41,12 @@
 
     void close();
 
+    /**
+        Fails the test if the engine has been able to send a stream of so many tokens that nobody reads. The engine
+       works on all answers at once: when another answer of that length has arrived, the unread one is made too.
+    */
+    static void assertUnreadAnswerIsHeldBack(const Endpoint& entry, StandinHttp& engine, int tokens);
+
     /** A chat request with a test key. */
     static std::string chatRequest(bool isStreamed, int tokens, const std::string& extraHeaders = {});
 
--- a/tests/entrance/RelayTest.cpp
+++ b/tests/entrance/RelayTest.cpp
@@ -127,14 +127,7 @@
         TestCaller caller(entry, TestCaller::slowReceiveBufferBytes);
         caller.send(TestCaller::chatRequest(true, tokens));
         caller.readUntil("\"token\":1,");
-        // When the second answer is there, the first is made too. Yet it cannot have been sent, since nobody reads it.
-        TestCaller quick(entry);
-        quick.send(TestCaller::chatRequest(false, tokens));
-        CPPUNIT_ASSERT(quick.readAnswer());
-        quick.send(TestCaller::chatRequest(false, 3));
-        CPPUNIT_ASSERT(quick.readAnswer());
-        CPPUNIT_ASSERT(engine.getHttp().waitForCount("completed", 2));
-        CPPUNIT_ASSERT_EQUAL(2, engine.getHttp().getCount("completed"));
+        TestCaller::assertUnreadAnswerIsHeldBack(entry, engine.getHttp(), tokens);
         std::string tail;
         while (tail.find("[DONE]") == std::string::npos) {
             const std::string piece = caller.readSome();
--- a/tests/entrance/SilentUpstreamTest.cpp
+++ b/tests/entrance/SilentUpstreamTest.cpp
@@ -83,8 +83,11 @@
             = harness.start(harness.impatient(upstream.getEndpoint(), ServiceKind::ModelEngine, limit));
         TestCaller caller(entry);
         caller.send(TestCaller::chatRequest(true, 6));
-        CPPUNIT_ASSERT(upstream.waitForRequest());
-        std::this_thread::sleep_for(std::chrono::milliseconds(4 * limit.count()));
+        int silences = 0;
+        harness.waitFor([&silences](const RequestReport& report) {
+            silences += std::holds_alternative<AttemptSilent>(report) ? 1 : 0;
+            return silences == 3;
+        });
         goOn.set_value();
         assertTokens(caller.readAnswer(), 6);
         CPPUNIT_ASSERT(harness.waitForReport<AttemptEnded>().result == AttemptResult::Completed);
--- a/tests/entrance/StreamTest.cpp
+++ b/tests/entrance/StreamTest.cpp
@@ -153,15 +153,7 @@
         TestCaller slow(entry, TestCaller::slowReceiveBufferBytes);
         slow.send(TestCaller::chatRequest(true, tokens));
         slow.readUntil("\"token\":1,");
-        // The engine takes a step for both at once: when the second answer is there, the first is made too. Yet it
-        // cannot have been sent, since nobody reads it.
-        TestCaller quick(entry);
-        quick.send(TestCaller::chatRequest(false, tokens));
-        CPPUNIT_ASSERT(quick.readAnswer());
-        quick.send(TestCaller::chatRequest(false, 3));
-        CPPUNIT_ASSERT(quick.readAnswer());
-        CPPUNIT_ASSERT(engine.getHttp().waitForCount("completed", 2));
-        CPPUNIT_ASSERT_EQUAL(2, engine.getHttp().getCount("completed"));
+        TestCaller::assertUnreadAnswerIsHeldBack(entry, engine.getHttp(), tokens);
         std::string rest;
         std::string tail;
         while (tail.find("\r\n0\r\n\r\n") == std::string::npos) {
