--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -169,17 +169,32 @@
 
 } // namespace
 
-SealedUpstream::SealedUpstream()
-    : http(Endpoint { "127.0.0.1", 0 })
+SealedUpstream::SealedUpstream() = default;
+
+Endpoint SealedUpstream::start()
 {
+    this->listen({ "127.0.0.1", 0 });
+    return this->endpoint;
 }
 
-Endpoint SealedUpstream::start()
+void SealedUpstream::listen(const Endpoint& at)
 {
-    this->endpoint = this->http.start([this](const StandinHttp::Request& request, StandinHttp::Stream& stream) {
+    this->http = std::make_unique<StandinHttp>(at);
+    this->endpoint = this->http->start([this](const StandinHttp::Request& request, StandinHttp::Stream& stream) {
         return this->handle(request, stream);
     });
-    return this->endpoint;
+}
+
+void SealedUpstream::end()
+{
+    if (this->http)
+        this->http->stop();
+    this->http.reset();
+}
+
+void SealedUpstream::startAgain()
+{
+    this->listen(Endpoint(this->endpoint));
 }
 
 void SealedUpstream::queueAnswers(std::deque<AnswerKind> kinds)
@@ -231,7 +246,7 @@
 {
     std::array<char, 1> byte {};
     co_await stream.async_read_some(asio::buffer(byte), standinResult);
-    this->http.count("abandoned");
+    this->http->count("abandoned");
 }
 
 asio::awaitable<bool> SealedUpstream::sendEndlessly(
@@ -252,7 +267,7 @@
 
 asio::awaitable<bool> SealedUpstream::crash(const StandinHttp::Request& request, StandinHttp::Stream& stream)
 {
-    this->http.stopListening();
+    this->http->stopListening();
     std::string text = formatResponseHead("200 OK", getHeader(request, "Attempt-Id"), true)
         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string last = getHeader(request, "Last-Event-Id");
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <deque>
+#include <memory>
 
 namespace papayashelf {
 
@@ -70,7 +71,7 @@
 
     /** Creates the server without starting it. */
     SealedUpstream();
-    ~SealedUpstream() { this->http.stop(); }
+    ~SealedUpstream() { this->end(); }
 
     /** Returns the endpoint of the started server. */
     const Endpoint& getEndpoint() const { return this->endpoint; }
@@ -78,6 +79,12 @@
     /** Starts the server on a free port and returns its endpoint. */
     Endpoint start();
 
+    /** Ends the server as a crash does: its connections end, and new ones are refused. */
+    void end();
+
+    /** Starts the server again at the endpoint that it had. Precondition: it was ended. */
+    void startAgain();
+
     /** Replaces the kinds of the next answers; all later answers are complete. */
     void queueAnswers(std::deque<AnswerKind> kinds);
 
@@ -91,14 +98,17 @@
      */
     void setEventsBeforeCrash(int events) { this->eventsBeforeCrash = events; }
 
-    /** Returns the requests received so far. */
-    std::vector<StandinRequest> getRequests() const { return this->http.getRequests(); }
+    /** Returns the requests received since the last start; none while it is ended. */
+    std::vector<StandinRequest> getRequests() const
+    {
+        return this->http ? this->http->getRequests() : std::vector<StandinRequest>();
+    }
 
     /** Returns the bytes of endless answers that were sent so far. */
     std::size_t countEndlessBytes() const { return this->endlessBytes; }
 
     /** Waits until a connection with a request that got no answer was closed; false if that takes implausibly long. */
-    bool waitUntilAbandoned() const { return this->http.waitForCount("abandoned", 1); }
+    bool waitUntilAbandoned() const { return this->http->waitForCount("abandoned", 1); }
 
     /** Returns the number of connections over which requests arrived. */
     std::size_t countConnectionsUsed() const;
@@ -109,6 +119,7 @@
     boost::asio::awaitable<void> waitUntilClosed(StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendWithPause(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     std::string addStatements(std::string answer) const;
+    void listen(const Endpoint& at);
     /** Sends the head, some events and a part of the next one, and refuses all connections from then on. */
     boost::asio::awaitable<bool> crash(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendEndlessly(std::string begin, std::string repeated, StandinHttp::Stream& stream);
@@ -121,7 +132,7 @@
     std::atomic<int> eventsBeforeCrash = 0;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
-    StandinHttp http;
+    std::unique_ptr<StandinHttp> http; /**< Null while it is ended. */
 };
 
 } // namespace papayashelf
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -74,6 +74,10 @@
         makeRoute("/remote/", true, false), makeRoute("/stream/patient/", true, true) };
     document.routes[4].services = { { remoteService, 1 } };
     document.routes.back().maximumEventGap = SealedUpstream::longestUsualPause;
+    ServingService engines;
+    engines.id = service;
+    engines.coldRequestsPerSecond = coldRequestsPerSecond;
+    document.services = { engines };
     ServingWorkspace workspace;
     workspace.id = WorkspaceId("members");
     workspace.keys = { "secret-key" };
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -26,6 +26,9 @@
 /** Runs a gateway process on a thread of the test, with sealed upstreams of one service. */
 class ServingHarness {
 public:
+    /** Requests per second that an upstream accepts just after its start. */
+    static constexpr double coldRequestsPerSecond = 3;
+
     /** Retries per request that no test uses up. */
     static constexpr double ampleRetryRatio = 10;
 
