Treat an upstream whose process has ended as cold until more is known (FAILBACK)

What callers saw: an upstream that was just back under its id got up to 10 requests in a second where 7.3 are allowed, crashed again and took the requests that ran there with it.

Cause: a VM learned that an upstream is cold from its entry in the list alone. It saw the process end (connections lost, new ones refused), and yet took what answered at the address a second later for the process that it knew, until the new entry came: 0.2 to 1.1 s, different for each VM. Class: evidence that ends a belief is used for one purpose (health) and not for the other (cold).

Change: a refused connection while the VM has none left ends what is known of the process (UpstreamWatch); idle connections are watched for it, too. From then on whatever answers at the address counts as just started: few VMs, a request a second each, until the list names a later start or the cold time of the service has passed since the first answer. VMs of a region tell each other in the digests that they exchange anyway; an answer over a connection that was open before refutes it.

--- a/modules/entrance/upstream/UpstreamPool.cpp
+++ b/modules/entrance/upstream/UpstreamPool.cpp
@@ -18,8 +18,17 @@
     while (!idle.empty()) {
         std::unique_ptr<UpstreamConnection> connection = std::move(idle.back());
         idle.pop_back();
-        if (!this->isUsable(*connection))
+        if (connection->idleWatch) {
+            connection->idleWatch.reset();
+            boost::system::error_code ignored;
+            connection->socket.cancel(ignored);
+        }
+        const bool isYoung = !this->isStale(*connection, std::chrono::steady_clock::now());
+        if (!isYoung || !isOpen(*connection)) {
+            if (isYoung && this->onIdleEnd)
+                this->onIdleEnd(endpoint);
             continue;
+        }
         connection->isReused = true;
         return connection;
     }
@@ -46,6 +55,34 @@
     connection->deadline.clear();
     connection->idleSince = std::chrono::steady_clock::now();
     idle.connections.push_back(std::move(connection));
+    if (this->onIdleEnd)
+        this->watch(*idle.connections.back());
+}
+
+bool UpstreamPool::hasIdle(const Endpoint& endpoint) const
+{
+    const auto found = this->endpoints.find(endpoint);
+    return found != this->endpoints.end()
+        && std::any_of(found->second.connections.begin(), found->second.connections.end(),
+            [](const auto& connection) { return isOpen(*connection); });
+}
+
+void UpstreamPool::watch(UpstreamConnection& connection)
+{
+    connection.idleWatch = std::make_shared<int>();
+    connection.socket.async_wait(asio::socket_base::wait_read,
+        [this, &connection, weak = std::weak_ptr<void>(connection.idleWatch)](const boost::system::error_code&) {
+            // Without the watch, the connection is in use or no longer exists.
+            if (!weak.expired())
+                this->dropEnded(connection);
+        });
+}
+
+void UpstreamPool::dropEnded(UpstreamConnection& connection)
+{
+    const Endpoint endpoint = connection.endpoint;
+    std::erase_if(this->endpoints[endpoint].connections, [&](const auto& idle) { return idle.get() == &connection; });
+    this->onIdleEnd(endpoint);
 }
 
 void UpstreamPool::forget(const Endpoint& endpoint)
@@ -68,10 +105,8 @@
         idle.connections.clear();
 }
 
-bool UpstreamPool::isUsable(UpstreamConnection& connection) const
+bool UpstreamPool::isOpen(UpstreamConnection& connection)
 {
-    if (this->isStale(connection, std::chrono::steady_clock::now()))
-        return false;
     // Anything readable now is the end of the connection, or an answer that belongs to no request.
     char byte = 0;
     boost::system::error_code error;
--- a/modules/entrance/upstream/UpstreamPool.h
+++ b/modules/entrance/upstream/UpstreamPool.h
@@ -37,6 +37,7 @@
     TimePoint openedAt;
     TimePoint idleSince;
     Milliseconds idleLimit; /**< After which it is not used again. */
+    std::shared_ptr<void> idleWatch; /**< Exists while the pool watches the connection for its end. */
     std::uint64_t generation = 0; /**< Of its endpoint when it was opened. */
     bool isReused = false;
 };
@@ -51,6 +52,12 @@
     /** @param settings  must outlive the pool */
     UpstreamPool(const boost::asio::any_io_executor& executor, const EntranceSettings& settings);
 
+    /** Sets a function that is called when an upstream ends an idle connection; empty for none. */
+    void setIdleEndHandler(std::function<void(const Endpoint&)> handler) { this->onIdleEnd = std::move(handler); }
+
+    /** Returns true if there is an idle connection to the endpoint that is still open. */
+    bool hasIdle(const Endpoint& endpoint) const;
+
     /** Takes the idle connection used last that is young enough and still open; null if there is none. */
     std::unique_ptr<UpstreamConnection> takeIdle(const Endpoint& endpoint);
 
@@ -75,12 +82,15 @@
         std::vector<std::unique_ptr<UpstreamConnection>> connections; /**< The one used last stands last. */
     };
 
-    bool isUsable(UpstreamConnection& connection) const;
+    static bool isOpen(UpstreamConnection& connection);
+    void watch(UpstreamConnection& connection);
+    void dropEnded(UpstreamConnection& connection);
     bool isStale(const UpstreamConnection& connection, TimePoint now) const;
 
     boost::asio::any_io_executor executor;
     const EntranceSettings& settings;
     std::unordered_map<Endpoint, Idle, EndpointHash> endpoints;
+    std::function<void(const Endpoint&)> onIdleEnd;
 };
 
 } // namespace papayashelf
--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -226,8 +226,7 @@
     this->loadExchange.noteReport(now, report);
     this->noteConfigurationNotice(now, report.configuration);
     this->quarantine.noteEvidence(now, report.crashes);
-    for (const SharedStatement& statement : report.statements)
-        this->upstreams.noteStatement(now, statement);
+    this->noteSharedStatements(now, report.statements);
     DigestReply reply = this->loadExchange.makeReply(now, report, this->freshness.getAge(now), this->knownRevision);
     reply.configuration = this->inForce;
     reply.crashes = this->quarantine.makeEvidence(now);
@@ -240,8 +239,7 @@
 {
     this->quarantine.noteEvidence(now, reply.crashes);
     this->noteConfigurationNotice(now, reply.configuration);
-    for (const SharedStatement& statement : reply.statements)
-        this->upstreams.noteStatement(now, statement);
+    this->noteSharedStatements(now, reply.statements);
     const std::optional<FreshnessConfirmation> confirmation = this->loadExchange.noteReply(now, reply);
     if (!confirmation)
         return;
@@ -261,6 +259,20 @@
     this->freshness.noteConfirmation(confirmation->confirmedAt);
 }
 
+void GatewayCore::noteSharedStatements(Milliseconds now, const std::vector<SharedStatement>& statements)
+{
+    for (const SharedStatement& statement : statements) {
+        const KnownUpstream* upstream = this->upstreams.find(statement.upstream);
+        if (upstream)
+            this->upstreams.noteStatement(now, statement, this->getColdDuration(upstream->record.service));
+    }
+}
+
+Milliseconds GatewayCore::getColdDuration(const ServiceId& service) const
+{
+    return this->configuration ? this->configuration->getService(service).coldDuration : Milliseconds(0);
+}
+
 bool GatewayCore::mustQueryStore(Milliseconds now) const
 {
     return this->loadExchange.isCollector() || this->freshness.getAge(now) > maximumConfirmationAge
@@ -356,6 +368,7 @@
 StatementChange GatewayCore::noteStatement(
     Milliseconds now, const UpstreamRecord& upstream, UpstreamStatement statement)
 {
+    this->upstreams.noteContact(now, upstream, now - statement.connectedFor, this->getColdDuration(upstream.service));
     const Milliseconds rejectsFor = std::min(statement.rejectsFor, this->settings.bounds.longestRejection);
     // An upstream in need tells many VMs the same time, and they must not all return at its end.
     const Milliseconds latest = std::min(rejectsFor / rejectionSpreadDivisor, longestRejectionSpread);
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -226,6 +226,17 @@
     */
     StatementChange noteStatement(Milliseconds now, const UpstreamRecord& upstream, UpstreamStatement statement);
 
+    /**
+        Records that the process of an upstream has ended; see UpstreamTable::noteProcessEnded().
+
+        @param upstream  the record by which the upstream was reached
+        @returns true unless this was known
+    */
+    bool noteProcessEnded(Milliseconds now, const UpstreamRecord& upstream)
+    {
+        return this->upstreams.noteProcessEnded(now, upstream);
+    }
+
     /** Returns the prompts that are kept from upstreams. */
     PromptQuarantine& getQuarantine() { return this->quarantine; }
     const PromptQuarantine& getQuarantine() const { return this->quarantine; }
@@ -236,6 +247,9 @@
     bool lacksConfiguration(Milliseconds now) const;
     bool isFresh(Milliseconds now) const { return this->freshness.isFresh(now) && !this->lacksConfiguration(now); }
     void noteConfigurationNotice(Milliseconds now, const ConfigurationNotice& notice);
+    void noteSharedStatements(Milliseconds now, const std::vector<SharedStatement>& statements);
+    /** Returns the time for which a service's upstreams are cold after their start. */
+    Milliseconds getColdDuration(const ServiceId& service) const;
     const ServiceId& chooseService(const ServingRoute& route);
     SharedRetryBudget& getRetryBudget(const ServiceId& service);
     double getExtraRetryShare(Milliseconds now) const;
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -162,9 +162,14 @@
         return;
     json::array encoded;
     for (const SharedStatement& statement : statements) {
-        encoded.push_back(json::array { statement.upstream.string(), statement.startedAt, statement.age.count(),
+        json::array fields { statement.upstream.string(), statement.startedAt, statement.age.count(),
             statement.isLeaving ? 1 : 0,
-            statement.requestsPerSecond ? json::value(*statement.requestsPerSecond) : json::value() });
+            statement.requestsPerSecond ? json::value(*statement.requestsPerSecond) : json::value() };
+        if (statement.endedFor)
+            fields.emplace_back(statement.endedFor->count());
+        if (statement.endedFor && statement.returnedFor)
+            fields.emplace_back(statement.returnedFor->count());
+        encoded.push_back(std::move(fields));
     }
     message["statements"] = std::move(encoded);
 }
@@ -182,6 +187,11 @@
             decodeAge(fields.at(2)) };
         if (!fields.at(4).is_null())
             statement.requestsPerSecond = std::max(0.0, fields.at(4).to_number<double>());
+        // VMs of an earlier release state neither.
+        if (fields.size() > 5)
+            statement.endedFor = decodeAge(fields[5]);
+        if (fields.size() > 6)
+            statement.returnedFor = decodeAge(fields[6]);
         statements.push_back(std::move(statement));
     }
     return statements;
--- a/modules/gateway/upstreams/UpstreamRecord.h
+++ b/modules/gateway/upstreams/UpstreamRecord.h
@@ -40,6 +40,7 @@
     bool isLimitKnown = true; /**< False if the response tells neither a limit nor that there is none. */
     bool isLeaving = false; /**< Whether it is about to end. */
     Milliseconds rejectsFor; /**< Time for which it wants no request from the VM that it answers; 0 for none. */
+    Milliseconds connectedFor; /**< Time since the connection of the response was opened. */
 
     bool operator==(const UpstreamStatement&) const = default;
 };
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t maximumEnded = 10'000; /**< Bounds the memory if upstreams start and end very often. */
 /** An entry that its upstream no longer renews is removed sooner. */
 constexpr Milliseconds staleEntryLifetime { 10'000 };
+/** Messages take less, so that times of different VMs differ by less. */
+constexpr Milliseconds messageDelay { 100 };
 constexpr Milliseconds coldMargin { 300 }; /**< Covers the upstream's clock error and the delay of the list. */
 
 } // namespace
@@ -76,7 +78,9 @@
     upstream.record = record;
     upstream.goneAt.reset();
     const Milliseconds none;
-    upstream.coldUntil = record.coldFor > none ? now + record.coldFor + coldMargin : none;
+    const Milliseconds coldUntil = record.coldFor > none ? now + record.coldFor + coldMargin : none;
+    // An entry of the process that has ended says nothing of the one that follows it.
+    upstream.coldUntil = upstream.endedAt ? std::max(upstream.coldUntil, coldUntil) : coldUntil;
 }
 
 void UpstreamTable::remove(const UpstreamId& id, Milliseconds goneAt)
@@ -194,11 +198,71 @@
     return true;
 }
 
-void UpstreamTable::noteStatement(Milliseconds now, const SharedStatement& statement)
+bool UpstreamTable::noteProcessEnded(Milliseconds now, const UpstreamRecord& upstream)
+{
+    KnownUpstream* known = this->get(upstream.id);
+    if (!known || known->record.startedAt != upstream.startedAt || known->record.endpoint != upstream.endpoint)
+        return false;
+    const bool isNews = !known->hasEnded();
+    known->endedAt = now;
+    known->returnedAt.reset();
+    known->coldUntil = Milliseconds::never();
+    return isNews;
+}
+
+void UpstreamTable::noteContact(
+    Milliseconds now, const UpstreamRecord& upstream, Milliseconds connectedAt, Milliseconds coldFor)
+{
+    KnownUpstream* known = this->get(upstream.id);
+    if (!known || known->record.startedAt != upstream.startedAt || known->record.endpoint != upstream.endpoint)
+        return;
+    if (known->endedAt && connectedAt < *known->endedAt) {
+        // Bytes that arrived before the end may be read after it.
+        if (now - *known->endedAt <= messageDelay)
+            return;
+        known->endedAt.reset();
+        known->returnedAt.reset();
+        known->coldUntil = Milliseconds(0);
+    }
+    if (known->hasEnded()) {
+        known->returnedAt = now;
+        known->coldUntil = now + coldFor;
+    }
+    known->contactSince
+        = connectedAt <= known->lastContactAt ? std::min(known->contactSince, connectedAt) : connectedAt;
+    known->lastContactAt = now;
+}
+
+void UpstreamTable::mergeEnd(
+    KnownUpstream& upstream, Milliseconds endedAt, std::optional<Milliseconds> returnedAt, Milliseconds coldFor)
+{
+    const bool hasAnsweredSince = upstream.contactSince < endedAt && upstream.lastContactAt > endedAt + messageDelay;
+    if (hasAnsweredSince)
+        return;
+    const bool isLater = !upstream.endedAt || (upstream.returnedAt && endedAt > *upstream.returnedAt + messageDelay);
+    if (isLater) {
+        upstream.returnedAt.reset();
+        upstream.coldUntil = Milliseconds::never();
+    }
+    upstream.endedAt = std::max(endedAt, upstream.endedAt.value_or(endedAt));
+    // This VM may have had answers of the next process without knowing that it was another one.
+    if (upstream.contactSince > *upstream.endedAt)
+        returnedAt = std::min(upstream.contactSince, returnedAt.value_or(upstream.contactSince));
+    if (!returnedAt || *returnedAt + messageDelay < *upstream.endedAt)
+        return;
+    upstream.returnedAt = std::min(*returnedAt, upstream.returnedAt.value_or(*returnedAt));
+    upstream.coldUntil = *upstream.returnedAt + coldFor;
+}
+
+void UpstreamTable::noteStatement(Milliseconds now, const SharedStatement& statement, Milliseconds coldFor)
 {
     KnownUpstream* upstream = this->get(statement.upstream);
     if (!upstream || upstream->record.startedAt != statement.startedAt)
         return;
+    if (statement.endedFor) {
+        mergeEnd(*upstream, now - *statement.endedFor,
+            statement.returnedFor ? std::optional(now - *statement.returnedFor) : std::nullopt, coldFor);
+    }
     const Milliseconds statedAt = now - statement.age;
     if (statement.isLeaving && !upstream->leavingSince)
         upstream->leavingSince = now;
@@ -217,9 +281,14 @@
         const bool hasLimitNews
             = now - upstream.statedAt <= statementExchangeTime && (upstream.requestsPerSecond || wasLimited);
         const bool hasLeavingNews = upstream.leavingSince && now - *upstream.leavingSince <= statementExchangeTime;
-        if (hasLimitNews || hasLeavingNews)
-            statements.push_back({ id, upstream.record.startedAt, upstream.requestsPerSecond,
-                upstream.leavingSince.has_value(), now - upstream.statedAt });
+        const auto getAge
+            = [now](const std::optional<Milliseconds>& at) { return at ? std::optional(now - *at) : std::nullopt; };
+        const bool hasEndNews
+            = upstream.hasEnded() || (upstream.returnedAt && now - *upstream.returnedAt <= statementExchangeTime);
+        if (hasLimitNews || hasLeavingNews || hasEndNews)
+            statements.push_back(
+                { id, upstream.record.startedAt, upstream.requestsPerSecond, upstream.leavingSince.has_value(),
+                    now - upstream.statedAt, getAge(upstream.endedAt), getAge(upstream.returnedAt) });
     }
     return statements;
 }
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -64,10 +64,18 @@
     std::optional<Milliseconds> leavingSince; /**< Time at which this VM learned that it is about to end. */
     Milliseconds rejectsUntil; /**< Until then it wants no requests from this VM. */
     std::optional<Milliseconds> goneAt; /**< Set when it disappears from the list: time at which it is removed. */
+    /** Last time at which its process was known to have ended. What answers since then has just started. */
+    std::optional<Milliseconds> endedAt;
+    std::optional<Milliseconds> returnedAt; /**< Time of the first answer since its process ended. */
+    Milliseconds contactSince; /**< Since when this VM has had connections to one process without interruption. */
+    Milliseconds lastContactAt; /**< Time of the last answer. */
 
     /** Returns true while the upstream accepts only few requests after its start. */
     bool isCold(Milliseconds now) const { return now < this->coldUntil; }
 
+    /** Returns true if its process has ended and nothing has answered at its address since. */
+    bool hasEnded() const { return this->endedAt && !this->returnedAt; }
+
     /** Returns true while it wants no requests from this VM. */
     bool isRejecting(Milliseconds now) const { return now < this->rejectsUntil; }
 };
@@ -98,6 +106,9 @@
     std::optional<double> requestsPerSecond; /**< Empty if it states no limit any more. */
     bool isLeaving = false;
     Milliseconds age; /**< Time since the upstream last stated a limit or that it has none. */
+    std::optional<Milliseconds> endedFor
+        = {}; /**< Time since its process was last known to have ended; empty if it runs. */
+    std::optional<Milliseconds> returnedFor = {}; /**< Time since it first answered again; empty if it has not. */
 
     bool operator==(const SharedStatement&) const = default;
 };
@@ -169,10 +180,34 @@
     */
     StatementChange noteStatement(Milliseconds now, const UpstreamRecord& upstream, const UpstreamStatement& statement);
 
-    /** Records a statement that another VM received. A limit is ignored if this VM knows a later statement. */
-    void noteStatement(Milliseconds now, const SharedStatement& statement);
+    /**
+        Records that the process of an upstream has ended. Until the list names a later start, whatever answers at its
+        address counts as just started. Does nothing if the list already names one.
+
+        @param upstream  the record by which the upstream was reached
+        @returns true unless this was known
+    */
+    bool noteProcessEnded(Milliseconds now, const UpstreamRecord& upstream);
+
+    /**
+        Records an answer of an upstream. The first one after its process ended begins the time for which it is cold;
+       one over a connection that was opened before shows that the process has not ended.
+
+        @param connectedAt  time at which the connection of the answer was opened
+        @param coldFor      time for which the service's upstreams are cold after their start
+    */
+    void noteContact(Milliseconds now, const UpstreamRecord& upstream, Milliseconds connectedAt, Milliseconds coldFor);
+
+    /**
+        Records a statement that another VM received. A limit is ignored if this VM knows a later statement, and the end
+        of a process if this VM has had answers of it since.
+
+        @param coldFor  time for which the service's upstreams are cold after their start
+    */
+    void noteStatement(Milliseconds now, const SharedStatement& statement, Milliseconds coldFor = Milliseconds(0));
 
-    /** Returns what a region's upstreams have recently stated of limits, their end, and leaving. */
+    /** Returns what a region's upstreams have recently stated of limits, their end, and leaving, and whose processes
+       have ended. */
     std::vector<SharedStatement> getSharedStatements(Milliseconds now, const RegionId& region) const;
 
     /** Records the load that an upstream reported in a response. */
@@ -214,6 +249,9 @@
     void rememberEnded(Milliseconds now, const KnownUpstream& upstream);
     void applyOldPassedOver(Milliseconds now);
     KnownUpstream* get(const UpstreamId& id);
+    /** Merges what another VM knows of the end of a process. */
+    static void mergeEnd(
+        KnownUpstream& upstream, Milliseconds endedAt, std::optional<Milliseconds> returnedAt, Milliseconds coldFor);
     static bool noteLimit(Milliseconds at, KnownUpstream& upstream, std::optional<double> requestsPerSecond);
     bool isUsable(const KnownUpstream& upstream) const;
 
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -55,12 +55,15 @@
     , core(settings, makeRelayKey(), std::random_device {}())
     , poolSettings(makePoolSettings())
     , pool(this->context.get_executor(), this->poolSettings)
-    , serving { this->core, this->pool, this->answerMemory, this->requestMemory, this->log, this->metrics,
-        this->openRequests, this->names, Clock() }
+    , upstreamWatch(this->context.get_executor(), this->pool, this->core, this->log)
+    , serving { this->core, this->pool, this->upstreamWatch, this->answerMemory, this->requestMemory, this->log,
+        this->metrics, this->openRequests, this->names, Clock() }
     , digests(this->context.get_executor(), this->core, this->log)
     , signals(this->context, SIGTERM, SIGHUP, SIGINT)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    this->pool.setIdleEndHandler(
+        [this](const Endpoint& endpoint) { this->upstreamWatch.noteIdleConnectionEnded(endpoint); });
     this->log.setCommon({ { "vm", settings.vm.string() } });
 }
 
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -83,6 +83,7 @@
     GatewayCore core;
     EntranceSettings poolSettings;
     UpstreamPool pool;
+    UpstreamWatch upstreamWatch;
     ServingMetrics metrics;
     ServingContext serving;
     ProcessHooks hooks;
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -482,11 +482,17 @@
     const PromptParts unproven = quarantine.findUnproven(this->now(), this->admitted->service, this->promptParts);
     const bool isHarmless = unproven.empty();
     const bool hasBegunAnswer = outcome.progress == AnswerProgress::Head;
-    if (!outcome.isConnectionLost || this->promptParts.empty() || (isHarmless && !hasBegunAnswer))
+    if (outcome.isRefused)
+        this->context.upstreamWatch.noteRefusal(upstream);
+    if (!outcome.isConnectionLost)
         co_return;
+    if (this->promptParts.empty() || (isHarmless && !hasBegunAnswer)) {
+        this->context.upstreamWatch.checkSoon(upstream);
+        co_return;
+    }
     // An upstream may also end single connections. Only one that has crashed refuses new ones.
-    if (!co_await refusesConnections(
-            this->context.pool, upstream.endpoint, std::min(connectLimit, this->getRemaining())))
+    if (!co_await this->context.upstreamWatch.refusesConnections(
+            upstream, std::min(connectLimit, this->getRemaining())))
         co_return;
     this->isCrashSuspect = hasBegunAnswer && !isHarmless;
     // Many streams end with their upstream. Parts that are known to be harmless would only hide the others among them.
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -9,6 +9,7 @@
 #include "serving/request/OpenRequests.h"
 #include "serving/request/ServingMetrics.h"
 #include "serving/upstream/UpstreamAttempt.h"
+#include "serving/upstream/UpstreamWatch.h"
 #include <variant>
 
 namespace papayashelf {
@@ -17,6 +18,7 @@
 struct ServingContext {
     GatewayCore& core;
     UpstreamPool& pool;
+    UpstreamWatch& upstreamWatch;
     MemoryBudget& answerMemory;
     RequestMemory& requestMemory;
     DecisionLog& log;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -12,7 +12,6 @@
 #include <charconv>
 #include <cmath>
 #include <netinet/tcp.h>
-#include <tuple>
 #include <utility>
 
 namespace papayashelf {
@@ -83,14 +82,6 @@
     return isNumber && std::isfinite(number) && number >= 0 ? std::optional(number) : std::nullopt;
 }
 
-void prepareSocket(asio::ip::tcp::socket& socket)
-{
-    boost::system::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    socket.set_option(UserTimeout(unacknowledgedLimit), ignored);
-    socket.non_blocking(true, ignored);
-}
-
 HeaderFields extractForwardableHeaders(const http::response<http::string_body>& message)
 {
     HeaderFields all;
@@ -101,6 +92,14 @@
 
 } // namespace
 
+void prepareUpstreamSocket(asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(UserTimeout(unacknowledgedLimit), ignored);
+    socket.non_blocking(true, ignored);
+}
+
 std::string_view toString(AttemptEnd end)
 {
     switch (end) {
@@ -213,6 +212,7 @@
     result.isReused = this->connection && this->connection->isReused;
     result.progress = this->progress;
     result.isConnectionLost = this->isConnectionLost;
+    result.isRefused = this->isRefused;
     return result;
 }
 
@@ -290,9 +290,10 @@
     const auto address = asio::ip::make_address(endpoint.address, ignored);
     this->connection->deadline.setAfter(limit);
     const auto [failure] = co_await socket.async_connect({ address, endpoint.port }, useResult);
+    this->isRefused = failure == asio::error::connection_refused;
     if (failure || !socket.is_open())
         co_return false;
-    prepareSocket(socket);
+    prepareUpstreamSocket(socket);
     co_return true;
 }
 
@@ -597,6 +598,8 @@
 {
     const HeaderLookup limit = findHeader(parser, this->names.limit);
     UpstreamStatement statement;
+    const auto age = std::chrono::steady_clock::now() - this->connection->openedAt;
+    statement.connectedFor = Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
     statement.load = this->readLoad(parser);
     statement.requestsPerSecond = readDecimal(limit.value);
     // A limit that cannot be read, or a refusal without one, neither begins nor ends a limit.
@@ -624,18 +627,4 @@
     this->pool.giveBack(std::move(this->connection));
 }
 
-asio::awaitable<bool> refusesConnections(UpstreamPool& pool, const Endpoint& endpoint, Milliseconds limit)
-{
-    std::unique_ptr<UpstreamConnection> connection = pool.makeConnection(endpoint);
-    boost::system::error_code failure;
-    const auto address = asio::ip::make_address(endpoint.address, failure);
-    connection->deadline.setAfter(limit);
-    std::tie(failure) = co_await connection->socket.async_connect({ address, endpoint.port }, useResult);
-    if (failure)
-        co_return failure == asio::error::connection_refused;
-    prepareSocket(connection->socket);
-    pool.giveBack(std::move(connection));
-    co_return false;
-}
-
 } // namespace papayashelf
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -67,6 +67,7 @@
     bool isOverLimit = false; /**< Whether the answer exceeded a bound on its size. */
     MemoryBudget::Reservation memory; /**< For the body. */
     bool isReused = false; /**< Whether the connection had served an earlier request. */
+    bool isRefused = false; /**< Whether nothing accepts connections at the endpoint. */
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the upstream closed or reset the connection before the answer's end. */
 };
@@ -229,6 +230,7 @@
     SilenceHandler onSilence;
     std::shared_ptr<std::function<void(bool hasEnded)>> onActivity;
     bool isReading = false;
+    bool isRefused = false; /**< Whether nothing accepted the connection. */
     bool isSilentTooLong = false; /**< Whether the read in progress was ended to call the silence handler. */
     bool isAbandoned = false;
     bool isCancelled = false;
@@ -238,11 +240,7 @@
     bool hasEnded = false; /**< Whether the upstream closed its side of the connection cleanly. */
 };
 
-/**
-    Returns true if nothing accepts connections at the endpoint. A connection that it accepts goes to the pool.
-
-    @param limit  time after which an endpoint without any reaction counts as accepting
-*/
-boost::asio::awaitable<bool> refusesConnections(UpstreamPool& pool, const Endpoint& endpoint, Milliseconds limit);
+/** Prepares a connection that was just opened for requests. */
+void prepareUpstreamSocket(boost::asio::ip::tcp::socket& socket);
 
 } // namespace papayashelf
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -77,6 +77,7 @@
     ServingService engines;
     engines.id = service;
     engines.coldRequestsPerSecond = coldRequestsPerSecond;
+    engines.coldDuration = coldDuration;
     document.services = { engines };
     ServingWorkspace workspace;
     workspace.id = WorkspaceId("members");
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -29,6 +29,9 @@
     /** Requests per second that an upstream accepts just after its start. */
     static constexpr double coldRequestsPerSecond = 3;
 
+    /** Time after its start for which an upstream accepts no more. */
+    static constexpr Milliseconds coldDuration { 3'000 };
+
     /** Retries per request that no test uses up. */
     static constexpr double ampleRetryRatio = 10;
 
