Ask an upstream that ended a connection whether it is cold (FAILBACK)

What callers saw: an upstream that falls silent and is back under its id refuses nothing; its old connections are reset once it is back, and new ones are accepted.

Change: where an upstream ends a connection and accepts the next one, it is asked for its health over that one, one question at a time; what it says of its cold time counts as a start. The connection of a check is closed afterwards: kept ones that an upstream at its maximum resets would have been replaced without end.

RestartedUpstreamTest: a process that is back at once; an upstream that accepts and closes; its share once it is warm.

--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -237,6 +237,16 @@
         return this->upstreams.noteProcessEnded(now, upstream);
     }
 
+    /**
+        Records that the process that follows one that has ended says for how long it is cold.
+
+        @param upstream  the record by which the upstream was reached
+    */
+    void noteReturned(Milliseconds now, const UpstreamRecord& upstream, Milliseconds coldFor)
+    {
+        this->upstreams.noteContact(now, upstream, now, coldFor);
+    }
+
     /** Returns the prompts that are kept from upstreams. */
     PromptQuarantine& getQuarantine() { return this->quarantine; }
     const PromptQuarantine& getQuarantine() const { return this->quarantine; }
--- a/modules/gateway/model/ServingConfiguration.h
+++ b/modules/gateway/model/ServingConfiguration.h
@@ -49,6 +49,7 @@
 struct ServingService {
     ServiceId id;
     double coldRequestsPerSecond = 0; /**< Requests per second that a newly started upstream accepts; 0 for no limit. */
+    std::string healthPath = {}; /**< Where an upstream tells its health; empty if it does not. */
     Milliseconds coldDuration = {}; /**< Time after its start for which an upstream accepts no more. */
     int slots = 0; /**< Requests that an engine runs concurrently; 0 if not configured. */
     std::int64_t memoryTokens = 0; /**< Tokens that fit in an engine's memory; 0 for services without engines. */
--- a/modules/serving/http/HeaderNames.h
+++ b/modules/serving/http/HeaderNames.h
@@ -19,6 +19,8 @@
     std::string load; /**< Running requests, waiting requests and slots, separated by commas. */
     std::string limit; /**< Requests per second that the upstream accepts from all VMs together, as a decimal number. */
     std::string leaving; /**< "1" if the upstream is about to end. */
+    std::string
+        coldFor; /**< Milliseconds for which the upstream accepts only few requests; in answers on its health. */
     std::string notRun; /**< An upstream's guarantee that the request has not run. */
     std::string cacheSource; /**< Address of an upstream from which the receiver fetches cached prompt parts. */
     std::string retryAfter; /**< Seconds, as a decimal fraction; in answers to callers and in upstreams' refusals. */
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -55,7 +55,7 @@
     , core(settings, makeRelayKey(), std::random_device {}())
     , poolSettings(makePoolSettings())
     , pool(this->context.get_executor(), this->poolSettings)
-    , upstreamWatch(this->context.get_executor(), this->pool, this->core, this->log)
+    , upstreamWatch(this->context.get_executor(), this->pool, this->core, this->log, this->names)
     , serving { this->core, this->pool, this->upstreamWatch, this->answerMemory, this->requestMemory, this->log,
         this->metrics, this->openRequests, this->names, Clock() }
     , digests(this->context.get_executor(), this->core, this->log)
--- a/modules/serving/upstream/UpstreamWatch.cpp
+++ b/modules/serving/upstream/UpstreamWatch.cpp
@@ -1,43 +1,51 @@
 #include "serving/upstream/UpstreamWatch.h"
 
 #include "serving/upstream/UpstreamAttempt.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
+#include <tuple>
 #include <utility>
 
 namespace papayashelf {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
 namespace {
 
 constexpr Milliseconds checkLimit { 400 }; /**< Within a region; allows for many round trips and one lost packet. */
+constexpr Milliseconds questionLimit { 1'000 }; /**< An upstream answers as soon as it has a free slot. */
+constexpr std::size_t maximumHealthBytes = 64 * kibibyte; /**< Of the body, which is not used. */
 
 } // namespace
 
-UpstreamWatch::UpstreamWatch(asio::any_io_executor executor, UpstreamPool& pool, GatewayCore& core, DecisionLog& log)
+UpstreamWatch::UpstreamWatch(
+    asio::any_io_executor executor, UpstreamPool& pool, GatewayCore& core, DecisionLog& log, const HeaderNames& names)
     : executor(std::move(executor))
     , pool(pool)
     , core(core)
     , log(log)
+    , names(names)
 {
 }
 
 asio::awaitable<bool> UpstreamWatch::refusesConnections(UpstreamRecord upstream, Milliseconds limit)
 {
-    std::unique_ptr<UpstreamConnection> connection = this->pool.makeConnection(upstream.endpoint);
+    Connection connection = this->pool.makeConnection(upstream.endpoint);
     boost::system::error_code failure;
     const auto address = asio::ip::make_address(upstream.endpoint.address, failure);
     connection->deadline.setAfter(limit);
     std::tie(failure) = co_await connection->socket.async_connect({ address, upstream.endpoint.port }, useResult);
-    if (!failure) {
-        prepareUpstreamSocket(connection->socket);
-        this->pool.giveBack(std::move(connection));
-    }
     const bool isRefused = failure == asio::error::connection_refused;
     if (isRefused)
         this->noteRefusal(upstream);
+    else if (!failure && connection->socket.is_open())
+        this->askSoon(upstream, std::move(connection));
     co_return isRefused;
 }
 
@@ -52,17 +60,71 @@
     asio::co_spawn(this->executor, check(*this, upstream), asio::detached);
 }
 
+void UpstreamWatch::askSoon(const UpstreamRecord& upstream, Connection connection)
+{
+    const auto& configuration = this->core.getConfiguration();
+    if (!configuration)
+        return;
+    const ServingService& service = configuration->getService(upstream.service);
+    const bool maySay = service.coldRequestsPerSecond > 0 && !service.healthPath.empty();
+    if (!maySay || !this->endpointsInQuestion.insert(upstream.endpoint).second)
+        return;
+    asio::co_spawn(this->executor, this->ask(upstream, service.healthPath, std::move(connection)), asio::detached);
+}
+
+asio::awaitable<void> UpstreamWatch::ask(UpstreamRecord upstream, std::string healthPath, Connection connection)
+{
+    prepareUpstreamSocket(connection->socket);
+    const std::optional<Milliseconds> coldFor = co_await this->readColdTime(healthPath, *connection);
+    this->endpointsInQuestion.erase(upstream.endpoint);
+    const KnownUpstream* known = this->core.getUpstreams().find(upstream.id);
+    const Milliseconds now = this->clock.now();
+    if (!known || !coldFor || *coldFor <= Milliseconds(0) || known->isCold(now))
+        co_return;
+    this->noteProcessEnded(now, upstream, "its_health");
+    this->core.noteReturned(now, upstream, *coldFor);
+}
+
+asio::awaitable<std::optional<Milliseconds>> UpstreamWatch::readColdTime(
+    const std::string& healthPath, UpstreamConnection& connection)
+{
+    const std::string question
+        = "GET " + healthPath + " HTTP/1.1\r\nHost: " + connection.endpoint.string() + "\r\nConnection: close\r\n\r\n";
+    connection.deadline.setAfter(questionLimit);
+    const auto [unsent, written] = co_await asio::async_write(connection.socket, asio::buffer(question), useResult);
+    if (unsent)
+        co_return std::nullopt;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maximumHealthBytes);
+    const auto [unread, read] = co_await http::async_read(connection.socket, connection.buffer, parser, useResult);
+    if (unread)
+        co_return std::nullopt;
+    const auto text = parser.get()[this->names.coldFor];
+    std::int64_t coldFor = 0;
+    std::from_chars(text.data(), text.data() + text.size(), coldFor);
+    co_return Milliseconds(coldFor);
+}
+
 void UpstreamWatch::noteRefusal(const UpstreamRecord& upstream)
 {
     const KnownUpstream* known = this->core.getUpstreams().find(upstream.id);
-    if (!known || known->running > 0 || this->pool.hasIdle(upstream.endpoint))
+    if (!known)
         return;
-    const Milliseconds now = this->clock.now();
+    const bool hasIdle = this->pool.hasIdle(upstream.endpoint);
+    if (known->running == 0 && !hasIdle)
+        return this->noteProcessEnded(this->clock.now(), upstream, "connection_refused");
+    this->log.write(this->clock.now(), LogWeight::Notable, "upstream_refused_connection",
+        { { "upstream", upstream.id.string() }, { "running", boost::json::value(known->running) },
+            { "idle", boost::json::value(hasIdle) } });
+}
+
+void UpstreamWatch::noteProcessEnded(Milliseconds now, const UpstreamRecord& upstream, std::string_view evidence)
+{
     if (!this->core.noteProcessEnded(now, upstream))
         return;
     this->log.write(now, LogWeight::Notable, "upstream_ended",
         { { "upstream", upstream.id.string() }, { "service", upstream.service.string() },
-            { "started_at", boost::json::value(upstream.startedAt) } });
+            { "started_at", boost::json::value(upstream.startedAt) }, { "evidence", evidence } });
 }
 
 void UpstreamWatch::noteIdleConnectionEnded(const Endpoint& endpoint)
--- a/modules/serving/upstream/UpstreamWatch.h
+++ b/modules/serving/upstream/UpstreamWatch.h
@@ -3,6 +3,7 @@
 #include "entrance/upstream/UpstreamPool.h"
 #include "foundation/foundation.h"
 #include "gateway/gateway.h"
+#include "serving/http/HeaderNames.h"
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <set>
@@ -13,18 +14,19 @@
     Finds out whether an upstream's process has ended once it ends or refuses connections, and tells the core.
 
     An upstream may also end single connections, and it refuses those beyond its maximum. Only one whose process has
-   ended refuses new ones while this VM has none left.
+    ended refuses new ones while this VM has none left. One that accepts a connection may have started again meanwhile,
+    so it is asked for how long it is cold.
 
     Thread safety: none; owned by one I/O thread.
 */
 class UpstreamWatch {
 public:
     /** All references must outlive the watch. */
-    UpstreamWatch(boost::asio::any_io_executor executor, UpstreamPool& pool, GatewayCore& core, DecisionLog& log);
+    UpstreamWatch(boost::asio::any_io_executor executor, UpstreamPool& pool, GatewayCore& core, DecisionLog& log,
+        const HeaderNames& names);
 
     /**
-        Returns true if nothing accepts connections at an upstream that has ended one. A connection that it accepts goes
-       to the pool.
+        Returns true if nothing accepts connections at an upstream that has ended one.
 
         @param limit  time after which an endpoint without any reaction counts as accepting
     */
@@ -40,12 +42,24 @@
     void noteIdleConnectionEnded(const Endpoint& endpoint);
 
 private:
+    using Connection = std::unique_ptr<UpstreamConnection>;
+
+    /** Asks an upstream for its health over a new connection, unless it is being asked already. */
+    void askSoon(const UpstreamRecord& upstream, Connection connection);
+    boost::asio::awaitable<void> ask(UpstreamRecord upstream, std::string healthPath, Connection connection);
+    /** Returns for how long the upstream says that it is cold, or nothing if it does not answer. */
+    boost::asio::awaitable<std::optional<Milliseconds>> readColdTime(
+        const std::string& healthPath, UpstreamConnection& connection);
+    void noteProcessEnded(Milliseconds now, const UpstreamRecord& upstream, std::string_view evidence);
+
     boost::asio::any_io_executor executor;
     UpstreamPool& pool;
     GatewayCore& core;
     DecisionLog& log;
+    const HeaderNames& names;
     Clock clock;
     std::set<Endpoint> endpointsInCheck;
+    std::set<Endpoint> endpointsInQuestion;
 };
 
 } // namespace papayashelf
--- a/tests/serving/RestartedUpstreamTest.cpp
+++ b/tests/serving/RestartedUpstreamTest.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(testUpstreamThatRestartsUnnoticedByTheListIsNotFlooded);
     CPPUNIT_TEST(testUpstreamThatRestartsWhileItAnswersIsNotFlooded);
     CPPUNIT_TEST(testUpstreamThatRefusedConnectionsIsNotFlooded);
+    CPPUNIT_TEST(testUpstreamThatIsBackAtOnceIsNotFlooded);
+    CPPUNIT_TEST(testUpstreamThatClosesNewConnectionsIsNotAskedWithoutEnd);
+    CPPUNIT_TEST(testRestartedUpstreamGetsItsShareOnceItIsWarm);
     CPPUNIT_TEST(testUpstreamThatEndsSingleConnectionsKeepsItsShare);
     CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +69,52 @@
         this->checkArrivalsWhileCold();
     }
 
+    // No connection is refused: only the upstream itself can tell that it is cold.
+    void testUpstreamThatIsBackAtOnceIsNotFlooded()
+    {
+        this->harness->first().end();
+        this->harness->first().startAgain();
+        std::this_thread::sleep_for(betweenRequests);
+        this->checkArrivalsWhileCold();
+    }
+
+    void testUpstreamThatClosesNewConnectionsIsNotAskedWithoutEnd()
+    {
+        this->harness->first().end();
+        boost::asio::io_context context;
+        const Endpoint& at = this->harness->first().getEndpoint();
+        boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address(at.address), at.port });
+        std::atomic<int> accepted = 0;
+        const std::function<void()> acceptNext = [&] {
+            acceptor.async_accept([&](const boost::system::error_code& failure, boost::asio::ip::tcp::socket) {
+                ++accepted;
+                if (!failure)
+                    acceptNext();
+            });
+        };
+        acceptNext();
+        std::thread acceptance([&] { context.run(); });
+        const int requestsBefore = this->requests;
+        this->askFor(std::chrono::milliseconds(1'000));
+        context.stop();
+        acceptance.join();
+        // One for each request that is sent there, and one to check the connection that it lost.
+        const int connectionsOfRequests = 2 * (this->requests - requestsBefore) + 1;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(accepted), accepted <= connectionsOfRequests);
+    }
+
+    void testRestartedUpstreamGetsItsShareOnceItIsWarm()
+    {
+        this->harness->first().end();
+        std::this_thread::sleep_for(downtime);
+        this->harness->first().startAgain();
+        this->askFor(ServingHarness::coldDuration.count() * std::chrono::milliseconds(1) + std::chrono::seconds(2));
+        const std::size_t before = this->harness->first().getRequests().size();
+        CPPUNIT_ASSERT(before > 0);
+        this->askFor(std::chrono::milliseconds(1'000));
+        CPPUNIT_ASSERT(this->harness->first().getRequests().size() - before > allowedWhileCold);
+    }
+
     void testUpstreamThatEndsSingleConnectionsKeepsItsShare()
     {
         this->harness->first().queueAnswers({ AnswerKind::Reset });
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -194,9 +194,25 @@
 
 void SealedUpstream::startAgain()
 {
+    this->coldUntil = std::chrono::steady_clock::now() + coldTime;
     this->listen(Endpoint(this->endpoint));
 }
 
+std::vector<StandinRequest> SealedUpstream::getRequests() const
+{
+    std::vector<StandinRequest> requests = this->http ? this->http->getRequests() : std::vector<StandinRequest>();
+    std::erase_if(requests, [](const StandinRequest& request) { return request.target == healthPath; });
+    return requests;
+}
+
+std::string SealedUpstream::makeHealthAnswer() const
+{
+    const auto left
+        = std::chrono::duration_cast<std::chrono::milliseconds>(this->coldUntil - std::chrono::steady_clock::now());
+    const std::string cold = left.count() > 0 ? "Cold-Ms: " + std::to_string(left.count()) + "\r\n" : std::string();
+    return formatWithLength("HTTP/1.1 200 OK\r\n" + cold, "{}");
+}
+
 void SealedUpstream::queueAnswers(std::deque<AnswerKind> kinds)
 {
     const std::scoped_lock lock(this->mutex);
@@ -295,6 +311,11 @@
 
 asio::awaitable<bool> SealedUpstream::handle(const StandinHttp::Request& request, StandinHttp::Stream& stream)
 {
+    if (request.target() == healthPath) {
+        const std::string answer = this->makeHealthAnswer();
+        co_await asio::async_write(stream, asio::buffer(answer), standinResult);
+        co_return true;
+    }
     {
         const std::scoped_lock lock(this->mutex);
         this->ports.push_back(stream.socket().remote_endpoint().port());
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -98,11 +98,14 @@
      */
     void setEventsBeforeCrash(int events) { this->eventsBeforeCrash = events; }
 
-    /** Returns the requests received since the last start; none while it is ended. */
-    std::vector<StandinRequest> getRequests() const
-    {
-        return this->http ? this->http->getRequests() : std::vector<StandinRequest>();
-    }
+    /** Path at which it tells its health, and after startAgain() that it is cold. */
+    static constexpr std::string_view healthPath = "/health";
+
+    /** Time for which it says that it is cold after startAgain(). */
+    static constexpr std::chrono::milliseconds coldTime { 3'000 };
+
+    /** Returns the requests received since the last start, but for those for its health; none while it is ended. */
+    std::vector<StandinRequest> getRequests() const;
 
     /** Returns the bytes of endless answers that were sent so far. */
     std::size_t countEndlessBytes() const { return this->endlessBytes; }
@@ -120,6 +123,7 @@
     boost::asio::awaitable<bool> sendWithPause(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     std::string addStatements(std::string answer) const;
     void listen(const Endpoint& at);
+    std::string makeHealthAnswer() const;
     /** Sends the head, some events and a part of the next one, and refuses all connections from then on. */
     boost::asio::awaitable<bool> crash(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendEndlessly(std::string begin, std::string repeated, StandinHttp::Stream& stream);
@@ -132,6 +136,7 @@
     std::atomic<int> eventsBeforeCrash = 0;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
+    std::chrono::steady_clock::time_point coldUntil;
     std::unique_ptr<StandinHttp> http; /**< Null while it is ended. */
 };
 
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -78,6 +78,7 @@
     engines.id = service;
     engines.coldRequestsPerSecond = coldRequestsPerSecond;
     engines.coldDuration = coldDuration;
+    engines.healthPath = std::string(SealedUpstream::healthPath);
     document.services = { engines };
     ServingWorkspace workspace;
     workspace.id = WorkspaceId("members");
