--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -126,6 +126,19 @@
         upstream.setEventsBeforeCrash(events);
 }
 
+void ServingHarness::setLimits(const CallerLimits& limits)
+{
+    ServingDocument document = makeDocument();
+    document.version = ++this->configurationVersion;
+    document.limits = limits;
+    std::promise<void> applied;
+    asio::post(this->process->getContext(), [this, &document, &applied] {
+        this->process->getCore().applyConfiguration(document);
+        applied.set_value();
+    });
+    applied.get_future().wait();
+}
+
 void ServingHarness::beginStopping()
 {
     std::promise<void> begun;
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -51,6 +51,9 @@
     /** Sends a request as another VM would relay it and reads until the connection ends. */
     RawAnswer relay(const std::string& key, const std::string& forService) const;
 
+    /** Puts a configuration with other limits in force and returns once it is. */
+    void setLimits(const CallerLimits& limits);
+
     /** Begins a planned stop and returns once it has begun. */
     void beginStopping();
 
@@ -89,6 +92,7 @@
 
     mutable boost::asio::io_context clients;
     std::deque<SealedUpstream> upstreams;
+    std::uint64_t configurationVersion = 1;
     std::mutex mutex; /**< For the end of the process. */
     std::unique_ptr<GatewayProcess> process; /**< Null once it has ended. */
     std::thread thread;
