Hold open connections to the limits of the configuration in force (CONFIG, DENIED)

What callers saw: after a change of max_header_bytes, max_body_bytes, header_timeout_ms or idle_timeout_ms, a connection that was open kept the older limit for the request that it waited for: 413 or 431 for what is allowed, the end of the connection before the idle time in force, and the other way round.

Cause: the session copied the limits before it waited for a request, which may take as long as the idle time. Class: a value of the configuration that is read before a wait and used after it. serve has no such case: its limits come from the settings file at the process's start (by reading).

Change: the reader asks GatewayCore for the limits in force, sizes each time before the parser gets bytes of a head, times at the end of a wait and once a second during it. A head that is longer than a limit that has become smaller meanwhile is refused with 431. A body keeps the limit that was in force when its head was complete.

The whole way from the store's acknowledgement was not timed.

--- a/modules/serving/caller/CallerRequestReader.cpp
+++ b/modules/serving/caller/CallerRequestReader.cpp
@@ -16,37 +16,57 @@
 constexpr Milliseconds bodyTimeout { 10'000 }; /**< Enough for a body of the maximum size over a slow link. */
 constexpr Milliseconds memoryPatience { 2'000 }; /**< Leaves callers time to ask another VM. */
 constexpr std::chrono::milliseconds memoryPollInterval { 20 };
+/** Interval of looks for changed limits; a change must be in force 4 s after the store has acknowledged it. */
+constexpr std::chrono::seconds limitsPollInterval { 1 };
+
+TimePoint addTo(TimePoint begin, Milliseconds time)
+{
+    return begin + std::chrono::milliseconds(time.count());
+}
 
 TimePoint deadlineAfter(Milliseconds time)
 {
-    return std::chrono::steady_clock::now() + std::chrono::milliseconds(time.count());
+    return addTo(std::chrono::steady_clock::now(), time);
 }
 
 } // namespace
 
 CallerRequestReader::CallerRequestReader(
-    CallerStream& stream, CallerInput& input, const CallerLimits& limits, RequestMemory& memory)
+    CallerStream& stream, CallerInput& input, const GatewayCore& core, RequestMemory& memory)
     : stream(stream)
     , input(input)
-    , limits(limits)
+    , core(core)
     , memory(memory)
-    , maximumBodyBytes(std::min(limits.bodyBytes, memory.getLongestBody()))
 {
-    this->parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-    this->parser.body_limit(this->maximumBodyBytes);
 }
 
 asio::awaitable<bool> CallerRequestReader::awaitRequest()
 {
     if (!this->input.isEmpty())
         co_return true;
-    co_return co_await this->input.waitForMore(deadlineAfter(this->limits.idleTimeout));
+    const DeadlineSource getDeadline = [this, idleSince = std::chrono::steady_clock::now()] {
+        return addTo(idleSince, this->core.getCallerLimits().idleTimeout);
+    };
+    co_return co_await this->waitForMore(getDeadline);
+}
+
+asio::awaitable<bool> CallerRequestReader::waitForMore(const DeadlineSource& getDeadline)
+{
+    while (true) {
+        const TimePoint nextLook = std::chrono::steady_clock::now() + limitsPollInterval;
+        if (co_await this->input.waitForMore(std::min(getDeadline(), nextLook)))
+            co_return true;
+        if (this->input.isGone() || this->input.isInterrupted() || std::chrono::steady_clock::now() >= getDeadline())
+            co_return false;
+    }
 }
 
 asio::awaitable<ReadResult> CallerRequestReader::read()
 {
     this->beganAt = std::chrono::steady_clock::now();
-    const ReadResult head = co_await this->parse(false, deadlineAfter(this->limits.headerTimeout));
+    const DeadlineSource getHeadDeadline
+        = [this] { return addTo(this->beganAt, this->core.getCallerLimits().headerTimeout); };
+    const ReadResult head = co_await this->parse(false, getHeadDeadline);
     if (head != ReadResult::Complete)
         co_return head;
     this->fault = findFramingFault(this->parser.get());
@@ -58,9 +78,10 @@
     if (boost::beast::iequals(this->parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
         const std::vector<asio::const_buffer> pieces(1, asio::buffer(continueResponse));
-        co_await this->stream.write(pieces, this->limits.headerTimeout);
+        co_await this->stream.write(pieces, this->core.getCallerLimits().headerTimeout);
     }
-    co_return co_await this->parse(true, deadlineAfter(bodyTimeout));
+    const DeadlineSource getBodyDeadline = [deadline = deadlineAfter(bodyTimeout)] { return deadline; };
+    co_return co_await this->parse(true, getBodyDeadline);
 }
 
 asio::awaitable<ReadResult> CallerRequestReader::reserveMemory()
@@ -85,10 +106,26 @@
     co_return ReadResult::Complete;
 }
 
-asio::awaitable<ReadResult> CallerRequestReader::parse(bool isWholeRequest, TimePoint deadline)
+void CallerRequestReader::applyLimits()
+{
+    const CallerLimits& limits = this->core.getCallerLimits();
+    this->maximumBodyBytes = std::min(limits.bodyBytes, this->memory.getLongestBody());
+    this->parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    this->parser.body_limit(this->maximumBodyBytes);
+}
+
+bool CallerRequestReader::isHeadTooLarge() const
+{
+    // The parser does not look at what it has searched for the end of the head under a larger limit.
+    return !this->parser.is_header_done() && this->input.getBytes().size() >= this->core.getCallerLimits().headerBytes;
+}
+
+asio::awaitable<ReadResult> CallerRequestReader::parse(bool isWholeRequest, const DeadlineSource& getDeadline)
 {
     this->parser.eager(isWholeRequest);
     while (isWholeRequest ? !this->parser.is_done() : !this->parser.is_header_done()) {
+        if (!this->parser.is_header_done())
+            this->applyLimits();
         boost::system::error_code failure;
         const std::size_t consumed = this->parser.put(this->input.getBytes(), failure);
         this->input.consume(consumed);
@@ -98,7 +135,9 @@
             continue;
         if (isWholeRequest ? this->parser.is_done() : this->parser.is_header_done())
             break;
-        if (!co_await this->input.waitForMore(deadline))
+        if (this->isHeadTooLarge())
+            co_return this->toReadResult(http::error::header_limit);
+        if (!co_await this->waitForMore(getDeadline))
             co_return this->input.isGone()    ? ReadResult::Disconnected
                 : this->input.isInterrupted() ? ReadResult::Interrupted
                                               : ReadResult::TooSlow;
--- a/modules/serving/caller/CallerRequestReader.h
+++ b/modules/serving/caller/CallerRequestReader.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "entrance/caller/CallerInput.h"
-#include "gateway/model/ServingConfiguration.h"
+#include "gateway/core/GatewayCore.h"
 #include "serving/http/Message.h"
 #include "serving/http/RequestMemory.h"
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <functional>
 
 namespace papayashelf {
 
@@ -22,14 +23,17 @@
 };
 
 /**
-    Reads one request from a caller's connection.
+    Reads one request from a caller's connection, within the limits of the configuration in force.
+
+    A change of the limits holds for a reader that waits, too: that of a time within a second, that of a size until
+    the head is complete. A body keeps the limit that was in force when its head was complete.
 
     Thread safety: none; owned by one I/O thread.
 */
 class CallerRequestReader {
 public:
-    /** @param stream, input, limits, memory  must outlive the reader; memory also the request that it takes */
-    CallerRequestReader(CallerStream& stream, CallerInput& input, const CallerLimits& limits, RequestMemory& memory);
+    /** @param stream, input, core, memory  must outlive the reader; memory also the request that it takes */
+    CallerRequestReader(CallerStream& stream, CallerInput& input, const GatewayCore& core, RequestMemory& memory);
 
     /** Waits for the first byte of a request. False if the caller closes the connection or stays idle too long. */
     boost::asio::awaitable<bool> awaitRequest();
@@ -47,15 +51,21 @@
     IncomingRequest take();
 
 private:
-    boost::asio::awaitable<ReadResult> parse(bool isWholeRequest, TimePoint deadline);
+    /** Returns the moment until which to wait; asked again and again, since it may change meanwhile. */
+    using DeadlineSource = std::function<TimePoint()>;
+
+    boost::asio::awaitable<bool> waitForMore(const DeadlineSource& getDeadline);
+    boost::asio::awaitable<ReadResult> parse(bool isWholeRequest, const DeadlineSource& getDeadline);
+    void applyLimits();
+    bool isHeadTooLarge() const;
     boost::asio::awaitable<ReadResult> reserveMemory();
     ReadResult toReadResult(const boost::system::error_code& failure);
 
     CallerStream& stream;
     CallerInput& input;
-    const CallerLimits& limits;
+    const GatewayCore& core;
     RequestMemory& memory;
-    std::size_t maximumBodyBytes;
+    std::size_t maximumBodyBytes = 0; /**< Set while the head is read. */
     MemoryBudget::Reservation reservation;
     boost::beast::http::request_parser<boost::beast::http::string_body> parser;
     TimePoint beganAt;
--- a/modules/serving/caller/CallerSession.cpp
+++ b/modules/serving/caller/CallerSession.cpp
@@ -75,8 +75,7 @@
 
 asio::awaitable<bool> CallerSession::serveOne()
 {
-    const CallerLimits limits = this->context.core.getCallerLimits();
-    CallerRequestReader reader(this->stream, this->input, limits, this->context.requestMemory);
+    CallerRequestReader reader(this->stream, this->input, this->context.core, this->context.requestMemory);
     if (!co_await reader.awaitRequest())
         co_return false;
     ActiveRequest current;
