End a control stream that is cancelled as its last write succeeds

No other VM's message is lost by it; a process that stops could wait without end (not played with whole processes).

Cause: cancel() left the end of a stream to the callback of the write in progress, which it expected to fail. If the write had succeeded and its callback was still to come, that found nothing more to write and ended nothing; the hold stayed and the stream was never done. Class: a decision left to a callback that does not know of it.

Change: a cancelled stream is marked, and the callback of its last write ends it whether that succeeded or not. The test was sound and is unchanged.

--- a/modules/peers/transport/ControlStream.cpp
+++ b/modules/peers/transport/ControlStream.cpp
@@ -27,7 +27,7 @@
 bool ControlStream::send(wire::Envelope&& envelope)
 {
     const std::scoped_lock lock(this->mutex);
-    if (this->ended || this->queue.full())
+    if (this->ended || this->isCancelled || this->queue.full())
         return false;
     this->queue.push_back(std::move(envelope));
     this->writeNext();
@@ -38,7 +38,8 @@
 {
     this->context.TryCancel();
     const std::scoped_lock lock(this->mutex);
-    // A write in progress fails and its callback ends the stream; an idle stream gets no callback.
+    this->isCancelled = true;
+    // The callback of a write in progress ends the stream, also if the write succeeds; an idle stream gets no callback.
     if (!this->isWriting)
         this->end();
 }
@@ -48,7 +49,7 @@
     const std::scoped_lock lock(this->mutex);
     this->isWriting = false;
     this->queue.pop_front();
-    if (isOk && !this->ended) {
+    if (isOk && !this->ended && !this->isCancelled) {
         this->writeNext();
         return;
     }
--- a/modules/peers/transport/ControlStream.h
+++ b/modules/peers/transport/ControlStream.h
@@ -55,6 +55,7 @@
     std::mutex mutex;
     boost::circular_buffer<wire::Envelope> queue;
     bool isWriting = false;
+    bool isCancelled = false;
 };
 
 } // namespace papayashelf
