--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -126,6 +126,13 @@
     return in && out ? std::optional(std::pair(*in, *out)) : std::nullopt;
 }
 
+/** Returns the host that a request names, without port. */
+std::string_view extractHost(const IncomingRequest& request)
+{
+    const std::string_view host = findHeader(request.headers, "host");
+    return host.substr(0, host.find(':'));
+}
+
 bool mayHaveRun(const AttemptOutcome& outcome)
 {
     return outcome.end == AttemptEnd::Complete || outcome.end == AttemptEnd::Unanswered
@@ -146,6 +153,7 @@
     , answer(answer)
     , activeRequest(activeRequest)
     , requestId(findHeader(request.headers, context.names.requestId))
+    , identity(request.method, extractHost(request), request.target, request.body)
 {
     const auto elapsed = std::chrono::steady_clock::now() - request.arrivedAt;
     this->arrivedAt
@@ -174,8 +182,7 @@
         co_await this->refuse(Refusal { RefusalCause::Stopping, stoppingRetryDelay });
     } else {
         AdmissionQuery query;
-        query.host = findHeader(this->request.headers, "host");
-        query.host = query.host.substr(0, query.host.find(':'));
+        query.host = extractHost(this->request);
         query.path = this->request.getPath();
         const std::string_view authorization = findHeader(this->request.headers, "authorization");
         if (authorization.starts_with(bearerPrefix))
@@ -448,6 +455,8 @@
             { "reused_connection", boost::json::value(outcome.isReused) }, { "progress", toString(outcome.progress) },
             { "ended_by", toString(outcome.endedBy) }, { "silent_ms", boost::json::value(outcome.silentFor.count()) },
             { "connection_lost", boost::json::value(outcome.isConnectionLost) },
+            { "request_identity",
+                outcome.isConnectionLost ? this->identity.make(this->admitted->workspace).string() : std::string() },
             { "prompt_parts", describeSharedParts(findHeader(this->request.headers, this->context.names.promptParts)) },
             { "candidates", boost::json::value(running.inputs.candidates) },
             { "load", boost::json::value(running.inputs.load) }, { "cost_ms", boost::json::value(running.inputs.cost) },
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -3,6 +3,7 @@
 #include "entrance/upstream/UpstreamPool.h"
 #include "foundation/foundation.h"
 #include "gateway/gateway.h"
+#include "gateway/quarantine/RequestIdentity.h"
 #include "serving/caller/CallerAnswer.h"
 #include "serving/http/HeaderNames.h"
 #include "serving/http/RequestMemory.h"
@@ -142,6 +143,7 @@
     std::int64_t sharedTokens = 0;
     std::optional<std::int64_t> totalTokens; /**< Prompt tokens and maximum answer tokens, if stated. */
     PromptParts promptParts; /**< Shared parts of the prompt. */
+    RequestIdentity identity;
     std::uint64_t cacheKey = 0;
     std::unique_ptr<RunningAttempt> successor; /**< Whose answer has begun while the current attempt was silent. */
     std::set<UpstreamId> tried;
