Failing tests: a request without a prompt crashes one upstream after the other (BUDGET)

Over real sockets, with upstreams that crash before they answer: 12 of 12 upstreams crash under a request that comes 12 times (3 expected), and 8 under one that is sent once on a route with 8 attempts (2 expected). On virtual time: up to 96 VMs that lose a third of their messages, four other requests per VM at each upstream that crashes, a VM behind a cut, a service that answers nobody, and requests that were merely there.

--- a/tests/gateway/DigestFleet.h
+++ b/tests/gateway/DigestFleet.h
@@ -30,6 +30,7 @@
     GatewayCore& at(const std::string& vm) { return *this->cores.at(VmId(vm)); }
     void setLossShare(double share) { this->lossShare = share; }
     void makeUnreachable(const std::string& vm) { this->unreachableVms.insert(VmId(vm)); }
+    void makeReachable(const std::string& vm) { this->unreachableVms.erase(VmId(vm)); }
 
     /** Lets all VMs send reports until the given time. Returns the number of reports sent. */
     int runUntil(std::int64_t until)
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -301,6 +301,12 @@
     }
     if (getHeader(request, "Prompt-Prefix").find(std::string(deadlyPart) + ':') != std::string::npos)
         co_return co_await this->crash(request, stream);
+    const auto target = request.target();
+    const std::string_view targetText(target.data(), target.size());
+    if (targetText.find(deadlyTarget) != std::string_view::npos && request.body() != harmlessBody) {
+        this->http->stopListening();
+        co_return false;
+    }
     const AnswerKind kind = this->takeNextAnswer();
     if (kind == AnswerKind::NoResponse) {
         co_await this->waitUntilClosed(stream);
@@ -316,8 +322,7 @@
         co_return co_await this->sendWithPause(request, stream);
     if (const auto endless = makeEndlessAnswer(kind, getHeader(request, "Attempt-Id")))
         co_return co_await this->sendEndlessly(endless->begin, endless->repeated, stream);
-    const auto target = request.target();
-    const bool isStream = std::string_view(target.data(), target.size()).starts_with("/stream/");
+    const bool isStream = targetText.starts_with("/stream/");
     const bool isStreamKind = kind == AnswerKind::Complete || kind == AnswerKind::Late
         || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Unsealed || kind == AnswerKind::Large;
     const std::string text = this->addStatements(
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -69,6 +69,10 @@
     /** Prompt part that crashes the upstream as it answers, after the events set by setEventsBeforeCrash(). */
     static constexpr std::string_view deadlyPart = "dead";
 
+    /** Text in the target of requests that crash the upstream before it answers, unless their body is harmlessBody. */
+    static constexpr std::string_view deadlyTarget = "deadly";
+    static constexpr std::string_view harmlessBody = "harmless";
+
     /** Creates the server without starting it. */
     SealedUpstream();
     ~SealedUpstream() { this->end(); }
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -74,6 +74,8 @@
         makeRoute("/remote/", true, false), makeRoute("/stream/patient/", true, true) };
     document.routes[4].services = { { remoteService, 1 } };
     document.routes.back().maximumEventGap = SealedUpstream::longestUsualPause;
+    document.routes.push_back(makeRoute("/many/", true, false));
+    document.routes.back().maximumAttempts = 8;
     ServingService engines;
     engines.id = service;
     engines.coldRequestsPerSecond = coldRequestsPerSecond;
