--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -1,6 +1,7 @@
 #include "gateway/core/GatewayCore.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace papayashelf {
@@ -298,7 +299,13 @@
     if (!workspace)
         return Refusal { RefusalCause::UnknownKey, Milliseconds(0) };
     // Before the limit, as a refused request must not use up what the workspace's other requests need.
-    const Milliseconds quarantined = this->quarantine.getRemaining(now, admitted.service, query.promptParts);
+    Milliseconds quarantined = this->quarantine.getRemaining(now, admitted.service, query.promptParts);
+    if (query.identity) {
+        const auto known = this->quarantine.findKnownIdentity(admitted.service, *query.identity, workspace->id);
+        if (known)
+            quarantined
+                = std::max(quarantined, this->quarantine.getRemaining(now, admitted.service, std::array { *known }));
+    }
     if (quarantined > Milliseconds(0))
         return Refusal { RefusalCause::QuarantinedPrompt, quarantined };
     SharedAllowance& allowance = this->workspaceAllowances[workspace->id];
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -28,6 +28,7 @@
     std::string_view key; /**< API key; empty if the request carries none. */
     std::optional<std::int64_t> tokens; /**< Maximum tokens that the request may use, if it states a number. */
     std::span<const PromptPartId> promptParts = {}; /**< Shared parts of its prompt, sorted. */
+    const RequestIdentity* identity = nullptr; /**< May be null. */
 };
 
 /** An admitted request. */
@@ -52,7 +53,7 @@
     AllFull, /**< No upstream has free capacity. */
     AllCold, /**< The upstreams with free capacity have just started and accept few requests. */
     AllRejecting, /**< The upstreams want no requests from this VM for a known time. */
-    QuarantinedPrompt, /**< Upstreams crashed under prompts with the same parts. */
+    QuarantinedPrompt, /**< Upstreams crashed under prompts with the same parts, or under the same request. */
     NoRetryLeft, /**< An upstream refused the request, and the retry budget is used up. */
     NoTimeLeft, /**< The time allowed for the request has passed. */
 };
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -24,7 +24,8 @@
     std::int64_t promptTokens = 0;
     std::int64_t sharedTokens = 0; /**< Prompt tokens that other requests share. */
     bool isFirstPlacement = true; /**< False after a wait for capacity, as the demand is already counted. */
-    std::span<const PromptPartId> promptParts; /**< Shared parts of the prompt, sorted. */
+    /** Shared parts of the prompt, sorted; with the identity of the request if crashes are known under it. */
+    std::span<const PromptPartId> promptParts;
     std::set<UpstreamId> tried; /**< Upstreams that already received the request. */
     std::set<RegionId> triedRegions; /**< Regions that refused the relayed request. */
     /** False if only upstreams that limit the number of requests have capacity to prefill the prompt. */
@@ -55,7 +56,7 @@
     AllFull, /**< All upstreams are at capacity. */
     AllCold, /**< The upstreams with free capacity have just started. */
     AllRejecting, /**< The upstreams want no requests from this VM for a known time. */
-    Quarantined, /**< Upstreams crashed under prompts with the same parts. */
+    Quarantined, /**< Upstreams crashed under prompts with the same parts, or under the same request. */
 };
 
 /** Decision that nothing can take the request now. */
--- a/modules/gateway/quarantine/PromptQuarantine.cpp
+++ b/modules/gateway/quarantine/PromptQuarantine.cpp
@@ -14,16 +14,37 @@
 constexpr double sharedWeight = 0.6;
 /** Upstreams that crash together have a cause in common that is no request. */
 constexpr Milliseconds simultaneousCrashes { 100 };
+/** Weight of the crashes under one request at which it is more likely the cause than not. */
+constexpr double likelyWeight = 2;
 /** Longer than a quarantine, so that one crash after its end begins the next one. */
 constexpr Milliseconds suspectLifetime = PromptQuarantine::duration * 3;
 constexpr std::size_t maximumSuspects = 256; /**< The suspects of some ten crashes of busy upstreams. */
-constexpr std::size_t maximumQuarantines = 64; /**< More are no matter of single prompts. */
+constexpr std::size_t droppedAtOnce = 32; /**< Spreads the cost of the choice over many suspects. */
+constexpr std::size_t maximumQuarantines = 64; /**< More are no matter of single prompts, or of single requests. */
 /** Time in which evidence reaches all VMs by messages. VMs that start later read quarantines from the store. */
 constexpr Milliseconds exchangeTime { 8'000 };
 constexpr std::size_t maximumExchangedSuspects = 16; /**< Keeps messages below a few kilobytes. */
+constexpr std::size_t maximumExchangedUnconfirmed = 16; /**< The same, for quarantines that began earlier. */
 constexpr Milliseconds harmlessMemory { 60'000 }; /**< Engines and their weights seldom change within this time. */
 constexpr std::size_t maximumAnsweredParts = 4'096; /**< Of each service; about half a megabyte. */
 
+bool isOfRequest(const PromptSignature& prompt)
+{
+    return prompt.parts.size() == 1 && isRequestIdentity(prompt.parts.front());
+}
+
+/** Returns the identity of the request among the parts; empty for suspects of earlier versions. */
+PromptPartId findIdentity(const PromptSignature& prompt)
+{
+    const auto found = std::find_if(prompt.parts.begin(), prompt.parts.end(), isRequestIdentity);
+    return found == prompt.parts.end() ? PromptPartId() : *found;
+}
+
+Milliseconds getUnconfirmedDuration(const PromptSignature& prompt)
+{
+    return isOfRequest(prompt) ? PromptQuarantine::unconfirmedRequestDuration : PromptQuarantine::unconfirmedDuration;
+}
+
 PromptParts intersect(const PromptParts& left, const PromptParts& right)
 {
     PromptParts common;
@@ -49,6 +70,11 @@
     this->mergeServiceAnswer(now, service);
 }
 
+void PromptQuarantine::noteRequestAnswered(Milliseconds now, const ServiceId& service, const PromptPartId& request)
+{
+    this->mergeAnswered(now, service, request);
+}
+
 void PromptQuarantine::mergeServiceAnswer(Milliseconds at, const ServiceId& service)
 {
     Milliseconds& last = this->serviceAnsweredAt.try_emplace(service, at).first->second;
@@ -125,36 +151,113 @@
     return answered && *answered >= suspect.crashedAt;
 }
 
+std::map<const PromptQuarantine::Suspect*, std::size_t> PromptQuarantine::countCrashes() const
+{
+    std::map<std::pair<ServiceId, PromptPartId>, std::set<std::string_view>> crashed;
+    for (const Suspect& suspect : this->suspects) {
+        for (const PromptPartId& part : suspect.prompt.parts) {
+            if (!this->isCleared(suspect, part))
+                crashed[{ suspect.prompt.service, part }].insert(suspect.incarnation);
+        }
+    }
+    std::map<const Suspect*, std::size_t> crashes;
+    for (const Suspect& suspect : this->suspects) {
+        std::size_t& most = crashes[&suspect];
+        for (const PromptPartId& part : suspect.prompt.parts) {
+            const auto found = crashed.find({ suspect.prompt.service, part });
+            if (found != crashed.end() && !this->isCleared(suspect, part))
+                most = std::max(most, found->second.size());
+        }
+    }
+    return crashes;
+}
+
 void PromptQuarantine::dropLeastUseful()
 {
-    const auto cleared = std::find_if(this->suspects.begin(), this->suspects.end(), [this](const Suspect& suspect) {
-        return std::all_of(suspect.prompt.parts.begin(), suspect.prompt.parts.end(),
-            [&](const PromptPartId& part) { return this->isCleared(suspect, part); });
-    });
-    this->suspects.erase(cleared == this->suspects.end() ? this->suspects.begin() : cleared);
+    const std::map<const Suspect*, std::size_t> crashes = this->countCrashes();
+    std::vector<std::size_t> counts;
+    counts.reserve(crashes.size());
+    for (const auto& [suspect, count] : crashes)
+        counts.push_back(count);
+    const auto last = counts.begin() + static_cast<std::ptrdiff_t>(std::min(droppedAtOnce, counts.size()) - 1);
+    std::nth_element(counts.begin(), last, counts.end());
+    const std::size_t below = *last;
+    std::size_t left = droppedAtOnce;
+    std::deque<Suspect> kept;
+    for (const Suspect& suspect : this->suspects) {
+        if (crashes.at(&suspect) < below)
+            --left;
+    }
+    // Of those that are equally useful, the oldest ones.
+    for (Suspect& suspect : this->suspects) {
+        const std::size_t count = crashes.at(&suspect);
+        if (count > below || (count == below && left == 0))
+            kept.push_back(std::move(suspect));
+        else if (count == below)
+            --left;
+    }
+    this->suspects = std::move(kept);
 }
 
-bool PromptQuarantine::isExplained(const Suspect& suspect) const
+bool PromptQuarantine::hasBegunAnswerBeside(const Suspect& suspect) const
 {
-    const bool isQuarantined
-        = std::any_of(this->quarantines.begin(), this->quarantines.end(), [&suspect](const auto& entry) {
-              return entry.first.service == suspect.prompt.service
-                  && containsAll(suspect.prompt.parts, entry.first.parts);
-          });
-    if (isQuarantined || suspect.progress != SuspectProgress::Waiting)
-        return isQuarantined;
     return std::any_of(this->suspects.begin(), this->suspects.end(), [&suspect](const Suspect& other) {
         return other.progress == SuspectProgress::Begun && other.incarnation == suspect.incarnation;
     });
 }
 
+bool PromptQuarantine::isExplained(const Suspect& suspect, const PromptPartId& part) const
+{
+    // That a whole request is kept back does not tell whether one of its parts crashes upstreams in other requests,
+    // too.
+    const bool isRequest = isRequestIdentity(part);
+    const bool isQuarantined = std::any_of(this->quarantines.begin(), this->quarantines.end(), [&](const auto& entry) {
+        return entry.first.service == suspect.prompt.service && (isRequest || !isOfRequest(entry.first))
+            && containsAll(suspect.prompt.parts, entry.first.parts);
+    });
+    if (isQuarantined || isRequest || suspect.progress != SuspectProgress::Waiting)
+        return isQuarantined;
+    return this->hasBegunAnswerBeside(suspect);
+}
+
+double PromptQuarantine::getWeight(const Suspect& suspect, const PromptPartId& part) const
+{
+    const bool isAlone = isRequestIdentity(part) && suspect.progress == SuspectProgress::Waiting
+        && !this->hasBegunAnswerBeside(suspect);
+    return isAlone || suspect.progress == SuspectProgress::Begun ? begunAnswerWeight : sharedWeight;
+}
+
+bool PromptQuarantine::isLikelyCause(const ServiceId& service, const PromptPartId& request) const
+{
+    return this->weigh(service, request).weight >= likelyWeight;
+}
+
+std::optional<PromptPartId> PromptQuarantine::findKnownIdentity(
+    const ServiceId& service, const RequestIdentity& request, const WorkspaceId& caller) const
+{
+    if (this->suspects.empty() && this->quarantines.empty())
+        return std::nullopt;
+    const std::string beginning = request.makeBeginning(caller);
+    const auto mayHaveIt = [&](const PromptSignature& prompt) {
+        return prompt.service == service
+            && std::any_of(prompt.parts.begin(), prompt.parts.end(),
+                [&beginning](const PromptPartId& part) { return part.string().starts_with(beginning); });
+    };
+    const bool isKnown = std::any_of(this->suspects.begin(), this->suspects.end(),
+                             [&](const Suspect& suspect) { return mayHaveIt(suspect.prompt); })
+        || std::any_of(this->quarantines.begin(), this->quarantines.end(),
+            [&](const auto& entry) { return mayHaveIt(entry.first); });
+    return isKnown ? std::optional(request.make(caller)) : std::nullopt;
+}
+
 PromptQuarantine::Evidence PromptQuarantine::weigh(const ServiceId& service, const PromptPartId& part) const
 {
+    const bool isRequest = isRequestIdentity(part);
     std::vector<const Suspect*> found;
     for (const Suspect& suspect : this->suspects) {
         const bool hasPart = suspect.prompt.service == service
             && std::binary_search(suspect.prompt.parts.begin(), suspect.prompt.parts.end(), part);
-        if (hasPart && !this->isCleared(suspect, part) && !this->isExplained(suspect))
+        if (hasPart && !this->isCleared(suspect, part) && !this->isExplained(suspect, part))
             found.push_back(&suspect);
     }
     std::sort(found.begin(), found.end(),
@@ -167,11 +270,12 @@
     for (const Suspect* suspect : found) {
         evidence.commonParts
             = countedAt ? intersect(evidence.commonParts, suspect->prompt.parts) : suspect->prompt.parts;
-        const double weight = suspect->progress == SuspectProgress::Begun ? begunAnswerWeight : sharedWeight;
+        const double weight = this->getWeight(*suspect, part);
         const bool isSimultaneous = countedAt && suspect->crashedAt - *countedAt < simultaneousCrashes;
         const auto [counted, isNew] = weights.try_emplace(suspect->incarnation, 0);
         // What happened to one request at two upstreams did not happen at the same time.
-        const bool isOwnCrash = suspect->isRepeat || (isNew && !isSimultaneous);
+        const bool isOwnCrash = (suspect->isRepeat && (isRequest || suspect->progress != SuspectProgress::Waiting))
+            || (isNew && !isSimultaneous);
         if (isOwnCrash && isNew)
             countedAt = suspect->crashedAt;
         if (isOwnCrash || counted->second > 0)
@@ -179,6 +283,17 @@
     }
     for (const auto& [incarnation, weight] : weights)
         evidence.weight += weight;
+    if (isRequest) {
+        evidence.commonParts = { part };
+        return evidence;
+    }
+    std::erase_if(evidence.commonParts, isRequestIdentity);
+    std::set<PromptPartId> requests;
+    for (const Suspect* suspect : found)
+        requests.insert(findIdentity(suspect->prompt));
+    // The request itself is blamed then, and none of the parts that it shares with others.
+    if (requests.size() == 1 && !requests.begin()->isEmpty())
+        evidence.weight = 0;
     return evidence;
 }
 
@@ -188,7 +303,11 @@
     Evidence cause;
     for (const PromptPartId& part : latest.parts) {
         Evidence evidence = this->weigh(latest.service, part);
-        if (evidence.weight >= requiredWeight && evidence.commonParts.size() > cause.commonParts.size())
+        if (evidence.weight < requiredWeight)
+            continue;
+        if (isRequestIdentity(part))
+            this->start(now, evidence.since, { latest.service, { part } }, quarantinecauses::crashes);
+        else if (evidence.commonParts.size() > cause.commonParts.size())
             cause = std::move(evidence);
     }
     if (!cause.commonParts.empty())
@@ -206,12 +325,12 @@
             this->refuted[{ prompt.service, part }] = std::max(*answered, beganAt);
         return isRefuted;
     });
-    if (unanswered.parts.empty() || this->quarantines.size() >= maximumQuarantines)
+    if (unanswered.parts.empty() || !this->hasRoomFor(unanswered))
         return;
     const bool isStored = cause == quarantinecauses::store;
     const bool isOwn = !isStored && cause != quarantinecauses::otherVm;
-    const auto [entry, isNew]
-        = this->quarantines.try_emplace(unanswered, Quarantine { beganAt, blamedSince, isStored, isOwn });
+    const auto [entry, isNew] = this->quarantines.try_emplace(
+        unanswered, Quarantine { beganAt, blamedSince, isStored, isOwn, getUnconfirmedDuration(unanswered) });
     entry->second.isConfirmed = entry->second.isConfirmed || isStored;
     if (!isNew)
         return;
@@ -221,6 +340,13 @@
         this->confirm(entry->first, entry->second);
 }
 
+bool PromptQuarantine::hasRoomFor(const PromptSignature& prompt) const
+{
+    const auto count = std::count_if(this->quarantines.begin(), this->quarantines.end(),
+        [&prompt](const auto& entry) { return isOfRequest(entry.first) == isOfRequest(prompt); });
+    return static_cast<std::size_t>(count) < maximumQuarantines;
+}
+
 Milliseconds PromptQuarantine::getRemaining(
     Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts) const
 {
@@ -255,30 +381,21 @@
 {
     std::vector<const Suspect*> chosen;
     for (const Suspect& suspect : this->suspects) {
-        if (now - suspect.crashedAt <= exchangeTime && !this->isExplained(suspect))
+        const bool isExplained = std::all_of(suspect.prompt.parts.begin(), suspect.prompt.parts.end(),
+            [&](const PromptPartId& part) { return this->isExplained(suspect, part); });
+        if (now - suspect.crashedAt <= exchangeTime && !isExplained)
             chosen.push_back(&suspect);
     }
     std::reverse(chosen.begin(), chosen.end());
     if (chosen.size() <= maximumExchangedSuspects)
         return chosen;
-    // A part is the more suspicious the more upstreams crashed under it.
-    std::map<std::pair<ServiceId, PromptPartId>, std::set<std::string_view>> crashed;
-    for (const Suspect& suspect : this->suspects) {
-        for (const PromptPartId& part : suspect.prompt.parts) {
-            if (!this->isCleared(suspect, part))
-                crashed[{ suspect.prompt.service, part }].insert(suspect.incarnation);
-        }
-    }
-    std::map<const Suspect*, std::size_t> crashes;
-    for (const Suspect* suspect : chosen) {
-        for (const PromptPartId& part : suspect->prompt.parts) {
-            const auto found = crashed.find({ suspect->prompt.service, part });
-            const std::size_t count = found == crashed.end() ? 0 : found->second.size();
-            crashes[suspect] = std::max(crashes[suspect], count);
-        }
-    }
+    // A part is the more suspicious the more upstreams crashed under it. Many wait at an upstream, few answers begin.
+    const std::map<const Suspect*, std::size_t> crashes = this->countCrashes();
+    const auto getRank = [&crashes](const Suspect* suspect) {
+        return std::pair(crashes.at(suspect), suspect->progress == SuspectProgress::Begun);
+    };
     std::stable_sort(chosen.begin(), chosen.end(),
-        [&](const Suspect* left, const Suspect* right) { return crashes[left] > crashes[right]; });
+        [&](const Suspect* left, const Suspect* right) { return getRank(left) > getRank(right); });
     chosen.resize(maximumExchangedSuspects);
     return chosen;
 }
@@ -296,8 +413,11 @@
             { suspect->incarnation, suspect->prompt, suspect->progress, now - suspect->crashedAt, suspect->isRepeat });
         addParts(suspect->prompt);
     }
+    std::size_t unconfirmed = 0;
     for (const auto& [prompt, quarantine] : this->quarantines) {
-        if (now - quarantine.beganAt > exchangeTime)
+        // The store lacks the unconfirmed ones, and VMs that start or come back later may not have heard of them.
+        const bool isOld = now - quarantine.beganAt > exchangeTime;
+        if (isOld && (quarantine.isConfirmed || ++unconfirmed > maximumExchangedUnconfirmed))
             continue;
         evidence.quarantined.push_back({ prompt, now - quarantine.beganAt, now - quarantine.blamedSince });
         addParts(prompt);
@@ -311,7 +431,8 @@
     }
     for (const auto& [service, part] : parts) {
         const std::optional<Milliseconds> answered = this->findAnswered(service, part);
-        if (answered && now - *answered <= harmlessMemory)
+        const bool isRefuted = this->refuted.contains({ service, part });
+        if (answered && (isRefuted || now - *answered <= harmlessMemory))
             evidence.answered.push_back({ service, part, now - *answered });
     }
     return evidence;
@@ -321,9 +442,11 @@
 {
     for (const AnsweredPart& answered : evidence.answered)
         this->mergeAnswered(now - answered.age, answered.service, answered.part);
-    for (const QuarantinedPrompt& quarantined : evidence.quarantined)
-        this->start(now - quarantined.age, now - std::max(quarantined.age, quarantined.blamedFor), quarantined.prompt,
-            quarantinecauses::otherVm);
+    for (const QuarantinedPrompt& quarantined : evidence.quarantined) {
+        if (quarantined.age < getUnconfirmedDuration(quarantined.prompt))
+            this->start(now - quarantined.age, now - std::max(quarantined.age, quarantined.blamedFor),
+                quarantined.prompt, quarantinecauses::otherVm);
+    }
     for (const AnsweringService& answering : evidence.answering)
         this->mergeServiceAnswer(now - answering.age, answering.service);
     for (const CrashSuspect& suspect : evidence.suspects)
--- a/modules/gateway/quarantine/PromptQuarantine.h
+++ b/modules/gateway/quarantine/PromptQuarantine.h
@@ -2,6 +2,7 @@
 
 #include "foundation/time/Clock.h"
 #include "gateway/quarantine/CrashEvidence.h"
+#include "gateway/quarantine/RequestIdentity.h"
 #include <deque>
 #include <map>
 #include <optional>
@@ -51,6 +52,10 @@
     A service that answers no prompt at all may be faulty itself, and then all its prompts may have the part. Until it
     answers another prompt, a quarantine is unconfirmed and lasts only for unconfirmedDuration.
 
+    A request may crash upstreams as a whole, whatever its prompt, and also without one. Its RequestIdentity is one more
+    part, which no other request has: three crashes under it are enough even if no answer had begun, unless another
+    answer had begun at the same upstream. Any completed answer to it, error answers too, shows that it is harmless.
+
     Each VM sees few crashes, so VMs exchange suspects, completed answers and quarantines. Merging the same evidence
     again, late or in another order changes nothing.
 
@@ -63,10 +68,15 @@
     static constexpr Milliseconds duration { 600'000 }; /**< After this a prompt is tried again: engines get mended. */
     /** Several restarts of an upstream, so that crashes stay rare if the prompt is the cause after all. */
     static constexpr Milliseconds unconfirmedDuration { 30'000 };
+    /** For whole requests, which keep no others back. All upstreams of a small service may have crashed. */
+    static constexpr Milliseconds unconfirmedRequestDuration { 150'000 };
 
     /** Records that an upstream completed an answer to a prompt. @param parts  sorted; may be empty */
     void noteAnswered(Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts);
 
+    /** Records that an upstream completed an answer of any status to a request. @param request  its identity */
+    void noteRequestAnswered(Milliseconds now, const ServiceId& service, const PromptPartId& request);
+
     /** Records a suspect of a crash. Its age is ignored: the crash is taken to have happened now. */
     void noteSuspect(Milliseconds now, const CrashSuspect& suspect);
 
@@ -76,6 +86,16 @@
     /** Returns the parts with which no answer was recently completed. @param parts  sorted */
     PromptParts findUnproven(Milliseconds now, const ServiceId& service, std::span<const PromptPartId> parts) const;
 
+    /**
+        Returns the identity of a request if a suspect or a quarantine may have it. Others need not be recorded or
+        compared, so the bodies of most requests are not read.
+    */
+    std::optional<PromptPartId> findKnownIdentity(
+        const ServiceId& service, const RequestIdentity& request, const WorkspaceId& caller) const;
+
+    /** Whether so many upstreams crashed under a request that another attempt would probably crash one more. */
+    bool isLikelyCause(const ServiceId& service, const PromptPartId& request) const;
+
     //==================================================================================================================
     /** Returns the recent evidence, for another VM. */
     CrashEvidence makeEvidence(Milliseconds now) const;
@@ -113,7 +133,9 @@
         bool isConfirmed = false;
         bool isOwn = false; /**< Whether this VM found it, and neither another VM nor the store. */
 
-        Milliseconds getEnd() const { return this->beganAt + (this->isConfirmed ? duration : unconfirmedDuration); }
+        Milliseconds unconfirmedFor = unconfirmedDuration;
+
+        Milliseconds getEnd() const { return this->beganAt + (this->isConfirmed ? duration : this->unconfirmedFor); }
     };
 
     struct Evidence {
@@ -127,11 +149,19 @@
     void judge(Milliseconds now, const PromptSignature& latest);
     Evidence weigh(const ServiceId& service, const PromptPartId& part) const;
     std::set<ServiceId> getQuarantinedServices() const;
-    bool isExplained(const Suspect& suspect) const;
+    /** Whether a quarantine or another suspect explains the crash, so that it does not count against the part. */
+    bool isExplained(const Suspect& suspect, const PromptPartId& part) const;
+    /** Whether the answer to a request had begun at the suspect's upstream. */
+    bool hasBegunAnswerBeside(const Suspect& suspect) const;
+    double getWeight(const Suspect& suspect, const PromptPartId& part) const;
+    /** Returns the number of upstreams that crashed under the suspect part of each suspect with most crashes. */
+    std::map<const Suspect*, std::size_t> countCrashes() const;
     /** Whether an answer was completed with the part after the suspect's crash. */
     bool isCleared(const Suspect& suspect, const PromptPartId& part) const;
-    /** Removes a suspect that can no longer be blamed or, if there is none, the oldest one. */
+    /** Removes suspects that can no longer be blamed, then those under which fewest upstreams crashed. */
     void dropLeastUseful();
+    /** Whether there are as many quarantines of the kind, of whole requests or of prompts, as there may be. */
+    bool hasRoomFor(const PromptSignature& prompt) const;
     /** Returns the recent unexplained suspects that other VMs need most, as many as a message may hold. */
     std::vector<const Suspect*> chooseForExchange(Milliseconds now) const;
     std::optional<Milliseconds> findAnswered(const ServiceId& service, const PromptPartId& part) const;
--- a/modules/gateway/quarantine/RequestIdentity.cpp
+++ b/modules/gateway/quarantine/RequestIdentity.cpp
@@ -14,11 +14,12 @@
 
 } // namespace
 
-RequestIdentity::RequestIdentity(
-    std::string_view method, std::string_view host, std::string_view target, std::string_view body)
+RequestIdentity::RequestIdentity(std::string_view method, std::string_view host, std::string_view target,
+    std::string_view prompt, std::string_view body)
     : method(method)
     , host(host)
     , target(target)
+    , prompt(prompt)
     , body(body)
 {
 }
@@ -26,7 +27,7 @@
 std::string RequestIdentity::makeBeginning(const WorkspaceId& caller) const
 {
     std::string head;
-    for (const std::string_view field : { this->method, this->host, this->target })
+    for (const std::string_view field : { this->method, this->host, this->target, this->prompt })
         head.append(field).append("\n");
     head.append(std::to_string(this->body.size())).append("\n").append(caller.string());
     return std::string(identityPrefix) + sha256Hex(head).substr(0, headDigits);
--- a/modules/gateway/quarantine/RequestIdentity.h
+++ b/modules/gateway/quarantine/RequestIdentity.h
@@ -8,7 +8,7 @@
 namespace papayashelf {
 
 /**
-    What tells a whole request from all others: method, host, target, caller and body.
+    What tells a whole request from all others: method, host, target, caller, prompt and body.
 
     It serves as one more part of the request's prompt, which no other request has and no caller can name. It consists
     of digests that every process of every version computes alike, also one that receives the request from another VM.
@@ -18,8 +18,15 @@
 */
 class RequestIdentity {
 public:
-    /** The texts must outlive the object. @param host  without port  @param target  path and query */
-    RequestIdentity(std::string_view method, std::string_view host, std::string_view target, std::string_view body);
+    /**
+        The texts must outlive the object.
+
+        @param host    without port
+        @param target  path and query
+        @param prompt  all parts of the prompt, as the request names them
+    */
+    RequestIdentity(std::string_view method, std::string_view host, std::string_view target, std::string_view prompt,
+        std::string_view body);
 
     /** Returns the beginning of the identity. @param caller  empty on public routes */
     std::string makeBeginning(const WorkspaceId& caller) const;
@@ -31,6 +38,7 @@
     std::string_view method;
     std::string_view host;
     std::string_view target;
+    std::string_view prompt;
     std::string_view body;
     mutable std::optional<std::string> bodyDigest;
 };
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -153,7 +153,8 @@
     , answer(answer)
     , activeRequest(activeRequest)
     , requestId(findHeader(request.headers, context.names.requestId))
-    , identity(request.method, extractHost(request), request.target, request.body)
+    , identity(request.method, extractHost(request), request.target,
+          findHeader(request.headers, context.names.promptParts), request.body)
 {
     const auto elapsed = std::chrono::steady_clock::now() - request.arrivedAt;
     this->arrivedAt
@@ -189,6 +190,7 @@
             query.key = authorization.substr(bearerPrefix.size());
         query.tokens = this->totalTokens;
         query.promptParts = this->promptParts;
+        query.identity = &this->identity;
         const AdmissionDecision decision = this->context.core.admit(this->now(), query);
         if (const Refusal* refusal = std::get_if<Refusal>(&decision)) {
             co_await this->refuse(*refusal);
@@ -314,6 +316,12 @@
     query.sharedTokens = this->sharedTokens;
     query.isFirstPlacement = !std::exchange(this->hasQueriedPlacement, true);
     query.promptParts = this->promptParts;
+    const auto known = this->context.core.getQuarantine().findKnownIdentity(
+        this->admitted->service, this->identity, this->admitted->workspace);
+    if (known) {
+        this->partsWithIdentity = withIdentity(this->promptParts, *known);
+        query.promptParts = this->partsWithIdentity;
+    }
     query.tried = this->tried;
     query.triedRegions = this->triedRegions;
     query.mayRelay = !this->isRelayed;
@@ -445,10 +453,10 @@
     this->reportAttemptEnd(id, outcome);
     if (outcome.isConnectionLost)
         this->context.metrics.noteConnectionLost(toString(outcome.progress));
-    if (outcome.end == AttemptEnd::Complete && outcome.head.status == successStatus)
-        this->context.core.getQuarantine().noteAnswered(this->now(), this->admitted->service, this->promptParts);
-    if (outcome.end == AttemptEnd::Complete)
+    if (outcome.end == AttemptEnd::Complete) {
+        this->noteHarmless(outcome);
         co_return;
+    }
     this->context.log.write(this->now(), LogWeight::Notable, "attempt_failed",
         { { "request", this->requestId }, { "upstream", id.string() }, { "end", toString(outcome.end) },
             { "detail", outcome.detail }, { "attempt", boost::json::value(running.number) },
@@ -484,6 +492,17 @@
             { "attempt", boost::json::value(running.number) } });
 }
 
+void RequestServer::noteHarmless(const AttemptOutcome& outcome)
+{
+    PromptQuarantine& quarantine = this->context.core.getQuarantine();
+    const ServiceId& service = this->admitted->service;
+    // Upstreams that crash under a request complete no answer to it, of whatever status.
+    if (const auto known = quarantine.findKnownIdentity(service, this->identity, this->admitted->workspace))
+        quarantine.noteRequestAnswered(this->now(), service, *known);
+    if (outcome.head.status == successStatus)
+        quarantine.noteAnswered(this->now(), service, this->promptParts);
+}
+
 asio::awaitable<void> RequestServer::investigateLostConnection(
     const UpstreamRecord& upstream, const AttemptOutcome& outcome)
 {
@@ -495,26 +514,25 @@
         this->context.upstreamWatch.noteRefusal(upstream);
     if (!outcome.isConnectionLost)
         co_return;
-    if (this->promptParts.empty() || (isHarmless && !hasBegunAnswer)) {
-        this->context.upstreamWatch.checkSoon(upstream);
-        co_return;
-    }
     // An upstream may also end single connections. Only one that has crashed refuses new ones.
     if (!co_await this->context.upstreamWatch.refusesConnections(
             upstream, std::min(connectLimit, this->getRemaining())))
         co_return;
-    this->isCrashSuspect = hasBegunAnswer && !isHarmless;
     // Many streams end with their upstream. Parts that are known to be harmless would only hide the others among them.
     const bool isStreaming = outcome.progress == AnswerProgress::Events;
-    const bool isRepeat = std::exchange(this->hasCrashedUpstream, true) && outcome.progress != AnswerProgress::Nothing;
+    const bool leavesOutHarmless = isStreaming || (isHarmless && !hasBegunAnswer);
+    const PromptPartId request = this->identity.make(this->admitted->workspace);
     const CrashSuspect suspect { upstream.id.string() + '@' + std::to_string(upstream.startedAt),
-        { this->admitted->service, isStreaming ? unproven : this->promptParts }, toSuspectProgress(outcome.progress),
-        Milliseconds(0), isRepeat };
+        { this->admitted->service, withIdentity(leavesOutHarmless ? unproven : this->promptParts, request) },
+        toSuspectProgress(outcome.progress), Milliseconds(0), std::exchange(this->hasCrashedUpstream, true) };
     quarantine.noteSuspect(this->now(), suspect);
+    this->isCrashSuspect = this->isCrashSuspect || (hasBegunAnswer && !isHarmless)
+        || quarantine.isLikelyCause(this->admitted->service, request);
     this->context.log.write(this->now(), LogWeight::Notable, "upstream_crashed",
         { { "request", this->requestId }, { "upstream", upstream.id.string() },
             { "service", this->admitted->service.string() }, { "progress", toString(outcome.progress) },
-            { "known_harmless", boost::json::value(isHarmless) },
+            { "known_harmless", boost::json::value(isHarmless) }, { "request_identity", request.string() },
+            { "not_tried_again", boost::json::value(this->isCrashSuspect) },
             { "prompt_parts",
                 describeSharedParts(findHeader(this->request.headers, this->context.names.promptParts)) } });
 }
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -116,6 +116,8 @@
     /** Checks whether an upstream that ended the connection has crashed, and reports it if so. */
     boost::asio::awaitable<void> investigateLostConnection(
         const UpstreamRecord& upstream, const AttemptOutcome& outcome);
+    /** Records a complete answer, as it shows which parts are harmless. */
+    void noteHarmless(const AttemptOutcome& outcome);
     void noteStatement(const UpstreamRecord& upstream, const UpstreamStatement& statement);
     void reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome);
     bool mayForward(const AttemptOutcome& outcome) const;
@@ -144,6 +146,7 @@
     std::optional<std::int64_t> totalTokens; /**< Prompt tokens and maximum answer tokens, if stated. */
     PromptParts promptParts; /**< Shared parts of the prompt. */
     RequestIdentity identity;
+    PromptParts partsWithIdentity; /**< For the last query of a placement. */
     std::uint64_t cacheKey = 0;
     std::unique_ptr<RunningAttempt> successor; /**< Whose answer has begun while the current attempt was silent. */
     std::set<UpstreamId> tried;
@@ -159,7 +162,7 @@
     Milliseconds lastEventsAt; /**< Time of the last events of an answer that has begun. */
     bool hasReachedUpstream = false; /**< Whether this VM has sent the request to an upstream. */
     bool hasCrashedUpstream = false; /**< Whether an upstream crashed while it had this request. */
-    bool isCrashSuspect = false; /**< Whether an upstream crashed as it began to answer this request. */
+    bool isCrashSuspect = false; /**< Whether upstreams probably crashed because of this request. */
     bool wasLastAttemptRelayed = false; /**< Whether the last attempt went to another VM. */
 };
 
--- a/tests/gateway/RequestIdentityTest.cpp
+++ b/tests/gateway/RequestIdentityTest.cpp
@@ -17,21 +17,23 @@
     void testRequestsThatDifferInOneThingAreToldApart()
     {
         const auto make = [](std::string_view method, std::string_view host, std::string_view target,
-                              std::string_view body, const std::string& caller) {
-            return RequestIdentity(method, host, target, body).make(WorkspaceId(caller)).string();
+                              std::string_view prompt, std::string_view body, const std::string& caller) {
+            return RequestIdentity(method, host, target, prompt, body).make(WorkspaceId(caller)).string();
         };
-        const std::set<std::string> identities { make("GET", "h", "/x", "", "a"), make("HEAD", "h", "/x", "", "a"),
-            make("GET", "i", "/x", "", "a"), make("GET", "h", "/x?q", "", "a"), make("GET", "h", "/x", "b", "a"),
-            make("GET", "h", "/x", "c", "a"), make("GET", "h", "/x", "", "b"), make("GET", "h", "/x", "", "") };
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, identities.size());
-        CPPUNIT_ASSERT(identities.contains(make("GET", "h", "/x", "", "a")));
-        const RequestIdentity request("GET", "h", "/x", "b");
+        const std::set<std::string> identities { make("GET", "h", "/x", "", "", "a"),
+            make("HEAD", "h", "/x", "", "", "a"), make("GET", "i", "/x", "", "", "a"),
+            make("GET", "h", "/x?q", "", "", "a"), make("GET", "h", "/x", "p:1", "", "a"),
+            make("GET", "h", "/x", "", "b", "a"), make("GET", "h", "/x", "", "c", "a"),
+            make("GET", "h", "/x", "", "", "b"), make("GET", "h", "/x", "", "", "") };
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 9 }, identities.size());
+        CPPUNIT_ASSERT(identities.contains(make("GET", "h", "/x", "", "", "a")));
+        const RequestIdentity request("GET", "h", "/x", "", "b");
         CPPUNIT_ASSERT(request.make(WorkspaceId("a")).string().starts_with(request.makeBeginning(WorkspaceId("a"))));
     }
 
     void testCallersCannotNameTheIdentityOfARequest()
     {
-        const PromptPartId identity = RequestIdentity("GET", "h", "/x", "").make(WorkspaceId("a"));
+        const PromptPartId identity = RequestIdentity("GET", "h", "/x", "", "").make(WorkspaceId("a"));
         CPPUNIT_ASSERT(isRequestIdentity(identity));
         CPPUNIT_ASSERT(identity.string().size() <= maximumPartIdBytes);
         for (const PromptPartId& part : parsePromptParts(identity.string() + ":1,request:1,request"))
@@ -44,7 +46,7 @@
         PromptParts parts;
         for (char name = 'a'; parts.size() < maximumPromptParts; ++name)
             parts.emplace_back(std::string(1, name));
-        const PromptPartId identity = RequestIdentity("GET", "h", "/x", "").make({});
+        const PromptPartId identity = RequestIdentity("GET", "h", "/x", "", "").make({});
         const PromptParts all = withIdentity(parts, identity);
         CPPUNIT_ASSERT_EQUAL(maximumPromptParts, all.size());
         CPPUNIT_ASSERT(std::is_sorted(all.begin(), all.end()));
--- a/tests/gateway/RequestQuarantineTest.cpp
+++ b/tests/gateway/RequestQuarantineTest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(testRequestWithAnswersInBetweenIsServed);
     CPPUNIT_TEST(testLostFailureDomainBlamesNoRequest);
     CPPUNIT_TEST(testRequestsThatWaitedBesideABegunAnswerAreBlamedLater);
+    CPPUNIT_TEST(testPartsThatARequestSharesAreServed);
     CPPUNIT_TEST(testPromptPartIsFoundThoughOneRequestIsBlamed);
     CPPUNIT_TEST(testManyBlamedRequestsLeaveRoomForPromptParts);
     CPPUNIT_TEST_SUITE_END();
@@ -130,11 +131,13 @@
         Milliseconds now = start;
         for (int crash = 0; crash < 6; ++crash) {
             quarantine.noteSuspect(now, makeSuspect(crash, makeRequest(std::to_string(crash))));
-            quarantine.noteSuspect(now, makeSuspect(crash, makeRequest(std::to_string(crash / 2))));
+            quarantine.noteSuspect(now, makeSuspect(crash, makeRequest("long-" + std::to_string(crash / 2))));
             now = now + betweenCrashes;
         }
-        for (int request = 0; request < 6; ++request)
+        for (int request = 0; request < 6; ++request) {
             CPPUNIT_ASSERT(!isQuarantined(quarantine, now, makeRequest(std::to_string(request))));
+            CPPUNIT_ASSERT(!isQuarantined(quarantine, now, makeRequest("long-" + std::to_string(request / 2))));
+        }
     }
 
     void testRequestWithAnswersInBetweenIsServed()
@@ -147,7 +150,7 @@
         }
         CPPUNIT_ASSERT(!isQuarantined(quarantine, now, makeRequest("popular")));
         // An answer that another VM saw ends the quarantine, too.
-        now = crashUpstreams(quarantine, now, 3, makeRequest("popular"));
+        now = crashUpstreams(quarantine, now + betweenCrashes, 3, makeRequest("popular"));
         CPPUNIT_ASSERT(isQuarantined(quarantine, now, makeRequest("popular")));
         PromptQuarantine other;
         other.noteAnswered(now, counter, makeRequest("popular"));
@@ -178,18 +181,25 @@
         CPPUNIT_ASSERT(isQuarantined(quarantine, now, makeRequest("waiting")));
     }
 
-    // The same prompt comes three times as the same request, and then as others.
+    // All requests with the part were kept back for the one that crashed upstreams.
+    void testPartsThatARequestSharesAreServed()
+    {
+        PromptQuarantine quarantine;
+        const Milliseconds now = crashByOneRequest(quarantine, 6);
+        CPPUNIT_ASSERT(isQuarantined(quarantine, now, makeRequest("same")));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, now, { PromptPartId("shared") }));
+        CPPUNIT_ASSERT(!isQuarantined(quarantine, now, { PromptPartId("request:another"), PromptPartId("shared") }));
+    }
+
+    // The same prompt comes three times as the same request, and then as another one.
     void testPromptPartIsFoundThoughOneRequestIsBlamed()
     {
         PromptQuarantine quarantine;
-        Milliseconds now = start;
-        for (int crash = 0; crash < 3; ++crash) {
-            quarantine.noteSuspect(now,
-                makeSuspect(crash, { PromptPartId("deadly"), PromptPartId("request:same") }, SuspectProgress::Begun));
-            now = now + betweenCrashes;
-        }
-        CPPUNIT_ASSERT(isQuarantined(quarantine, now, { PromptPartId("deadly") }));
+        const Milliseconds now = crashByOneRequest(quarantine, 3);
         CPPUNIT_ASSERT(isQuarantined(quarantine, now, makeRequest("same")));
+        quarantine.noteSuspect(
+            now, makeSuspect(100, { PromptPartId("request:another"), PromptPartId("shared") }, SuspectProgress::Begun));
+        CPPUNIT_ASSERT(isQuarantined(quarantine, now, { PromptPartId("shared") }));
     }
 
     void testManyBlamedRequestsLeaveRoomForPromptParts()
@@ -205,6 +215,18 @@
         }
         CPPUNIT_ASSERT(isQuarantined(quarantine, now, { PromptPartId("deadly") }));
     }
+
+private:
+    static Milliseconds crashByOneRequest(PromptQuarantine& quarantine, int crashes)
+    {
+        Milliseconds now = start;
+        for (int crash = 0; crash < crashes; ++crash) {
+            quarantine.noteSuspect(now,
+                makeSuspect(crash, { PromptPartId("request:same"), PromptPartId("shared") }, SuspectProgress::Begun));
+            now = now + betweenCrashes;
+        }
+        return now;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestQuarantineTest);
