--- a/modules/serving/upstream/UpstreamWatch.cpp
+++ b/modules/serving/upstream/UpstreamWatch.cpp
@@ -1,6 +1,7 @@
 #include "serving/upstream/UpstreamWatch.h"
 
 #include "serving/upstream/UpstreamAttempt.h"
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -69,20 +70,20 @@
     const bool maySay = service.coldRequestsPerSecond > 0 && !service.healthPath.empty();
     if (!maySay || !this->endpointsInQuestion.insert(upstream.endpoint).second)
         return;
-    asio::co_spawn(this->executor, this->ask(upstream, service.healthPath, std::move(connection)), asio::detached);
+    asio::co_spawn(this->executor, this->ask(upstream, service, std::move(connection)), asio::detached);
 }
 
-asio::awaitable<void> UpstreamWatch::ask(UpstreamRecord upstream, std::string healthPath, Connection connection)
+asio::awaitable<void> UpstreamWatch::ask(UpstreamRecord upstream, ServingService service, Connection connection)
 {
     prepareUpstreamSocket(connection->socket);
-    const std::optional<Milliseconds> coldFor = co_await this->readColdTime(healthPath, *connection);
+    const std::optional<Milliseconds> coldFor = co_await this->readColdTime(service.healthPath, *connection);
     this->endpointsInQuestion.erase(upstream.endpoint);
     const KnownUpstream* known = this->core.getUpstreams().find(upstream.id);
     const Milliseconds now = this->clock.now();
     if (!known || !coldFor || *coldFor <= Milliseconds(0) || known->isCold(now))
         co_return;
     this->noteProcessEnded(now, upstream, "its_health");
-    this->core.noteReturned(now, upstream, *coldFor);
+    this->core.noteReturned(now, upstream, std::min(*coldFor, service.coldDuration));
 }
 
 asio::awaitable<std::optional<Milliseconds>> UpstreamWatch::readColdTime(
--- a/modules/serving/upstream/UpstreamWatch.h
+++ b/modules/serving/upstream/UpstreamWatch.h
@@ -46,7 +46,7 @@
 
     /** Asks an upstream for its health over a new connection, unless it is being asked already. */
     void askSoon(const UpstreamRecord& upstream, Connection connection);
-    boost::asio::awaitable<void> ask(UpstreamRecord upstream, std::string healthPath, Connection connection);
+    boost::asio::awaitable<void> ask(UpstreamRecord upstream, ServingService service, Connection connection);
     /** Returns for how long the upstream says that it is cold, or nothing if it does not answer. */
     boost::asio::awaitable<std::optional<Milliseconds>> readColdTime(
         const std::string& healthPath, UpstreamConnection& connection);
--- a/tests/serving/RestartedUpstreamTest.cpp
+++ b/tests/serving/RestartedUpstreamTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(testUpstreamThatIsBackAtOnceIsNotFlooded);
     CPPUNIT_TEST(testUpstreamThatClosesNewConnectionsIsNotAskedWithoutEnd);
     CPPUNIT_TEST(testRestartedUpstreamGetsItsShareOnceItIsWarm);
+    CPPUNIT_TEST(testAbsurdColdTimeIsBounded);
     CPPUNIT_TEST(testUpstreamThatEndsSingleConnectionsKeepsItsShare);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +116,21 @@
         CPPUNIT_ASSERT(this->harness->first().getRequests().size() - before > allowedWhileCold);
     }
 
+    void testAbsurdColdTimeIsBounded()
+    {
+        this->harness->first().setStatedColdTime("9223372036854775807");
+        this->harness->first().queueAnswers({ AnswerKind::Reset });
+        this->askFor(std::chrono::milliseconds(300));
+        this->harness->first().setStatedColdTime({});
+        const std::size_t whenAsked = this->harness->first().getRequests().size();
+        this->askFor(std::chrono::milliseconds(1'000));
+        CPPUNIT_ASSERT(this->harness->first().getRequests().size() - whenAsked <= allowedWhileCold);
+        this->askFor(ServingHarness::coldDuration.count() * std::chrono::milliseconds(1));
+        const std::size_t before = this->harness->first().getRequests().size();
+        this->askFor(std::chrono::milliseconds(1'000));
+        CPPUNIT_ASSERT(this->harness->first().getRequests().size() - before > allowedWhileCold);
+    }
+
     void testUpstreamThatEndsSingleConnectionsKeepsItsShare()
     {
         this->harness->first().queueAnswers({ AnswerKind::Reset });
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -205,11 +205,20 @@
     return requests;
 }
 
+void SealedUpstream::setStatedColdTime(const std::string& milliseconds)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->statedColdTime = milliseconds;
+}
+
 std::string SealedUpstream::makeHealthAnswer() const
 {
     const auto left
         = std::chrono::duration_cast<std::chrono::milliseconds>(this->coldUntil - std::chrono::steady_clock::now());
-    const std::string cold = left.count() > 0 ? "Cold-Ms: " + std::to_string(left.count()) + "\r\n" : std::string();
+    const std::scoped_lock lock(this->mutex);
+    const std::string time = this->statedColdTime.empty() ? std::to_string(left.count()) : this->statedColdTime;
+    const bool isCold = left.count() > 0 || !this->statedColdTime.empty();
+    const std::string cold = isCold ? "Cold-Ms: " + time + "\r\n" : std::string();
     return formatWithLength("HTTP/1.1 200 OK\r\n" + cold, "{}");
 }
 
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -98,6 +98,9 @@
     /** Sets header lines, each with its end, that answers to the request carry from now on; empty for none. */
     void setStatedHeaders(const std::string& lines);
 
+    /** Sets what answers on its health say of its cold time; empty for the truth. */
+    void setStatedColdTime(const std::string& milliseconds);
+
     /** Sets the number of events after which deadlyPart crashes the upstream; by default it crashes within the first.
      */
     void setEventsBeforeCrash(int events) { this->eventsBeforeCrash = events; }
@@ -136,6 +139,7 @@
     std::deque<AnswerKind> queuedAnswers;
     std::string statedLimit;
     std::string statedHeaders;
+    std::string statedColdTime;
     std::atomic<std::size_t> endlessBytes = 0;
     std::atomic<int> eventsBeforeCrash = 0;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
