Read the software version of upstreams and log which one continues a stream

Callers: nothing changes. The entry of an upstream names the version of its software, and no code read it, so no log could tell whether a stream was continued at the version that began it, nor on which path. Entries and restarts now name the version, and stream_continued names the upstreams and versions on both sides, within an answer or for a caller that came again.

--- a/modules/foundation/identity/Identifier.h
+++ b/modules/foundation/identity/Identifier.h
@@ -40,6 +40,9 @@
 using UpstreamId = Identifier<struct UpstreamTag>;
 using ModelId = Identifier<struct ModelTag>;
 
+/** Names the version of the software of an upstream, not of its model. */
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
+
 /** SHA-256 of a caller's key in lower-case hexadecimal; the key itself is never kept. */
 using KeyDigest = Identifier<struct KeyDigestTag>;
 
--- a/modules/gateway/upstreams/UpstreamRecord.h
+++ b/modules/gateway/upstreams/UpstreamRecord.h
@@ -19,6 +19,7 @@
     Milliseconds coldFor; /**< Remaining time in which it accepts only few requests. */
     std::int64_t startedAt = 0; /**< Unix milliseconds; distinguishes incarnations with the same id. 0 if not stated. */
     std::int64_t sequence = 0; /**< Rises with the entries of one incarnation; 0 if not stated. */
+    SoftwareVersion version; /**< A stream can go on only at an upstream of the version that began it. */
 
     bool operator==(const UpstreamRecord&) const = default;
 };
--- a/modules/serving/http/HeaderNames.h
+++ b/modules/serving/http/HeaderNames.h
@@ -12,6 +12,8 @@
     std::string promptParts; /**< Parts of the prompt in order, each as ID:TOKENS, separated by commas. */
     std::string tokenCounts; /**< Number of prompt tokens and maximum number of answer tokens, separated by a comma. */
     std::string lastEventId; /**< Id of the last stream event that the caller received. */
+    /** Id of the caller's attempt that brought the first event of the stream that the caller takes up. */
+    std::string resumedRequest;
     std::string seal; /**< The upstream's signature of its answer. */
     std::string workspace; /**< Tells upstreams which workspace sent the request. */
     std::string expectedUpstream; /**< Id of the intended upstream; any other upstream refuses the request. */
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -388,6 +388,7 @@
                                  this->context.metrics.noteFirstByteTime(this->now() - this->arrivedAt);
                                  if (running->onFirstEvent)
                                      std::exchange(running->onFirstEvent, {})();
+                                 this->noteStreamSource(*running);
                              } };
         outcome = co_await running->attempt.finish(this->splitter ? &target : nullptr);
     }
@@ -403,6 +404,25 @@
     co_return co_await this->complete(std::move(next), std::nullopt);
 }
 
+void RequestServer::noteStreamSource(const RunningAttempt& running)
+{
+    const auto* upstream = std::get_if<UseUpstream>(&running.destination);
+    StreamSource source;
+    source.destination = upstream ? upstream->upstream.id.string()
+                                  : "relay:" + std::get<UseRelay>(running.destination).vm.string();
+    source.version = upstream ? upstream->upstream.version : SoftwareVersion();
+    const std::string resumedRequest(findHeader(this->request.headers, this->context.names.resumedRequest));
+    if (this->streamSource || this->parseNumberHeader(this->context.names.lastEventId)) {
+        const StreamSource before = this->streamSource.value_or(StreamSource {});
+        this->context.log.write(this->now(), LogWeight::Notable, "stream_continued",
+            { { "request", this->requestId }, { "resumed_request", resumedRequest },
+                { "service", this->admitted->service.string() }, { "from", before.destination },
+                { "from_version", before.version.string() }, { "to", source.destination },
+                { "to_version", source.version.string() }, { "relayed", boost::json::value(this->isRelayed) } });
+    }
+    this->streamSource = std::move(source);
+}
+
 asio::awaitable<bool> RequestServer::tryElsewhere(UpstreamAttempt& silent)
 {
     const std::optional<std::variant<UseUpstream, UseRelay>> destination
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -73,6 +73,12 @@
         int number = 0;
     };
 
+    /** Where the events of a stream come from. */
+    struct StreamSource {
+        std::string destination; /**< Id of the upstream; "relay:" and the id of the VM for a relay. */
+        SoftwareVersion version; /**< Empty if it is not known. */
+    };
+
     /** Records the beginning of an attempt. */
     std::unique_ptr<RunningAttempt> begin(std::variant<UseUpstream, UseRelay> destination);
     /** Sends the request. Returns how the attempt ended, or nothing if its answer has begun. */
@@ -80,6 +86,8 @@
     /** Reads the rest of the answer, unless the attempt has ended, and acts on the outcome. */
     boost::asio::awaitable<NextAction> complete(
         std::unique_ptr<RunningAttempt> running, std::optional<AttemptOutcome> outcome);
+    /** Records which attempt brings the next events of the stream. */
+    void noteStreamSource(const RunningAttempt& running);
     /** Records the end of an attempt. */
     boost::asio::awaitable<void> noteEnd(RunningAttempt& running, const AttemptOutcome& outcome);
     boost::asio::awaitable<void> noteUpstreamEnd(RunningAttempt& running, const AttemptOutcome& outcome);
@@ -156,6 +164,7 @@
     bool isRelayed = false;
     bool hasQueriedPlacement = false; /**< Whether placement was queried at least once. */
     std::optional<AttemptOutcome> keptFailure; /**< Error answer of an upstream, sent if all retries fail. */
+    std::optional<StreamSource> streamSource; /**< Of the last events sent to the caller; empty before the first. */
     std::string lastUpstream; /**< For the log; "relay:" and the id of the VM for a relay. */
     AttemptEndedBy lastEndedBy = AttemptEndedBy::Upstream; /**< Of the last attempt without a complete answer. */
     Milliseconds lastSilentFor; /**< The same. */
