--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -30,6 +30,7 @@
     upstream.failureDomain = FailureDomainId(region + "-a");
     upstream.endpoint = Endpoint { "127.0.0.1", static_cast<std::uint16_t>(40000 + stableHash(name) % 10000) };
     upstream.slots = slots;
+    upstream.version = SoftwareVersion("v1");
     return upstream;
 }
 
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -15,21 +15,6 @@
 const ServiceId service("service");
 const ServiceId remoteService("remote-service"); /**< Has upstreams in other regions only. */
 
-GatewaySettings makeSettings(double retryRatio, Milliseconds stopGrace)
-{
-    GatewaySettings settings;
-    settings.vm = VmId("vm-1");
-    settings.region = RegionId("north");
-    settings.failureDomain = FailureDomainId("north-a");
-    const Endpoint any { "127.0.0.1", 0 };
-    settings.listeners = { any, any, any, any, any };
-    settings.bounds.retryRatio = retryRatio;
-    settings.bounds.stopGrace = stopGrace;
-    // The tests follow no store, so the configuration that they apply must count as fresh for as long as they run.
-    settings.bounds.keyWithdrawal = Milliseconds::fromSeconds(600);
-    return settings;
-}
-
 ServingRoute makeRoute(const std::string& prefix, bool isRetryable, bool isStream)
 {
     ServingRoute route;
@@ -65,6 +50,21 @@
     return length != std::string::npos && std::stoul(this->text.substr(length + 16)) == body.size();
 }
 
+GatewaySettings ServingHarness::makeSettings(double retryRatio, Milliseconds stopGrace)
+{
+    GatewaySettings settings;
+    settings.vm = VmId("vm-1");
+    settings.region = RegionId("north");
+    settings.failureDomain = FailureDomainId("north-a");
+    const Endpoint any { "127.0.0.1", 0 };
+    settings.listeners = { any, any, any, any, any };
+    settings.bounds.retryRatio = retryRatio;
+    settings.bounds.stopGrace = stopGrace;
+    // The tests follow no store, so the configuration that they apply must count as fresh for as long as they run.
+    settings.bounds.keyWithdrawal = Milliseconds::fromSeconds(600);
+    return settings;
+}
+
 ServingDocument ServingHarness::makeDocument()
 {
     ServingDocument document;
@@ -167,6 +167,7 @@
     record.failureDomain = FailureDomainId("north-a");
     record.endpoint = endpoint;
     record.slots = 8;
+    record.version = SoftwareVersion("v1");
     this->process->getCore().getUpstreams().put(this->process->getClock().now(), record);
 }
 
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -64,6 +64,12 @@
     static std::string makeHead(
         const std::string& method, const std::string& path, const std::string& id, const std::string& more = {});
 
+    /** Returns the settings of a process in the region "north" that listens on free ports. */
+    static GatewaySettings makeSettings(double retryRatio, Milliseconds stopGrace);
+
+    /** Returns the configuration that the process starts with. */
+    static ServingDocument makeDocument();
+
     /** Reads until the connection ends. */
     static RawAnswer readAnswer(boost::asio::ip::tcp::socket& socket);
 
@@ -86,7 +92,6 @@
     std::vector<StandinRequest> getArrivals() const;
 
 private:
-    static ServingDocument makeDocument();
     void addUpstream(const std::string& id, const Endpoint& endpoint);
     void addVmOfOtherRegion(const std::string& otherRegion, const Endpoint& relays);
 
