--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -90,6 +90,10 @@
         return "stopping";
     case RefusalCause::NoUpstream:
         return "no_upstream";
+    case RefusalCause::UnknownStream:
+        return "unknown_stream";
+    case RefusalCause::NoUpstreamOfVersion:
+        return "no_upstream_of_version";
     case RefusalCause::AllFull:
         return "all_full";
     case RefusalCause::AllCold:
@@ -112,6 +116,7 @@
     , random(seed)
     , freshness(settings.bounds.keyWithdrawal)
     , loadExchange(settings.vm, settings.region)
+    , streamOrigins(settings.vm, this->vms)
     , placement(settings.vm, settings.region, this->upstreams, this->vms, this->loadExchange, seed + 1)
     , recentVmCount(settings.bounds.retryWindow)
 {
@@ -170,6 +175,7 @@
         this->placement.forget(upstream);
     this->vms.expire(now);
     this->quarantine.expire(now);
+    this->streamOrigins.expire(now);
     this->recentVmCount.note(now, this->vms.countVms());
     this->updateShares(now);
 }
@@ -440,6 +446,13 @@
     return this->getRetryBudget(service).tryTake(now, this->getExtraRetryShare(now));
 }
 
+std::optional<SoftwareVersion> GatewayCore::findOnlyVersion(Milliseconds now, const ServiceId& service) const
+{
+    if (!this->isFresh(now))
+        return std::nullopt;
+    return this->upstreams.findOnlyVersion(now, service, StreamOriginTable::longestLifetime);
+}
+
 bool GatewayCore::isReady(Milliseconds now) const
 {
     return this->configuration && !this->isStopping() && this->isFresh(now);
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -14,6 +14,7 @@
 #include "gateway/quarantine/PromptQuarantine.h"
 #include "gateway/settings/GatewaySettings.h"
 #include "gateway/stop/StopSchedule.h"
+#include "gateway/streams/StreamOriginExchange.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmRegistry.h"
 #include <memory>
@@ -50,6 +51,8 @@
     OverLimit, /**< The workspace has used up its limit. */
     Stopping, /**< This VM is shutting down. */
     NoUpstream, /**< No upstream of the service is listed in a region that may serve the request. */
+    UnknownStream, /**< It is not known what began the stream that the caller takes up. */
+    NoUpstreamOfVersion, /**< No upstream of the version that must continue the stream is listed there. */
     AllFull, /**< No upstream has free capacity. */
     AllCold, /**< The upstreams with free capacity have just started and accept few requests. */
     AllRejecting, /**< The upstreams want no requests from this VM for a known time. */
@@ -248,6 +251,16 @@
         this->upstreams.noteContact(now, upstream, now, coldFor);
     }
 
+    /**
+        Returns the version that began a stream of a service whose origin no VM knows: the only one that it can be,
+        unless there were several in the time in which callers take up streams, or this VM may not know all.
+    */
+    std::optional<SoftwareVersion> findOnlyVersion(Milliseconds now, const ServiceId& service) const;
+
+    /** Returns what this VM knows of the streams that callers may take up. */
+    StreamOriginExchange& getStreamOrigins() { return this->streamOrigins; }
+    const StreamOriginExchange& getStreamOrigins() const { return this->streamOrigins; }
+
     /** Returns the prompts that are kept from upstreams. */
     PromptQuarantine& getQuarantine() { return this->quarantine; }
     const PromptQuarantine& getQuarantine() const { return this->quarantine; }
@@ -282,6 +295,7 @@
     UpstreamTable upstreams;
     VmRegistry vms;
     LoadExchange loadExchange;
+    StreamOriginExchange streamOrigins;
     PromptQuarantine quarantine;
     Placement placement;
     StorePosition knownRevision;
--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/digest/Digest.h"
 
 #include "foundation/text/JsonText.h"
+#include "gateway/digest/StreamOriginText.h"
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -304,6 +305,13 @@
     return json::serialize(message);
 }
 
+std::string encodeDigest(const StreamOriginMessage& message, std::string_view key)
+{
+    json::object datagram { { "schema", schemaVersion }, { "kind", "streams" }, { "key", key } };
+    encodeStreamOrigins(datagram, message);
+    return json::serialize(datagram);
+}
+
 Outcome<DecodedDigest> decodeDigest(std::string_view bytes)
 {
     // Boost.JSON throws if a field is missing or has the wrong type; the exception is converted to an error here.
@@ -314,8 +322,11 @@
             return Error { ErrorCode::Damaged, "the digest has an unsupported schema version" };
         DecodedDigest decoded;
         decoded.key = textAt(object, "key");
-        if (textAt(object, "kind") == "report")
+        const std::string kind = textAt(object, "kind");
+        if (kind == "report")
             decoded.report = decodeReport(object);
+        else if (kind == "streams")
+            decoded.origins = decodeStreamOrigins(object);
         else
             decoded.reply = decodeReply(object);
         return decoded;
--- a/modules/gateway/digest/Digest.h
+++ b/modules/gateway/digest/Digest.h
@@ -4,6 +4,7 @@
 #include "foundation/outcomes/Outcome.h"
 #include "gateway/limits/StoredConfiguration.h"
 #include "gateway/quarantine/CrashEvidence.h"
+#include "gateway/streams/StreamOrigin.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include <cstdint>
 #include <map>
@@ -70,11 +71,15 @@
 /** Serializes a reply for a datagram; the key is the receiver's VmAnnouncement::relayKey. */
 std::string encodeDigest(const DigestReply& reply, std::string_view key);
 
-/** A parsed datagram: exactly one of report and reply is set. */
+/** Serializes a message for a datagram; the key is the receiver's VmAnnouncement::relayKey. */
+std::string encodeDigest(const StreamOriginMessage& message, std::string_view key);
+
+/** A parsed datagram: exactly one of report, reply and origins is set. */
 struct DecodedDigest {
     std::string key;
     std::optional<DigestReport> report;
     std::optional<DigestReply> reply;
+    std::optional<StreamOriginMessage> origins;
 };
 
 /** Parses a datagram. Error: Damaged, also for a message of another schema version. */
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -30,6 +30,7 @@
 #include "gateway/settings/GatewaySettings.h"
 #include "gateway/stop/StopSchedule.h"
 #include "gateway/streams/EventSplitter.h"
+#include "gateway/streams/StreamOriginExchange.h"
 #include "gateway/upstreams/EvacuationList.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmAnnouncement.h"
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -65,6 +65,8 @@
         if (const auto relay = this->findRelay(now, query, ownCost, hasOwnUpstreams))
             return *relay;
     }
+    if (!best && query.version && !this->isVersionListed(query))
+        return PlacementFailure { PlacementFailureCause::NoUpstreamOfVersion, Milliseconds(0) };
     if (!best && cause == PlacementFailureCause::AllRejecting)
         return PlacementFailure { cause, this->getRejectionTime(now, query.service) };
     if (!best)
@@ -99,7 +101,7 @@
     std::vector<Candidate> healthyCandidates;
     std::vector<Candidate> suspectCandidates;
     for (const KnownUpstream* upstream : this->table.getUsableUpstreams(query.service, this->region)) {
-        if (query.tried.contains(upstream->record.id))
+        if (query.tried.contains(upstream->record.id) || !mayUseVersion(query, *upstream))
             continue;
         if (upstream->isRejecting(now) || !this->mayReturnTo(now, *upstream, regionVms.size())) {
             cause = cause == PlacementFailureCause::NoUpstream ? PlacementFailureCause::AllRejecting : cause;
@@ -136,6 +138,25 @@
     return healthyCandidates;
 }
 
+bool Placement::mayUseVersion(const PlacementQuery& query, const KnownUpstream& upstream)
+{
+    return !query.version || (upstream.record.version == *query.version && upstream.isEntryOfProcess());
+}
+
+bool Placement::isVersionListed(const PlacementQuery& query) const
+{
+    const auto isListedIn = [&](const RegionId& where) {
+        const std::vector<const KnownUpstream*> upstreams = this->table.getUsableUpstreams(query.service, where);
+        return isHome(query.homes, where) && std::any_of(upstreams.begin(), upstreams.end(), [&](const auto* upstream) {
+            return upstream->record.version == *query.version;
+        });
+    };
+    if (isListedIn(this->region))
+        return true;
+    const std::set<RegionId> regions = query.mayRelay ? this->vms.getRegions() : std::set<RegionId>();
+    return std::any_of(regions.begin(), regions.end(), isListedIn);
+}
+
 bool Placement::mayReturnTo(Milliseconds now, const KnownUpstream& upstream, std::size_t regionVms)
 {
     const Milliseconds elapsed = now - upstream.rejectsUntil;
@@ -168,8 +189,10 @@
     }
     const std::int64_t all = this->loadExchange.getLoad(this->region, query.service).pendingPrefillTokens;
     // A VM of an earlier version reports no load by upstream; its load is taken to be spread evenly.
-    const double unattributed
-        = static_cast<double>(std::max<std::int64_t>(0, all - attributed)) / static_cast<double>(hashes.size());
+    // Upstreams of other versions, which are no candidates then, have a part of it, too.
+    const double unattributed = query.version
+        ? 0
+        : static_cast<double>(std::max<std::int64_t>(0, all - attributed)) / static_cast<double>(hashes.size());
     const double prefillSpeed = this->prefillSpeed.get(query.service);
     const double cacheMissCost
         = query.cacheKey == 0 ? 0 : static_cast<double>(query.sharedTokens) * cacheMissFactor / prefillSpeed;
@@ -270,7 +293,9 @@
 {
     const std::vector<const KnownUpstream*> upstreams = this->table.getUsableUpstreams(query.service, other);
     const int slots = this->table.countSlots(query.service, other);
-    if (slots == 0)
+    const bool hasUsable = std::any_of(upstreams.begin(), upstreams.end(),
+        [&query](const KnownUpstream* upstream) { return mayUseVersion(query, *upstream); });
+    if (slots == 0 || !hasUsable)
         return std::numeric_limits<double>::infinity();
     const ServiceLoad load = this->loadExchange.getLoad(other, query.service);
     const double acceptedShare = std::max(load.acceptedShare, minimumAcceptedShare);
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -21,6 +21,7 @@
     ServiceId service;
     std::vector<RegionId> homes; /**< Regions that may serve the request; empty for all. */
     std::uint64_t cacheKey = 0; /**< Hash of the shared part of the prompt that is worth caching; 0 for none. */
+    std::optional<SoftwareVersion> version; /**< Of the upstreams that may be used; none for any version. */
     std::int64_t promptTokens = 0;
     std::int64_t sharedTokens = 0; /**< Prompt tokens that other requests share. */
     bool isFirstPlacement = true; /**< False after a wait for capacity, as the demand is already counted. */
@@ -53,6 +54,7 @@
 /** Why no upstream can take a request now. */
 enum class PlacementFailureCause {
     NoUpstream, /**< No upstream is listed in a region that may serve the request. */
+    NoUpstreamOfVersion, /**< No upstream of the version that must continue the stream is listed there. */
     AllFull, /**< All upstreams are at capacity. */
     AllCold, /**< The upstreams with free capacity have just started. */
     AllRejecting, /**< The upstreams want no requests from this VM for a known time. */
@@ -159,6 +161,10 @@
         double cost = 0; /**< Cost in milliseconds; see Placement. */
     };
 
+    /** Returns true unless the request needs another software version, or it is uncertain which one answers. */
+    static bool mayUseVersion(const PlacementQuery& query, const KnownUpstream& upstream);
+    /** Returns true if any upstream of the version that a request needs is listed where the request may go. */
+    bool isVersionListed(const PlacementQuery& query) const;
     /** Returns true if the request may use an upstream that may have rejected requests shortly before. */
     bool mayReturnTo(Milliseconds now, const KnownUpstream& upstream, std::size_t regionVms);
     /** Returns the time until the first of the service's upstreams accepts requests again; 0 if none rejects them. */
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -69,7 +69,12 @@
 {
     this->passedOver.erase(record.id);
     this->ended.erase(record.id);
+    this->followedSince = this->followedSince.value_or(now);
     KnownUpstream& upstream = this->upstreams[record.id];
+    if (upstream.record.service != record.service || upstream.record.version != record.version) {
+        this->versionsChangedAt[{ upstream.record.service, upstream.record.version }] = now;
+        this->versionsChangedAt[{ record.service, record.version }] = now;
+    }
     const bool hasRestarted
         = upstream.record.startedAt != record.startedAt || upstream.record.endpoint != record.endpoint;
     if (hasRestarted) {
@@ -108,6 +113,7 @@
         return isExpired;
     });
     std::erase_if(this->ended, [now](const auto& entry) { return entry.second.endedAt + endedMemory <= now; });
+    std::erase_if(this->versionsChangedAt, [now](const auto& entry) { return entry.second + endedMemory <= now; });
     this->applyOldPassedOver(now);
     return gone;
 }
@@ -115,6 +121,7 @@
 void UpstreamTable::rememberEnded(Milliseconds now, const KnownUpstream& upstream)
 {
     const UpstreamRecord& last = upstream.record;
+    this->versionsChangedAt[{ last.service, last.version }] = now;
     if (this->ended.size() >= maximumEnded) {
         this->ended.erase(std::min_element(this->ended.begin(), this->ended.end(),
             [](const auto& left, const auto& right) { return left.second.endedAt < right.second.endedAt; }));
@@ -346,6 +353,35 @@
     return found == this->upstreams.end() ? nullptr : &found->second;
 }
 
+SoftwareVersion UpstreamTable::findVersion(const UpstreamRecord& upstream) const
+{
+    const KnownUpstream* known = this->find(upstream.id);
+    // Without a later entry, nothing else has used its id.
+    if (!known)
+        return upstream.version;
+    const UpstreamRecord& last = known->record;
+    const bool isSame = last.startedAt == upstream.startedAt && last.endpoint == upstream.endpoint
+        && last.version == upstream.version;
+    return isSame && known->isEntryOfProcess() ? upstream.version : SoftwareVersion();
+}
+
+std::optional<SoftwareVersion> UpstreamTable::findOnlyVersion(
+    Milliseconds now, const ServiceId& service, Milliseconds memory) const
+{
+    if (!this->followedSince || now - *this->followedSince < memory)
+        return std::nullopt;
+    std::set<SoftwareVersion> versions;
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (upstream.record.service == service)
+            versions.insert(upstream.record.version);
+    }
+    for (const auto& [version, changedAt] : this->versionsChangedAt) {
+        if (version.first == service && now - changedAt < memory)
+            versions.insert(version.second);
+    }
+    return versions.size() == 1 && !versions.begin()->isEmpty() ? std::optional(*versions.begin()) : std::nullopt;
+}
+
 KnownUpstream* UpstreamTable::get(const UpstreamId& id)
 {
     const auto found = this->upstreams.find(id);
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -78,6 +78,9 @@
     /** Returns true if its process has ended and nothing has answered at its address since. */
     bool hasEnded() const { return this->endedAt && !this->returnedAt; }
 
+    /** Returns true if the process that answers is certainly the one that wrote the entry. */
+    bool isEntryOfProcess() const { return !this->endedAt && this->laterStart == 0; }
+
     /** Returns true while it wants no requests from this VM. */
     bool isRejecting(Milliseconds now) const { return now < this->rejectsUntil; }
 };
@@ -220,6 +223,23 @@
     /** Returns the upstream, or null. */
     const KnownUpstream* find(const UpstreamId& id) const;
 
+    /**
+        Returns the software version of the process that answers a request, or an empty one if it is uncertain, as the
+        upstream has restarted or may have.
+
+        @param upstream  the record by which the request was sent
+    */
+    SoftwareVersion findVersion(const UpstreamRecord& upstream) const;
+
+    /**
+        Returns the software version that all upstreams of a service have had for a while, in all regions, or nothing if
+        there was another one or this VM has not followed the list for as long.
+
+        @param memory  time for which other versions count
+    */
+    std::optional<SoftwareVersion> findOnlyVersion(
+        Milliseconds now, const ServiceId& service, Milliseconds memory) const;
+
     /** Returns a service's upstreams in a region that may receive requests: listed, not leaving, not evacuated.
         They may still reject this VM's requests. */
     std::vector<const KnownUpstream*> getUsableUpstreams(const ServiceId& service, const RegionId& region) const;
@@ -265,6 +285,9 @@
     std::map<UpstreamId, EndedUpstream> ended; /**< Upstreams removed not long ago. */
     std::map<UpstreamId, PassedOverEntry> passedOver; /**< Listed entries that are older than what is known. */
     std::set<FailureDomainId> evacuated;
+    std::optional<Milliseconds> followedSince; /**< Time of the first entry. */
+    /** Last time at which an upstream of the version disappeared or appeared. */
+    std::map<std::pair<ServiceId, SoftwareVersion>, Milliseconds> versionsChangedAt;
 };
 
 /**
--- a/modules/serving/http/RelayHeaders.h
+++ b/modules/serving/http/RelayHeaders.h
@@ -15,4 +15,10 @@
 /** "1" if an upstream crashed as it began to answer the request. */
 constexpr std::string_view crashSuspect = "papayashelf-crash-suspect";
 
+/**
+    In a relayed request: software version of the upstreams that may continue the stream; absent if any may begin it.
+    In the answer: software version of the upstream that the events come from; absent if it is uncertain.
+*/
+constexpr std::string_view version = "papayashelf-version";
+
 } // namespace papayashelf::relayheaders
--- a/modules/serving/process/DigestExchange.cpp
+++ b/modules/serving/process/DigestExchange.cpp
@@ -67,6 +67,8 @@
             { { "detail", decoded ? "addressed to another incarnation of this VM" : decoded.error().detail } });
         return;
     }
+    if (decoded.value().origins)
+        return this->handleOrigins(now, *decoded.value().origins);
     if (decoded.value().reply) {
         this->core.noteReply(now, *decoded.value().reply);
         return;
@@ -79,6 +81,23 @@
         this->send(sender->second, encodeDigest(reply, sender->second.relayKey));
 }
 
+void DigestExchange::handleOrigins(Milliseconds now, const StreamOriginMessage& message)
+{
+    const std::optional<StreamOriginMessage> answer = this->core.getStreamOrigins().receive(now, message);
+    const auto& vms = this->core.getVms().getAll();
+    const auto sender = vms.find(message.from);
+    if (answer && sender != vms.end())
+        this->sendOrigins(sender->second, *answer);
+    if (this->onOrigins)
+        this->onOrigins(message);
+}
+
+void DigestExchange::sendOrigins(const VmAnnouncement& receiver, const StreamOriginMessage& message)
+{
+    if (this->socket.is_open())
+        this->send(receiver, encodeDigest(message, receiver.relayKey));
+}
+
 void DigestExchange::send(const VmAnnouncement& receiver, const std::string& bytes)
 {
     boost::system::error_code failure;
--- a/modules/serving/process/DigestExchange.h
+++ b/modules/serving/process/DigestExchange.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 
 namespace papayashelf {
 
@@ -25,11 +26,22 @@
     /** Sends reports at a fixed interval until cancelled. Run once, after open(). */
     boost::asio::awaitable<void> sendPeriodically();
 
+    /** Sends a message about the origins of streams; does nothing before open(). */
+    void sendOrigins(const VmAnnouncement& receiver, const StreamOriginMessage& message);
+
+    /** Sets a function that is called with each received message about the origins of streams, after it was processed;
+        empty for none. */
+    void setOriginHandler(std::function<void(const StreamOriginMessage&)> handler)
+    {
+        this->onOrigins = std::move(handler);
+    }
+
     /** Receives datagrams and replies to reports while the socket is open. Run once, after open(). */
     boost::asio::awaitable<void> receive();
 
 private:
     void handleDatagram(std::string_view bytes);
+    void handleOrigins(Milliseconds now, const StreamOriginMessage& message);
     void send(const VmAnnouncement& receiver, const std::string& bytes);
 
     boost::asio::ip::udp::socket socket;
@@ -37,6 +49,7 @@
     GatewayCore& core;
     DecisionLog& log;
     Clock clock;
+    std::function<void(const StreamOriginMessage&)> onOrigins;
 };
 
 } // namespace papayashelf
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -56,9 +56,10 @@
     , poolSettings(makePoolSettings())
     , pool(this->context.get_executor(), this->poolSettings)
     , upstreamWatch(this->context.get_executor(), this->pool, this->core, this->log, this->names)
-    , serving { this->core, this->pool, this->upstreamWatch, this->answerMemory, this->requestMemory, this->log,
-        this->metrics, this->openRequests, this->names, Clock() }
     , digests(this->context.get_executor(), this->core, this->log)
+    , streamOrigins(this->context.get_executor(), this->core, this->digests)
+    , serving { this->core, this->pool, this->upstreamWatch, this->streamOrigins, this->answerMemory,
+        this->requestMemory, this->log, this->metrics, this->openRequests, this->names, Clock() }
     , signals(this->context, SIGTERM, SIGHUP, SIGINT)
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -227,6 +228,7 @@
         std::count_if(
             upstreams.begin(), upstreams.end(), [now](const auto& entry) { return entry.second.isRejecting(now); }));
     gauge("papayashelf_quarantined_prompts", static_cast<std::int64_t>(this->core.getQuarantine().getAll(now).size()));
+    gauge("papayashelf_stream_origins", static_cast<std::int64_t>(this->core.getStreamOrigins().count()));
     gauge("papayashelf_vms", static_cast<std::int64_t>(this->core.getVms().getAll().size()));
     gauge("papayashelf_log_lines_left_out", static_cast<std::int64_t>(this->log.countDropped()));
     return text;
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/caller/CallerSession.h"
+#include "serving/origins/StreamOriginClient.h"
 #include "serving/process/DigestExchange.h"
 #include "serving/process/SimpleHttpListener.h"
 #include <boost/asio/io_context.hpp>
@@ -85,9 +86,10 @@
     UpstreamPool pool;
     UpstreamWatch upstreamWatch;
     ServingMetrics metrics;
+    DigestExchange digests;
+    StreamOriginClient streamOrigins;
     ServingContext serving;
     ProcessHooks hooks;
-    DigestExchange digests;
     boost::asio::signal_set signals;
     Endpoint callersEndpoint;
     Endpoint relaysEndpoint;
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -24,6 +24,10 @@
 constexpr std::int64_t lastChanceDivisor = 4;
 /** Lower bound for the first-byte timeout if the latency target is short. */
 constexpr Milliseconds minimumFirstByteTimeout { 400 };
+/** Allows for a lost question or answer between regions. */
+constexpr Milliseconds originLookupTime { 700 };
+/** Callers may take up a stream a little after the time that they state. */
+constexpr Milliseconds takeUpMargin { 2'000 };
 constexpr Milliseconds defaultDeadline { 60'000 }; /**< For callers that send no deadline. */
 constexpr std::uint64_t longestDeadline = 86'400'000; /**< Milliseconds; keeps sums of times within their range. */
 constexpr std::int64_t maximumTokens
@@ -55,6 +59,8 @@
     switch (cause) {
     case PlacementFailureCause::NoUpstream:
         return RefusalCause::NoUpstream;
+    case PlacementFailureCause::NoUpstreamOfVersion:
+        return RefusalCause::NoUpstreamOfVersion;
     case PlacementFailureCause::AllFull:
         return RefusalCause::AllFull;
     case PlacementFailureCause::AllCold:
@@ -155,6 +161,7 @@
     , requestId(findHeader(request.headers, context.names.requestId))
     , identity(request.method, extractHost(request), request.target,
           findHeader(request.headers, context.names.promptParts), request.body)
+    , resumedRequest(findHeader(request.headers, context.names.resumedRequest))
 {
     const auto elapsed = std::chrono::steady_clock::now() - request.arrivedAt;
     this->arrivedAt
@@ -162,7 +169,8 @@
     const auto stated = this->parseNumberHeader(context.names.deadline);
     const Milliseconds waitLimit
         = stated ? Milliseconds(static_cast<std::int64_t>(std::min(*stated, longestDeadline))) : defaultDeadline;
-    this->answerDeadline = this->arrivedAt + waitLimit - answerMargin;
+    this->callerDeadline = this->arrivedAt + waitLimit;
+    this->answerDeadline = this->callerDeadline - answerMargin;
     this->configurationAgeAtStart = context.core.getConfigurationAge(this->now());
     if (const auto counts = parseTokenCounts(findHeader(request.headers, context.names.tokenCounts))) {
         this->promptTokens = counts->first;
@@ -197,8 +205,10 @@
         } else {
             this->admitted = std::get<Admitted>(decision);
             this->answerDeadline = std::min(this->answerDeadline, this->arrivedAt + this->admitted->route->timeout);
-            this->context.core.noteRequest(this->now(), this->admitted->service);
-            co_await this->runAttempts();
+            if (co_await this->adoptStreamOrigin()) {
+                this->context.core.noteRequest(this->now(), this->admitted->service);
+                co_await this->runAttempts();
+            }
         }
     }
     this->context.metrics.noteEnded();
@@ -222,6 +232,9 @@
             return route;
         }();
         const bool isStream = findHeader(this->request.headers, relayheaders::stream) == "1";
+        const std::string_view version = findHeader(this->request.headers, relayheaders::version);
+        if (!version.empty())
+            this->streamVersion = SoftwareVersion(std::string(version));
         Admitted admission;
         admission.configuration = this->context.core.getConfiguration();
         admission.route = isStream ? &streamRoute : &plainRoute;
@@ -236,6 +249,34 @@
     this->context.metrics.noteEnded();
 }
 
+asio::awaitable<bool> RequestServer::adoptStreamOrigin()
+{
+    const bool isTakenUp = this->parseNumberHeader(this->context.names.lastEventId).has_value();
+    if (!this->admitted->route->isStream || !isTakenUp)
+        co_return true;
+    std::optional<StreamOrigin> origin;
+    if (!this->resumedRequest.empty()) {
+        origin = co_await this->context.streamOrigins.find(
+            this->resumedRequest, std::min(originLookupTime, this->getRemaining()));
+    }
+    if (!origin) {
+        if (const auto version = this->context.core.findOnlyVersion(this->now(), this->admitted->service))
+            origin = StreamOrigin { this->admitted->service, *version };
+    }
+    const auto& services = this->admitted->route->services;
+    const bool mayContinue = origin && !origin->version.isEmpty()
+        && std::any_of(services.begin(), services.end(),
+            [&](const WeightedService& part) { return part.service == origin->service; });
+    if (!mayContinue) {
+        // It begins anew without a wait.
+        co_await this->refuse(Refusal { RefusalCause::UnknownStream, Milliseconds(0) });
+        co_return false;
+    }
+    this->admitted->service = origin->service;
+    this->streamVersion = origin->version;
+    co_return true;
+}
+
 asio::awaitable<void> RequestServer::runAttempts()
 {
     if (this->admitted->route->isStream)
@@ -311,6 +352,7 @@
     PlacementQuery query;
     query.service = this->admitted->service;
     query.homes = this->admitted->homes;
+    query.version = this->streamVersion;
     query.cacheKey = this->cacheKey;
     query.promptTokens = this->promptTokens;
     query.sharedTokens = this->sharedTokens;
@@ -376,20 +418,47 @@
         endpoint = choice.upstream.endpoint;
         head = this->formatUpstreamHead(choice);
     }
-    co_return co_await running.attempt.open(
+    std::optional<AttemptOutcome> outcome = co_await running.attempt.open(
         endpoint, head, this->request.body, this->requestId, this->makeTimeouts(), this->splitter.has_value());
+    if (!outcome && this->splitter && !this->mayBringEvents(running))
+        outcome = running.attempt.reject();
+    co_return outcome;
+}
+
+SoftwareVersion RequestServer::findVersion(const RunningAttempt& running) const
+{
+    if (const auto* upstream = std::get_if<UseUpstream>(&running.destination))
+        return this->context.core.getUpstreams().findVersion(upstream->upstream);
+    return running.attempt.getRelayedVersion();
+}
+
+bool RequestServer::mayBringEvents(const RunningAttempt& running) const
+{
+    if (!this->streamVersion)
+        return true;
+    return !this->streamVersion->isEmpty() && this->findVersion(running) == *this->streamVersion;
+}
+
+bool RequestServer::mayContinueStream() const
+{
+    const bool isVersionCertain = this->streamVersion && !this->streamVersion->isEmpty();
+    return this->admitted->route->isResumable && this->splitter && !this->splitter->hasContentWithoutId()
+        && isVersionCertain;
 }
 
 asio::awaitable<RequestServer::NextAction> RequestServer::complete(
     std::unique_ptr<RunningAttempt> running, std::optional<AttemptOutcome> outcome)
 {
     if (!outcome) {
-        StreamTarget target { &this->answer, this->splitter ? &*this->splitter : nullptr, [this, &running] {
-                                 this->context.metrics.noteFirstByteTime(this->now() - this->arrivedAt);
-                                 if (running->onFirstEvent)
-                                     std::exchange(running->onFirstEvent, {})();
-                                 this->noteStreamSource(*running);
-                             } };
+        StreamTarget target { &this->answer, this->splitter ? &*this->splitter : nullptr,
+            [this, &running] {
+                this->context.metrics.noteFirstByteTime(this->now() - this->arrivedAt);
+                if (running->onFirstEvent)
+                    std::exchange(running->onFirstEvent, {})();
+                this->noteStreamSource(*running);
+            },
+            [this, &running] { return this->mayBringEvents(*running); },
+            [this] { return this->makeRelayedHeaders(); } };
         outcome = co_await running->attempt.finish(this->splitter ? &target : nullptr);
     }
     co_await this->noteEnd(*running, *outcome);
@@ -408,19 +477,32 @@
 {
     const auto* upstream = std::get_if<UseUpstream>(&running.destination);
     StreamSource source;
-    source.destination = upstream ? upstream->upstream.id.string()
-                                  : "relay:" + std::get<UseRelay>(running.destination).vm.string();
-    source.version = upstream ? upstream->upstream.version : SoftwareVersion();
-    const std::string resumedRequest(findHeader(this->request.headers, this->context.names.resumedRequest));
+    source.destination
+        = upstream ? upstream->upstream.id.string() : "relay:" + std::get<UseRelay>(running.destination).vm.string();
+    source.version = this->findVersion(running);
     if (this->streamSource || this->parseNumberHeader(this->context.names.lastEventId)) {
         const StreamSource before = this->streamSource.value_or(StreamSource {});
         this->context.log.write(this->now(), LogWeight::Notable, "stream_continued",
-            { { "request", this->requestId }, { "resumed_request", resumedRequest },
+            { { "request", this->requestId }, { "resumed_request", this->resumedRequest },
                 { "service", this->admitted->service.string() }, { "from", before.destination },
                 { "from_version", before.version.string() }, { "to", source.destination },
                 { "to_version", source.version.string() }, { "relayed", boost::json::value(this->isRelayed) } });
     }
+    if (!this->streamVersion)
+        this->streamVersion = source.version;
     this->streamSource = std::move(source);
+    if (!this->isRelayed && this->admitted->route->isResumable) {
+        const Milliseconds lifetime = this->callerDeadline + takeUpMargin - this->now();
+        this->context.streamOrigins.noteOrigin({ this->resumedRequest.empty() ? this->requestId : this->resumedRequest,
+            { this->admitted->service, *this->streamVersion }, lifetime });
+    }
+}
+
+HeaderFields RequestServer::makeRelayedHeaders() const
+{
+    if (!this->isRelayed || !this->streamVersion || this->streamVersion->isEmpty())
+        return {};
+    return { { std::string(relayheaders::version), this->streamVersion->string() } };
 }
 
 asio::awaitable<bool> RequestServer::tryElsewhere(UpstreamAttempt& silent)
@@ -582,7 +664,7 @@
     this->context.metrics.noteAttempt(outcome.isOverLimit ? "over_limit" : toString(outcome.end));
     if (outcome.load)
         table.noteLoad(this->now(), upstream, *outcome.load);
-    if (outcome.endedBy == AttemptEndedBy::OtherAttempt)
+    if (outcome.endedBy == AttemptEndedBy::OtherAttempt || outcome.endedBy == AttemptEndedBy::OtherVersion)
         return;
     switch (outcome.end) {
     case AttemptEnd::Complete:
@@ -693,10 +775,9 @@
 {
     const ServingRoute& route = *this->admitted->route;
     const bool hasBegun = this->answer.hasBegun();
-    const bool mayContinueStream = route.isResumable && this->splitter && !this->splitter->hasContentWithoutId();
     const bool hasAttemptsLeft
         = this->possibleRuns + 1 < route.maximumAttempts && this->attempts < route.maximumAttempts + extraPlacements;
-    if (this->isRelayed || this->isCrashSuspect || !route.isRetryable || (hasBegun && !mayContinueStream)
+    if (this->isRelayed || this->isCrashSuspect || !route.isRetryable || (hasBegun && !this->mayContinueStream())
         || !hasAttemptsLeft || this->getRemaining() <= minimumAttemptTime
         || !this->context.core.hasRetry(this->now(), this->admitted->service))
         return std::nullopt;
@@ -718,7 +799,6 @@
 std::string_view RequestServer::takeRetry(const AttemptOutcome& outcome)
 {
     const ServingRoute& route = *this->admitted->route;
-    const bool mayContinueStream = route.isResumable && this->splitter && !this->splitter->hasContentWithoutId();
     if (this->isRelayed)
         return "relayed";
     // Another attempt would probably crash another upstream, and end all that runs there.
@@ -726,8 +806,8 @@
         return "crash_suspect";
     if (this->possibleRuns > 0 && !route.isRetryable)
         return "not_repeatable";
-    if (this->answer.hasBegun() && !mayContinueStream)
-        return "not_resumable";
+    if (this->answer.hasBegun() && !this->mayContinueStream())
+        return this->streamVersion->isEmpty() ? "uncertain_version" : "not_resumable";
     if (this->possibleRuns >= std::max(1, route.maximumAttempts)
         || this->attempts >= route.maximumAttempts + extraPlacements)
         return "attempts_used";
@@ -834,6 +914,8 @@
         text.append("Content-Length: ").append(std::to_string(this->request.body.size())).append("\r\n");
     if (isRelay)
         text.append(relayheaders::stream).append(this->splitter ? ": 1\r\n" : ": 0\r\n");
+    if (isRelay && this->streamVersion)
+        text.append(relayheaders::version).append(": ").append(this->streamVersion->string()).append("\r\n");
     return text;
 }
 
@@ -912,8 +994,8 @@
             { "service", this->admitted ? this->admitted->service.string() : std::string() },
             { "route", this->admitted && this->admitted->route ? this->admitted->route->id.string() : std::string() },
             { "workspace", this->admitted ? this->admitted->workspace.string() : std::string() },
-            { "last_upstream", this->lastUpstream }, { "attempts", boost::json::value(this->attempts) },
-            { "relayed", boost::json::value(this->isRelayed) },
+            { "last_upstream", this->lastUpstream }, { "resumed_request", this->resumedRequest },
+            { "attempts", boost::json::value(this->attempts) }, { "relayed", boost::json::value(this->isRelayed) },
             { "events", boost::json::value(this->splitter ? this->splitter->countEvents() : 0) },
             { "took_ms", boost::json::value((now - this->arrivedAt).count()) },
             { "left_ms", boost::json::value(this->getRemaining().count()) },
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -7,6 +7,7 @@
 #include "serving/caller/CallerAnswer.h"
 #include "serving/http/HeaderNames.h"
 #include "serving/http/RequestMemory.h"
+#include "serving/origins/StreamOriginClient.h"
 #include "serving/request/OpenRequests.h"
 #include "serving/request/ServingMetrics.h"
 #include "serving/upstream/UpstreamAttempt.h"
@@ -20,6 +21,7 @@
     GatewayCore& core;
     UpstreamPool& pool;
     UpstreamWatch& upstreamWatch;
+    StreamOriginClient& streamOrigins;
     MemoryBudget& answerMemory;
     RequestMemory& requestMemory;
     DecisionLog& log;
@@ -55,6 +57,11 @@
         TryAgain,
     };
 
+    /**
+        Finds out what began the stream that the caller takes up, if it does, and sets this->streamVersion and the
+        service to it. Returns false after it has refused the request, as the stream cannot be continued.
+    */
+    boost::asio::awaitable<bool> adoptStreamOrigin();
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<NextAction> tryOnce();
     /** An attempt at an upstream or another VM. */
@@ -86,6 +93,14 @@
     /** Reads the rest of the answer, unless the attempt has ended, and acts on the outcome. */
     boost::asio::awaitable<NextAction> complete(
         std::unique_ptr<RunningAttempt> running, std::optional<AttemptOutcome> outcome);
+    /** Returns the software version of what answers an attempt, or an empty one if it is uncertain. */
+    SoftwareVersion findVersion(const RunningAttempt& running) const;
+    /** Returns false if what answers may be of another version than what began the stream. */
+    bool mayBringEvents(const RunningAttempt& running) const;
+    /** Returns true if another upstream can continue the answer. Precondition: the answer has begun. */
+    bool mayContinueStream() const;
+    /** Returns the headers by which a relayed stream tells the relaying VM what it comes from. */
+    HeaderFields makeRelayedHeaders() const;
     /** Records which attempt brings the next events of the stream. */
     void noteStreamSource(const RunningAttempt& running);
     /** Records the end of an attempt. */
@@ -148,6 +163,7 @@
     Milliseconds configurationAgeAtStart; /**< Time since the configuration was confirmed when the request arrived. */
     std::optional<EventSplitter> splitter;
     Milliseconds arrivedAt;
+    Milliseconds callerDeadline; /**< Time until which the caller waits. */
     Milliseconds answerDeadline; /**< Time by which the final answer must be sent, unless the VM stops earlier. */
     std::int64_t promptTokens = 0;
     std::int64_t sharedTokens = 0;
@@ -164,6 +180,10 @@
     bool isRelayed = false;
     bool hasQueriedPlacement = false; /**< Whether placement was queried at least once. */
     std::optional<AttemptOutcome> keptFailure; /**< Error answer of an upstream, sent if all retries fail. */
+    /** Version that began the stream, empty if it is uncertain; no value if any version may begin it. */
+    std::optional<SoftwareVersion> streamVersion;
+    /** Id of the request that brought the first event of a stream that the caller takes up; empty for none. */
+    std::string resumedRequest;
     std::optional<StreamSource> streamSource; /**< Of the last events sent to the caller; empty before the first. */
     std::string lastUpstream; /**< For the log; "relay:" and the id of the VM for a relay. */
     AttemptEndedBy lastEndedBy = AttemptEndedBy::Upstream; /**< Of the last attempt without a complete answer. */
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -82,11 +82,15 @@
     return isNumber && std::isfinite(number) && number >= 0 ? std::optional(number) : std::nullopt;
 }
 
+/** Returns the headers for the caller, without those that VMs exchange. */
 HeaderFields extractForwardableHeaders(const http::response<http::string_body>& message)
 {
     HeaderFields all;
-    for (const auto& field : message)
-        all.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    for (const auto& field : message) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (!boost::beast::iequals(name.substr(0, relayheaders::prefix.size()), relayheaders::prefix))
+            all.emplace_back(std::string(name), std::string(field.value()));
+    }
     return withoutHopByHop(all);
 }
 
@@ -149,6 +153,8 @@
         return "stop";
     case AttemptEndedBy::OtherAttempt:
         return "other_attempt";
+    case AttemptEndedBy::OtherVersion:
+        return "other_version";
     }
     return "unknown";
 }
@@ -192,6 +198,8 @@
         return AttemptEndedBy::Stop;
     if (this->isCancelled)
         return AttemptEndedBy::OtherAttempt;
+    if (this->isOfOtherVersion)
+        return AttemptEndedBy::OtherVersion;
     if (!this->exceededBound.empty())
         return AttemptEndedBy::Bound;
     if (this->isAbandoned && !this->isConnectionLost)
@@ -258,6 +266,19 @@
         this->connection->socket.close(ignored);
 }
 
+AttemptOutcome UpstreamAttempt::reject()
+{
+    this->isOfOtherVersion = true;
+    boost::system::error_code ignored;
+    this->connection->socket.close(ignored);
+    return this->fail(AttemptEnd::Unanswered, "another version");
+}
+
+SoftwareVersion UpstreamAttempt::getRelayedVersion() const
+{
+    return SoftwareVersion(std::string(findHeader(*this->parser, relayheaders::version).value));
+}
+
 bool UpstreamAttempt::isEnded() const
 {
     return !this->connection->socket.is_open() || this->request.isCallerGone() || this->request.isStopped();
@@ -504,7 +525,7 @@
 {
     AttemptOutcome result;
     result.load = this->readLoad(parser);
-    const ResponseHead head { 200, std::string(parser.get().reason()), extractForwardableHeaders(parser.get()) };
+    ResponseHead head { 200, std::string(parser.get().reason()), extractForwardableHeaders(parser.get()) };
     parser.eager(true);
     parser.body_limit(boost::none);
     bool hasFirstEvent = false;
@@ -516,6 +537,10 @@
             this->connection->buffer.consume(consumed);
             gap.addBytes(consumed);
         }
+        if (!hasFirstEvent && !stream.mayBringEvents()) {
+            this->isOfOtherVersion = true;
+            break;
+        }
         const std::size_t contentBefore = stream.splitter->countEventsWithContent();
         const std::size_t eventsBefore = stream.splitter->countReceivedEvents();
         const std::string completeEvents = stream.splitter->push(parser.get().body());
@@ -529,8 +554,11 @@
         if (!hasFirstEvent && (this->connection->deadline.hasPassed() || this->request.isStopped()))
             break;
         if (!completeEvents.empty()) {
-            if (!hasFirstEvent)
+            if (!hasFirstEvent) {
                 stream.onFirstByte();
+                const HeaderFields added = stream.makeAddedHeaders();
+                head.headers.insert(head.headers.end(), added.begin(), added.end());
+            }
             hasFirstEvent = true;
             this->progress = AnswerProgress::Events;
             // A caller that reads slowly is no silence of the upstream.
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -48,6 +48,7 @@
     Caller, /**< The caller disconnected. */
     Stop, /**< This VM, as the grace of its planned stop was over. */
     OtherAttempt, /**< This VM, as an earlier attempt at the same request went on. */
+    OtherVersion, /**< This VM, as the upstream may be of another version than the one that began the stream. */
 };
 
 /** Returns the stable name of an AttemptEndedBy, for logs. */
@@ -125,6 +126,9 @@
     CallerAnswer* answer = nullptr;
     EventSplitter* splitter = nullptr;
     std::function<void()> onFirstByte; /**< Called when the first event arrives. */
+    /** Called before the first event; returns false if this upstream must not bring events of the stream. */
+    std::function<bool()> mayBringEvents;
+    std::function<HeaderFields()> makeAddedHeaders; /**< Returns headers that follow those of the upstream. */
 };
 
 /**
@@ -169,6 +173,13 @@
     /** Ends the attempt, as an earlier one at the same request goes on. */
     void cancel();
 
+    /** Ends the attempt, as its upstream may be of another version than the one that began the stream. */
+    AttemptOutcome reject();
+
+    /** Returns the version that a relaying VM states for the upstream, or an empty one. Precondition: open() returned
+        nothing. */
+    SoftwareVersion getRelayedVersion() const;
+
     ~UpstreamAttempt() { this->request.removeConnection(this->connection.get()); }
     UpstreamAttempt(const UpstreamAttempt&) = delete;
     UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
@@ -234,6 +245,7 @@
     bool isSilentTooLong = false; /**< Whether the read in progress was ended to call the silence handler. */
     bool isAbandoned = false;
     bool isCancelled = false;
+    bool isOfOtherVersion = false;
     std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the connection ended other than by a time limit of this VM. */
--- a/tests/adapter/DecodingTest.cpp
+++ b/tests/adapter/DecodingTest.cpp
@@ -49,6 +49,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("north"), record.value().region.string());
         CPPUNIT_ASSERT_EQUAL(std::uint16_t { 8080 }, record.value().endpoint.port);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, record.value().sequence);
+        CPPUNIT_ASSERT(record.value().version == SoftwareVersion("v1"));
         CPPUNIT_ASSERT(!record.value().isLeaving);
         const auto leaving = decodeUpstream("i-1", replaceFirst(upstream, "ready", "draining"), lookUpRegion);
         CPPUNIT_ASSERT(leaving && leaving.value().isLeaving);
@@ -61,7 +62,8 @@
             replaceFirst(upstream, "64", "\"many\""), replaceFirst(upstream, "64", "0"),
             replaceFirst(upstream, "ready", "resting"), replaceFirst(upstream, "north-a", "nowhere"),
             replaceFirst(upstream, "10.128.0.9:8080", "a-name:80"), replaceFirst(upstream, "\"s\"", "7"),
-            replaceFirst(upstream, "\"cold_left_ms\":0,", "") };
+            replaceFirst(upstream, "\"cold_left_ms\":0,", ""), replaceFirst(upstream, "\"version\":\"v1\",", ""),
+            replaceFirst(upstream, "\"v1\"", "1") };
         for (const std::string& text : invalidTexts) {
             const Outcome<UpstreamRecord> record = decodeUpstream("i-1", text, lookUpRegion);
             CPPUNIT_ASSERT_MESSAGE(text, !record && record.error().code == ErrorCode::Damaged);
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(testRelaysAreDividedAmongVms);
     CPPUNIT_TEST(testRelaysStayWithinHomes);
     CPPUNIT_TEST(testRelayedRequestIsNotRelayedAgain);
+    CPPUNIT_TEST(testStreamIsContinuedByItsVersionOnly);
+    CPPUNIT_TEST(testStreamIsRelayedToItsVersion);
+    CPPUNIT_TEST(testRestartedUpstreamContinuesNoStreamUntilItIsListed);
     CPPUNIT_TEST(testPlacementFailureStatesItsCause);
     CPPUNIT_TEST(testLeavingAndEvacuatedUpstreamsAreSkipped);
     CPPUNIT_TEST(testSuspectUpstreamGetsOnlyTrials);
@@ -195,6 +198,43 @@
         CPPUNIT_ASSERT(std::holds_alternative<PlacementFailure>(this->placement->choose(now, query, {})));
     }
 
+    void testStreamIsContinuedByItsVersionOnly()
+    {
+        this->listVersion("north2", "north", "v2");
+        PlacementQuery query = this->makeQuery();
+        query.version = SoftwareVersion("v2");
+        for (int repeat = 0; repeat < 20; ++repeat)
+            CPPUNIT_ASSERT(this->chooseUpstream(query) == UpstreamId("north2"));
+        query.version = SoftwareVersion("v1");
+        for (int repeat = 0; repeat < 20; ++repeat)
+            CPPUNIT_ASSERT(this->chooseUpstream(query) != UpstreamId("north2"));
+    }
+
+    void testStreamIsRelayedToItsVersion()
+    {
+        PlacementQuery query = this->makeQuery();
+        query.version = SoftwareVersion("v2");
+        const auto choose = [&] { return this->placement->choose(now, query, ServingService {}); };
+        const auto failure = std::get<PlacementFailure>(choose());
+        CPPUNIT_ASSERT(failure.cause == PlacementFailureCause::NoUpstreamOfVersion);
+        this->listVersion("south1", "south", "v2");
+        CPPUNIT_ASSERT(std::get<UseRelay>(choose()).region == RegionId("south"));
+        query.mayRelay = false;
+        CPPUNIT_ASSERT(std::get<PlacementFailure>(choose()).cause == PlacementFailureCause::NoUpstreamOfVersion);
+    }
+
+    void testRestartedUpstreamContinuesNoStreamUntilItIsListed()
+    {
+        this->listVersion("north2", "north", "v2");
+        this->table->noteProcessEnded(now, this->table->find(UpstreamId("north2"))->record);
+        PlacementQuery query = this->makeQuery();
+        query.version = SoftwareVersion("v2");
+        const auto choose = [&] { return this->placement->choose(now, query, ServingService {}); };
+        CPPUNIT_ASSERT(std::get<PlacementFailure>(choose()).cause == PlacementFailureCause::NoUpstream);
+        this->listVersion("north2", "north", "v2", 2);
+        CPPUNIT_ASSERT(this->chooseUpstream(query) == UpstreamId("north2"));
+    }
+
     void testPlacementFailureStatesItsCause()
     {
         PlacementQuery query = this->makeQuery();
@@ -350,6 +390,15 @@
     }
 
 private:
+    void listVersion(
+        const std::string& name, const std::string& region, const std::string& version, std::int64_t startedAt = 1)
+    {
+        UpstreamRecord record = makeUpstream(name, region);
+        record.version = SoftwareVersion(version);
+        record.startedAt = startedAt;
+        this->table->put(now, record);
+    }
+
     /** Reports that the other region's requests take all of its slots and all of its prefill capacity. */
     void reportBusySouth()
     {
