Let streams that callers take up wait for their version

Cause: only upstreams of one version can continue a stream, and the request was refused where a new one could go to any other: after a third of the latency target while they were full, at once while they were cold. Evidence: the refusals were all_full and all_cold, none unknown_stream.

Such requests now wait as long as their callers wait for the next event, as an answer that has begun does already, and precede new prompts. They use a suspect upstream only as its trial: otherwise all of them would go to the few that may just have restarted.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -358,7 +358,8 @@
         allowance.noteDemand(now, tokens);
         fairness.noteOffered(now, tokens);
     }
-    const bool isPromoted = std::bernoulli_distribution(promotedShare)(this->random);
+    // Few upstreams can continue a stream, and what its caller already has would be lost.
+    const bool isPromoted = query.version || std::bernoulli_distribution(promotedShare)(this->random);
     const double effectivePriority = isPromoted ? promotedPriority : level;
     // Long prompts yield to short ones, which are most of the requests but need little of the prefill capacity.
     const double pressure = (allowance.getPressure(now) - lowPressure) / (highPressure - lowPressure);
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -131,10 +131,14 @@
             suspectCandidates.push_back(candidate);
         }
     }
+    // Streams that few upstreams can continue would otherwise all go to the ones that may just have restarted.
+    const bool mayUseAnySuspect = healthyCandidates.empty() && !query.version;
     for (const Candidate& candidate : suspectCandidates) {
-        if (healthyCandidates.empty() || candidate.upstream->health.isTrialDue(now))
+        if (mayUseAnySuspect || candidate.upstream->health.isTrialDue(now))
             return { candidate };
     }
+    if (!suspectCandidates.empty() && cause == PlacementFailureCause::NoUpstream)
+        cause = PlacementFailureCause::AllFull;
     return healthyCandidates;
 }
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -315,6 +315,7 @@
     }
     const auto [cause, retryAfter] = std::get<PlacementFailure>(decision);
     const bool mayEndInTime = cause == PlacementFailureCause::AllFull
+        || (cause == PlacementFailureCause::AllCold && this->isStreamContinued())
         || (cause == PlacementFailureCause::AllRejecting && this->now() + retryAfter < this->getCapacityDeadline());
     if (mayEndInTime && this->now() < this->getCapacityDeadline()) {
         asio::steady_timer timer(co_await asio::this_coro::executor, capacityPollInterval);
@@ -340,9 +341,11 @@
 
 Milliseconds RequestServer::getCapacityDeadline() const
 {
-    // The caller of an answer that has begun waits longer, and without another upstream the answer would be broken off.
-    if (this->answer.hasBegun())
-        return this->lastEventsAt + this->admitted->route->getStreamPatience() - minimumFirstByteTimeout;
+    // The caller of a stream that has begun waits longer, and no other VM has more upstreams that can continue it.
+    if (this->isStreamContinued()) {
+        const Milliseconds silentSince = this->answer.hasBegun() ? this->lastEventsAt : this->arrivedAt;
+        return silentSince + this->admitted->route->getStreamPatience() - minimumFirstByteTimeout;
+    }
     // Two thirds of the latency target are left for prefill. A relayed request has already waited on the relaying VM.
     return this->isRelayed ? this->arrivedAt : this->arrivedAt + this->admitted->route->latencyTarget / 3;
 }
@@ -439,6 +442,11 @@
     return !this->streamVersion->isEmpty() && this->findVersion(running) == *this->streamVersion;
 }
 
+bool RequestServer::isStreamContinued() const
+{
+    return this->answer.hasBegun() || this->streamVersion;
+}
+
 bool RequestServer::mayContinueStream() const
 {
     const bool isVersionCertain = this->streamVersion && !this->streamVersion->isEmpty();
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -97,6 +97,8 @@
     SoftwareVersion findVersion(const RunningAttempt& running) const;
     /** Returns false if what answers may be of another version than what began the stream. */
     bool mayBringEvents(const RunningAttempt& running) const;
+    /** Returns true if the caller has had events of the stream, in this answer or in an earlier one. */
+    bool isStreamContinued() const;
     /** Returns true if another upstream can continue the answer. Precondition: the answer has begun. */
     bool mayContinueStream() const;
     /** Returns the headers by which a relayed stream tells the relaying VM what it comes from. */
--- a/tests/gateway/PlacementTest.cpp
+++ b/tests/gateway/PlacementTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(testStreamIsContinuedByItsVersionOnly);
     CPPUNIT_TEST(testStreamIsRelayedToItsVersion);
     CPPUNIT_TEST(testRestartedUpstreamContinuesNoStreamUntilItIsListed);
+    CPPUNIT_TEST(testSuspectUpstreamIsNotFloodedWithStreamsOfItsVersion);
     CPPUNIT_TEST(testPlacementFailureStatesItsCause);
     CPPUNIT_TEST(testLeavingAndEvacuatedUpstreamsAreSkipped);
     CPPUNIT_TEST(testSuspectUpstreamGetsOnlyTrials);
@@ -235,6 +236,20 @@
         CPPUNIT_ASSERT(this->chooseUpstream(query) == UpstreamId("north2"));
     }
 
+    void testSuspectUpstreamIsNotFloodedWithStreamsOfItsVersion()
+    {
+        this->listVersion("north2", "north", "v2");
+        for (int failure = 0; failure < 3; ++failure)
+            this->table->noteHealthObservation(now, UpstreamId("north2"), HealthObservation::Failure);
+        PlacementQuery query = this->makeQuery();
+        query.version = SoftwareVersion("v2");
+        CPPUNIT_ASSERT(this->chooseUpstream(query) == UpstreamId("north2"));
+        this->table->noteTrial(now, UpstreamId("north2"));
+        const auto decision = this->placement->choose(now, query, ServingService {});
+        // It waits, as the upstream may get another trial soon.
+        CPPUNIT_ASSERT(std::get<PlacementFailure>(decision).cause == PlacementFailureCause::AllFull);
+    }
+
     void testPlacementFailureStatesItsCause()
     {
         PlacementQuery query = this->makeQuery();
--- a/tests/serving/GatewayFleet.cpp
+++ b/tests/serving/GatewayFleet.cpp
@@ -40,7 +40,7 @@
         this->kill(vm);
 }
 
-SealedUpstream& GatewayFleet::addUpstream(const std::string& version, const std::string& region)
+SealedUpstream& GatewayFleet::addUpstream(const std::string& version, const std::string& region, int slots)
 {
     Upstream& upstream = this->upstreams.emplace_back();
     UpstreamRecord& record = upstream.record;
@@ -49,7 +49,7 @@
     record.region = RegionId(region);
     record.failureDomain = FailureDomainId(region + "-a");
     record.endpoint = upstream.server.start();
-    record.slots = 8;
+    record.slots = slots;
     record.startedAt = 1;
     record.version = SoftwareVersion(version);
     for (const auto& process : this->processes)
--- a/tests/serving/GatewayFleet.h
+++ b/tests/serving/GatewayFleet.h
@@ -15,7 +15,7 @@
     ~GatewayFleet();
 
     /** Adds an upstream of the service of all routes. Call before start(). */
-    SealedUpstream& addUpstream(const std::string& version, const std::string& region = "north");
+    SealedUpstream& addUpstream(const std::string& version, const std::string& region = "north", int slots = 8);
 
     /** Starts all processes. */
     void start();
--- a/tests/serving/StreamVersionTest.cpp
+++ b/tests/serving/StreamVersionTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(testRelayedStreamGoesOnAtItsVersion);
     CPPUNIT_TEST(testStreamOfUnknownOriginIsRefused);
     CPPUNIT_TEST(testStreamWhoseVersionIsGoneIsRefusedAtOnce);
+    CPPUNIT_TEST(testStreamThatIsTakenUpWaitsForItsVersion);
     CPPUNIT_TEST(testEventsOfUpstreamThatRestartedAsAnotherVersionAreNotForwarded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +98,24 @@
         CPPUNIT_ASSERT(this->fleet->findVersions("next-0").empty());
     }
 
+    void testStreamThatIsTakenUpWaitsForItsVersion()
+    {
+        this->fleet = std::make_unique<GatewayFleet>(std::vector<std::string> { "north" });
+        this->upstreams = { &this->fleet->addUpstream("v1", "north", 1), &this->fleet->addUpstream("v2") };
+        this->fleet->start();
+        std::string number = "0";
+        while (this->breakStream(0, number) != "v1")
+            number += "0";
+        this->upstreams[0]->queueAnswers({ AnswerKind::Late });
+        this->upstreams[1]->queueAnswers({ AnswerKind::TruncatedEvent });
+        auto occupant
+            = std::async(std::launch::async, [&] { return this->fleet->takeUp(0, "occupant", "first-" + number); });
+        while (this->fleet->findVersions("occupant").empty())
+            std::this_thread::yield();
+        this->checkGoesOn(0, number);
+        CPPUNIT_ASSERT(occupant.get().isComplete());
+    }
+
     void testEventsOfUpstreamThatRestartedAsAnotherVersionAreNotForwarded()
     {
         this->begin({ "north" }, { "v1" });
@@ -126,14 +145,19 @@
             upstream->queueAnswers(std::deque<AnswerKind>(count, AnswerKind::TruncatedEvent));
     }
 
-    /** Begins a stream that breaks off and that its VM cannot continue, as no other upstream has its version. */
-    void breakStream(std::size_t vm, const std::string& number)
+    /**
+        Begins a stream that breaks off and that its VM cannot continue, as no other upstream has its version. Returns
+        the version.
+    */
+    std::string breakStream(std::size_t vm, const std::string& number)
     {
         this->breakNextStreams(1);
         const RawAnswer answer = this->fleet->call(vm, "first-" + number);
         CPPUNIT_ASSERT(answer.has("piece 2") && !answer.has("piece 3"));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->fleet->findVersions("first-" + number).size());
+        const std::vector<std::string> versions = this->fleet->findVersions("first-" + number);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), versions.size());
         this->breakNextStreams(0);
+        return versions.front();
     }
 
     void checkGoesOn(std::size_t vm, const std::string& number)
