Take a silent upstream that refuses connections for one that has ended (FAILBACK)

Callers: upstreams that were back under their id while cold got more requests than they bear and crashed again; beside a release, with streams that only some upstreams can continue, more often than before.

Cause: a refused connection counted as the end of a process only if this VM had no other connection there. A process that ends without a reset leaves its connections open, so requests that were waiting on them hid its end. Evidence: upstream_refused_connection with 6 and 10 running, at 7.6 s, of an upstream that had crashed at 7.0 s, was back at 8.15 s and got 9 requests in the second after; no upstream_ended.

A refusal now also counts if no bytes of any answer have arrived from there for longer than sound upstreams pause between events. One at its maximum of connections refuses, too, but goes on with its answers.

--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -167,6 +167,12 @@
         upstream->running = std::max(0, upstream->running - 1);
 }
 
+void UpstreamTable::noteBytes(Milliseconds now, const UpstreamId& id)
+{
+    if (KnownUpstream* upstream = this->get(id))
+        upstream->lastBytesAt = now;
+}
+
 void UpstreamTable::noteHealthObservation(Milliseconds now, const UpstreamId& id, HealthObservation observation)
 {
     if (KnownUpstream* upstream = this->get(id))
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -71,6 +71,7 @@
     std::int64_t laterStart = 0;
     Milliseconds contactSince; /**< Since when this VM has had connections to one process without interruption. */
     Milliseconds lastContactAt; /**< Time of the last answer. */
+    Milliseconds lastBytesAt; /**< Time of the last bytes of any answer; 0 if there were none. */
 
     /** Returns true while the upstream accepts only few requests after its start. */
     bool isCold(Milliseconds now) const { return now < this->coldUntil; }
@@ -172,6 +173,9 @@
     /** Records that a request ended. Precondition: noteStarted() was called for it. */
     void noteEnded(const UpstreamId& id);
 
+    /** Records that bytes of an answer have arrived. */
+    void noteBytes(Milliseconds now, const UpstreamId& id);
+
     /** Records the result of an attempt. */
     void noteHealthObservation(Milliseconds now, const UpstreamId& id, HealthObservation observation);
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -400,6 +400,7 @@
         this->context.core.getPlacement().noteFirstEvent(
             this->admitted->service, this->promptTokens - this->sharedTokens, this->now() - sentAt);
     };
+    running->attempt.setBytesHandler([this, id] { this->context.core.getUpstreams().noteBytes(this->now(), id); });
     running->attempt.setStatementHandler(
         [this, &choice](const UpstreamStatement& statement) { this->noteStatement(choice.upstream, statement); });
     return running;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -372,6 +372,8 @@
         if (!failure) {
             this->connection->buffer.commit(count);
             this->lastBytesAt = std::chrono::steady_clock::now();
+            if (this->onBytes)
+                this->onBytes();
             co_return true;
         }
         if (failure == asio::error::operation_aborted && wasSilentTooLong && !this->isEnded()) {
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -151,6 +151,9 @@
         this->onStatement = std::move(handler);
     }
 
+    /** Sets a function that is called whenever bytes of the upstream have arrived. */
+    void setBytesHandler(std::function<void()> handler) { this->onBytes = std::move(handler); }
+
     /** Called while the upstream is silent; returns true to abandon the attempt. */
     using SilenceHandler = std::function<boost::asio::awaitable<bool>()>;
 
@@ -238,6 +241,7 @@
         lastBytesAt; /**< Time of the request's last byte, the last read from the upstream or the last events sent. */
     MemoryBudget::Reservation reservation;
     std::function<void(const UpstreamStatement&)> onStatement;
+    std::function<void()> onBytes;
     SilenceHandler onSilence;
     std::shared_ptr<std::function<void(bool hasEnded)>> onActivity;
     bool isReading = false;
--- a/modules/serving/upstream/UpstreamWatch.cpp
+++ b/modules/serving/upstream/UpstreamWatch.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr Milliseconds checkLimit { 400 }; /**< Within a region; allows for many round trips and one lost packet. */
+/** Between the bytes of all answers together of an upstream that runs some. */
+constexpr Milliseconds longestSoundGap { 300 };
 constexpr Milliseconds questionLimit { 1'000 }; /**< An upstream answers as soon as it has a free slot. */
 constexpr std::size_t maximumHealthBytes = 64 * kibibyte; /**< Of the body, which is not used. */
 
@@ -111,12 +113,18 @@
     const KnownUpstream* known = this->core.getUpstreams().find(upstream.id);
     if (!known)
         return;
+    const Milliseconds now = this->clock.now();
     const bool hasIdle = this->pool.hasIdle(upstream.endpoint);
     if (known->running == 0 && !hasIdle)
-        return this->noteProcessEnded(this->clock.now(), upstream, "connection_refused");
-    this->log.write(this->clock.now(), LogWeight::Notable, "upstream_refused_connection",
+        return this->noteProcessEnded(now, upstream, "connection_refused");
+    // The connections of a process that has ended may stay open for as long as nothing is sent on them. A process at
+    // its maximum of connections refuses more of them, too, but goes on with its answers.
+    const Milliseconds silentFor = now - known->lastBytesAt;
+    if (known->running > 0 && known->lastBytesAt > Milliseconds(0) && silentFor >= longestSoundGap)
+        return this->noteProcessEnded(now, upstream, "refused_and_silent");
+    this->log.write(now, LogWeight::Notable, "upstream_refused_connection",
         { { "upstream", upstream.id.string() }, { "running", boost::json::value(known->running) },
-            { "idle", boost::json::value(hasIdle) } });
+            { "idle", boost::json::value(hasIdle) }, { "silent_ms", boost::json::value(silentFor.count()) } });
 }
 
 void UpstreamWatch::noteProcessEnded(Milliseconds now, const UpstreamRecord& upstream, std::string_view evidence)
--- a/tests/serving/RestartedUpstreamTest.cpp
+++ b/tests/serving/RestartedUpstreamTest.cpp
@@ -10,6 +10,8 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 constexpr std::chrono::milliseconds betweenRequests { 20 };
+/** An upstream without answers for longer counts as having no load, so it gets the next request. */
+constexpr std::chrono::milliseconds reportLifetime { 1'600 };
 /** Of 1.5 times the requests per second that a cold upstream accepts, and 3. */
 constexpr std::size_t allowedWhileCold = 7;
 
@@ -22,6 +24,7 @@
     CPPUNIT_TEST(testUpstreamThatRestartsWhileItAnswersIsNotFlooded);
     CPPUNIT_TEST(testUpstreamThatRefusedConnectionsIsNotFlooded);
     CPPUNIT_TEST(testUpstreamThatIsBackAtOnceIsNotFlooded);
+    CPPUNIT_TEST(testUpstreamThatRefusesConnectionsAndIsSilentHasEnded);
     CPPUNIT_TEST(testUpstreamThatClosesNewConnectionsIsNotAskedWithoutEnd);
     CPPUNIT_TEST(testRestartedUpstreamGetsItsShareOnceItIsWarm);
     CPPUNIT_TEST(testAbsurdColdTimeIsBounded);
@@ -79,6 +82,25 @@
         this->checkArrivalsWhileCold();
     }
 
+    // Its open connections tell nothing: their other end is gone, but no end of them has arrived.
+    void testUpstreamThatRefusesConnectionsAndIsSilentHasEnded()
+    {
+        this->harness->first().queueAnswers(std::deque<AnswerKind>(1'000, AnswerKind::NoResponse));
+        this->harness->second().queueAnswers({ AnswerKind::NoResponse });
+        std::vector<std::future<RawAnswer>> unanswered;
+        for (const char* id : { "once-1", "once-2" }) {
+            const std::size_t before = this->harness->getArrivals().size();
+            unanswered.push_back(std::async(std::launch::async,
+                [this, id] { return this->harness->call(ServingHarness::makeHead("GET", "/once/x", id)); }));
+            this->awaitArrivals(before + 1);
+        }
+        this->harness->first().refuse();
+        std::this_thread::sleep_for(reportLifetime);
+        this->askFor(downtime);
+        CPPUNIT_ASSERT(this->harness->hasEnded(UpstreamId("u-1")));
+        CPPUNIT_ASSERT(!this->harness->hasEnded(UpstreamId("u-2")));
+    }
+
     void testUpstreamThatClosesNewConnectionsIsNotAskedWithoutEnd()
     {
         this->harness->first().end();
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -86,6 +86,9 @@
     /** Ends the server as a crash does: its connections end, and new ones are refused. */
     void end();
 
+    /** Refuses new connections from now on, and leaves the open ones as they are. */
+    void refuse() { this->http->stopListening(); }
+
     /** Starts the server again at the endpoint that it had. Precondition: it was ended. */
     void startAgain();
 
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -142,6 +142,16 @@
     applied.get_future().wait();
 }
 
+bool ServingHarness::hasEnded(const UpstreamId& upstream)
+{
+    std::promise<bool> ended;
+    asio::post(this->process->getContext(), [this, &upstream, &ended] {
+        const KnownUpstream* known = this->process->getCore().getUpstreams().find(upstream);
+        ended.set_value(known && known->hasEnded());
+    });
+    return ended.get_future().get();
+}
+
 void ServingHarness::beginStopping()
 {
     std::promise<void> begun;
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -57,6 +57,9 @@
     /** Begins a planned stop and returns once it has begun. */
     void beginStopping();
 
+    /** Returns true if the process knows that an upstream's process has ended. */
+    bool hasEnded(const UpstreamId& upstream);
+
     /** Waits until the process has ended by itself. */
     void awaitEnd();
 
