--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -447,11 +447,14 @@
     return this->getRetryBudget(service).tryTake(now, this->getExtraRetryShare(now));
 }
 
-std::optional<SoftwareVersion> GatewayCore::findOnlyVersion(Milliseconds now, const ServiceId& service) const
+std::optional<StreamOrigin> GatewayCore::findOnlyOrigin(Milliseconds now, const ServingRoute& route) const
 {
-    if (!this->isFresh(now))
+    if (!this->isFresh(now) || route.services.size() != 1)
         return std::nullopt;
-    return this->upstreams.findOnlyVersion(now, service, StreamOriginTable::longestLifetime);
+    const ServiceId& service = route.services.front().service;
+    const std::optional<SoftwareVersion> version
+        = this->upstreams.findOnlyVersion(now, service, StreamOriginTable::longestLifetime);
+    return version ? std::optional(StreamOrigin { service, *version }) : std::nullopt;
 }
 
 bool GatewayCore::isReady(Milliseconds now) const
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -252,10 +252,10 @@
     }
 
     /**
-        Returns the version that began a stream of a service whose origin no VM knows: the only one that it can be,
-        unless there were several in the time in which callers take up streams, or this VM may not know all.
+        Returns the origin of a stream that no VM knows: the only one that it can be, unless the route has several
+        services, there were several versions in the time in which callers take up streams, or this VM may not know all.
     */
-    std::optional<SoftwareVersion> findOnlyVersion(Milliseconds now, const ServiceId& service) const;
+    std::optional<StreamOrigin> findOnlyOrigin(Milliseconds now, const ServingRoute& route) const;
 
     /** Returns what this VM knows of the streams that callers may take up. */
     StreamOriginExchange& getStreamOrigins() { return this->streamOrigins; }
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -259,10 +259,8 @@
         origin = co_await this->context.streamOrigins.find(
             this->resumedRequest, std::min(originLookupTime, this->getRemaining()));
     }
-    if (!origin) {
-        if (const auto version = this->context.core.findOnlyVersion(this->now(), this->admitted->service))
-            origin = StreamOrigin { this->admitted->service, *version };
-    }
+    if (!origin)
+        origin = this->context.core.findOnlyOrigin(this->now(), *this->admitted->route);
     const auto& services = this->admitted->route->services;
     const bool mayContinue = origin && !origin->version.isEmpty()
         && std::any_of(services.begin(), services.end(),
--- a/tests/adapter/DecodingTest.cpp
+++ b/tests/adapter/DecodingTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST_SUITE(DecodingTest);
     CPPUNIT_TEST(testUpstreamIsDecoded);
     CPPUNIT_TEST(testInvalidUpstreamEntriesAreRejected);
+    CPPUNIT_TEST(testVersionThatBreaksARequestHeadIsRejected);
     CPPUNIT_TEST(testUpstreamNumbersOutOfRangeAreRejected);
     CPPUNIT_TEST(testUpstreamPortsOutOfRangeAreRejected);
     CPPUNIT_TEST(testUpstreamIdThatBreaksARequestHeadIsRejected);
@@ -70,6 +71,16 @@
         }
     }
 
+    void testVersionThatBreaksARequestHeadIsRejected()
+    {
+        for (const std::string& version : { std::string("v1\\r\\nTenant: a"), std::string("v\\u0000"),
+                 std::string("\\u007f"), std::string(300, 'v') })
+            CPPUNIT_ASSERT_MESSAGE(
+                version, !decodeUpstream("i-1", replaceFirst(upstream, "\"v1\"", '"' + version + '"'), lookUpRegion));
+        const auto record = decodeUpstream("i-1", replaceFirst(upstream, "\"v1\"", "\"1.2 beta\""), lookUpRegion);
+        CPPUNIT_ASSERT(record && record.value().version == SoftwareVersion("1.2 beta"));
+    }
+
     void testUpstreamNumbersOutOfRangeAreRejected()
     {
         const std::string cold = "\"cold_left_ms\":0";
--- a/tests/gateway/StreamOriginTest.cpp
+++ b/tests/gateway/StreamOriginTest.cpp
@@ -84,6 +84,8 @@
     CPPUNIT_TEST(testDamagedMessagesAreRejected);
     CPPUNIT_TEST(testOnlyVersionIsKnownAfterAWhile);
     CPPUNIT_TEST(testFormerVersionCountsForAWhile);
+    CPPUNIT_TEST(testUnknownStreamOfASplitRouteHasNoOrigin);
+    CPPUNIT_TEST(testUnknownStreamHasNoOriginWhileTheListMayBeOld);
     CPPUNIT_TEST(testVersionOfRestartedUpstreamIsUncertain);
     CPPUNIT_TEST(testVersionOfUnlistedUpstreamStaysKnown);
     CPPUNIT_TEST_SUITE_END();
@@ -232,6 +234,28 @@
         CPPUNIT_ASSERT(table.findOnlyVersion(end + lifetime * 2, engine, lifetime) == first);
     }
 
+    void testUnknownStreamOfASplitRouteHasNoOrigin()
+    {
+        GatewayCore core(makeSettings(), "key", 1);
+        core.applyConfiguration(makeDocument(1));
+        core.getUpstreams().put(now, this->makeUpstreamOf("e-0", first));
+        const Milliseconds later = now + StreamOriginTable::longestLifetime;
+        core.noteConfigurationConfirmation(later);
+        ServingRoute route = makeRoute("/a/");
+        CPPUNIT_ASSERT(core.findOnlyOrigin(later, route) == makeNotice("").origin);
+        route.services.push_back({ ServiceId("other"), 1 });
+        CPPUNIT_ASSERT(!core.findOnlyOrigin(later, route));
+    }
+
+    void testUnknownStreamHasNoOriginWhileTheListMayBeOld()
+    {
+        GatewayCore core(makeSettings(), "key", 1);
+        core.applyConfiguration(makeDocument(1));
+        core.getUpstreams().put(now, this->makeUpstreamOf("e-0", first));
+        core.noteConfigurationConfirmation(now);
+        CPPUNIT_ASSERT(!core.findOnlyOrigin(now + StreamOriginTable::longestLifetime, makeRoute("/a/")));
+    }
+
     void testVersionOfRestartedUpstreamIsUncertain()
     {
         UpstreamTable table;
