Continue unknown streams only by a list confirmed since they were taken up (ORDER)

Other operators report that a stream, begun at an upstream of a new software version through other VMs, went on at another version at a VM that had been cut off from the others, or had stood still, while that version joined.

Cause: a VM that finds nobody who knows the stream takes it for one of the only version that it knows. Class of fault: a bound that is right for one decision (how long a withdrawn key may be used) is reused for another one that needs an order of events (the list must be later than the stream).

Change: the list must have been confirmed by a read that was sent after the caller took up the stream. The VM seeks such a confirmation and waits for it for 1.5 s at the most; without it the stream is refused as not run, and its caller begins anew.

Evidence: testStreamOfAVersionThatJoinedMeanwhileIsNotContinuedAtTheOneThatIsKnown: 200 instead of 503 on the code before, passes now. StreamOriginTest has the same for the decision alone. Elsewhere: findOnlyOrigin() has one caller; what other VMs tell of a stream does not depend on the list.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -283,7 +283,7 @@
 bool GatewayCore::mustQueryStore(Milliseconds now) const
 {
     return this->loadExchange.isCollector() || this->freshness.getAge(now) > maximumConfirmationAge
-        || this->lacksConfiguration(now);
+        || this->lacksConfiguration(now) || !this->freshness.isConfirmedAfter(this->confirmationNeededAfter);
 }
 
 AdmissionDecision GatewayCore::admit(Milliseconds now, const AdmissionQuery& query)
@@ -447,9 +447,25 @@
     return this->getRetryBudget(service).tryTake(now, this->getExtraRetryShare(now));
 }
 
-std::optional<StreamOrigin> GatewayCore::findOnlyOrigin(Milliseconds now, const ServingRoute& route) const
+std::optional<StreamOrigin> GatewayCore::findOnlyOrigin(
+    Milliseconds now, const ServingRoute& route, Milliseconds takenUpAt) const
 {
-    if (!this->isFresh(now) || route.services.size() != 1)
+    if (!this->isFresh(now) || !this->freshness.isConfirmedAfter(takenUpAt))
+        return std::nullopt;
+    return this->findOriginInView(now, route);
+}
+
+bool GatewayCore::needsConfirmation(Milliseconds now, const ServingRoute& route, Milliseconds takenUpAt)
+{
+    if (this->freshness.isConfirmedAfter(takenUpAt) || !this->findOriginInView(now, route))
+        return false;
+    this->confirmationNeededAfter = std::max(this->confirmationNeededAfter, takenUpAt);
+    return true;
+}
+
+std::optional<StreamOrigin> GatewayCore::findOriginInView(Milliseconds now, const ServingRoute& route) const
+{
+    if (route.services.size() != 1)
         return std::nullopt;
     const ServiceId& service = route.services.front().service;
     const std::optional<SoftwareVersion> version
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -254,8 +254,17 @@
     /**
         Returns the origin of a stream that no VM knows: the only one that it can be, unless the route has several
         services, there were several versions in the time in which callers take up streams, or this VM may not know all.
+
+        @param takenUpAt  time at which the caller took up the stream; only a view that was confirmed after it is sure
+                          to hold the version that began it
+    */
+    std::optional<StreamOrigin> findOnlyOrigin(
+        Milliseconds now, const ServingRoute& route, Milliseconds takenUpAt) const;
+
+    /**
+        Returns true if findOnlyOrigin() lacks only a confirmation of this VM's view, which this VM seeks from now on.
     */
-    std::optional<StreamOrigin> findOnlyOrigin(Milliseconds now, const ServingRoute& route) const;
+    bool needsConfirmation(Milliseconds now, const ServingRoute& route, Milliseconds takenUpAt);
 
     /** Returns what this VM knows of the streams that callers may take up. */
     StreamOriginExchange& getStreamOrigins() { return this->streamOrigins; }
@@ -269,6 +278,8 @@
     std::uint64_t getVersionInForce() const { return this->configuration ? this->configuration->getVersion() : 0; }
     /** Returns true if another VM has a later configuration that the store, as far as this VM has read it, has lost. */
     bool lacksConfiguration(Milliseconds now) const;
+    /** Returns the only origin that a stream can have by this VM's view, however old the view is. */
+    std::optional<StreamOrigin> findOriginInView(Milliseconds now, const ServingRoute& route) const;
     bool isFresh(Milliseconds now) const { return this->freshness.isFresh(now) && !this->lacksConfiguration(now); }
     void noteConfigurationNotice(Milliseconds now, const ConfigurationNotice& notice);
     void noteSharedStatements(Milliseconds now, const std::vector<SharedStatement>& statements);
@@ -299,6 +310,7 @@
     PromptQuarantine quarantine;
     Placement placement;
     StorePosition knownRevision;
+    Milliseconds confirmationNeededAfter = Milliseconds(0) - Milliseconds::never(); /**< For a stream that was taken up then. */
     std::optional<Milliseconds> behindSince; /**< Since when another VM has reported a later revision. */
     std::map<WorkspaceId, SharedAllowance> workspaceAllowances;
     std::map<ServiceId, SharedAllowance> prefillAllowances; /**< This VM's share of its region's prefill capacity. */
--- a/modules/gateway/limits/ConfigurationFreshness.h
+++ b/modules/gateway/limits/ConfigurationFreshness.h
@@ -34,6 +34,9 @@
     /** Returns true while keys may be trusted. */
     bool isFresh(Milliseconds now) const { return this->getAge(now) <= this->maximumAge; }
 
+    /** Returns true if a read that was sent after the given time confirmed the view. */
+    bool isConfirmedAfter(Milliseconds time) const { return this->confirmedAt > time; }
+
     /** Returns the time since the last confirmation; a very long time before the first one. */
     Milliseconds getAge(Milliseconds now) const { return now - this->confirmedAt; }
 
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -26,6 +26,9 @@
 constexpr Milliseconds minimumFirstByteTimeout { 400 };
 /** Allows for a lost question or answer between regions. */
 constexpr Milliseconds originLookupTime { 700 };
+/** Until a read of the store that begins now has been answered: it waits for a change for a second. */
+constexpr Milliseconds confirmationTime { 1'500 };
+constexpr std::chrono::milliseconds confirmationPollInterval { 40 };
 /** Callers may take up a stream a little after the time that they state. */
 constexpr Milliseconds takeUpMargin { 2'000 };
 constexpr Milliseconds defaultDeadline { 60'000 }; /**< For callers that send no deadline. */
@@ -259,8 +262,10 @@
         origin = co_await this->context.streamOrigins.find(
             this->resumedRequest, std::min(originLookupTime, this->getRemaining()));
     }
-    if (!origin)
-        origin = this->context.core.findOnlyOrigin(this->now(), *this->admitted->route);
+    if (!origin) {
+        co_await this->awaitConfirmedView();
+        origin = this->context.core.findOnlyOrigin(this->now(), *this->admitted->route, this->arrivedAt);
+    }
     const auto& services = this->admitted->route->services;
     const bool mayContinue = origin && !origin->version.isEmpty()
         && std::any_of(services.begin(), services.end(),
@@ -275,6 +280,17 @@
     co_return true;
 }
 
+asio::awaitable<void> RequestServer::awaitConfirmedView()
+{
+    const Milliseconds end = this->now() + std::min(confirmationTime, this->getRemaining() / 2);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (this->now() < end && !this->activeRequest.isCallerGone()
+        && this->context.core.needsConfirmation(this->now(), *this->admitted->route, this->arrivedAt)) {
+        timer.expires_after(confirmationPollInterval);
+        co_await timer.async_wait(useResult);
+    }
+}
+
 asio::awaitable<void> RequestServer::runAttempts()
 {
     if (this->admitted->route->isStream)
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -62,6 +62,8 @@
         service to it. Returns false after it has refused the request, as the stream cannot be continued.
     */
     boost::asio::awaitable<bool> adoptStreamOrigin();
+    /** Waits for a while until this VM's view is confirmed, if the origin of the stream depends on it. */
+    boost::asio::awaitable<void> awaitConfirmedView();
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<NextAction> tryOnce();
     /** An attempt at an upstream or another VM. */
--- a/tests/gateway/StreamOriginTest.cpp
+++ b/tests/gateway/StreamOriginTest.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(testFormerVersionCountsForAWhile);
     CPPUNIT_TEST(testUnknownStreamOfASplitRouteHasNoOrigin);
     CPPUNIT_TEST(testUnknownStreamHasNoOriginWhileTheListMayBeOld);
+    CPPUNIT_TEST(testUnknownStreamHasNoOriginUntilAVersionThatJoinedMeanwhileWouldBeKnown);
     CPPUNIT_TEST(testVersionOfRestartedUpstreamIsUncertain);
     CPPUNIT_TEST(testVersionOfUnlistedUpstreamStaysKnown);
     CPPUNIT_TEST_SUITE_END();
@@ -242,9 +243,9 @@
         const Milliseconds later = now + StreamOriginTable::longestLifetime;
         core.noteConfigurationConfirmation(later);
         ServingRoute route = makeRoute("/a/");
-        CPPUNIT_ASSERT(core.findOnlyOrigin(later, route) == makeNotice("").origin);
+        CPPUNIT_ASSERT(core.findOnlyOrigin(later, route, now) == makeNotice("").origin);
         route.services.push_back({ ServiceId("other"), 1 });
-        CPPUNIT_ASSERT(!core.findOnlyOrigin(later, route));
+        CPPUNIT_ASSERT(!core.findOnlyOrigin(later, route, now));
     }
 
     void testUnknownStreamHasNoOriginWhileTheListMayBeOld()
@@ -253,7 +254,24 @@
         core.applyConfiguration(makeDocument(1));
         core.getUpstreams().put(now, this->makeUpstreamOf("e-0", first));
         core.noteConfigurationConfirmation(now);
-        CPPUNIT_ASSERT(!core.findOnlyOrigin(now + StreamOriginTable::longestLifetime, makeRoute("/a/")));
+        CPPUNIT_ASSERT(!core.findOnlyOrigin(now + StreamOriginTable::longestLifetime, makeRoute("/a/"), now));
+    }
+
+    void testUnknownStreamHasNoOriginUntilAVersionThatJoinedMeanwhileWouldBeKnown()
+    {
+        GatewayCore core(makeSettings(), "key", 1);
+        core.applyConfiguration(makeDocument(1));
+        core.getUpstreams().put(now, this->makeUpstreamOf("e-0", first));
+        const Milliseconds takenUpAt = now + StreamOriginTable::longestLifetime;
+        // Recent enough for keys, but an upstream of another version may have begun the stream since.
+        core.noteConfigurationConfirmation(takenUpAt);
+        CPPUNIT_ASSERT(!core.findOnlyOrigin(takenUpAt, makeRoute("/a/"), takenUpAt));
+        CPPUNIT_ASSERT(core.needsConfirmation(takenUpAt, makeRoute("/a/"), takenUpAt));
+        CPPUNIT_ASSERT(core.mustQueryStore(takenUpAt));
+        const Milliseconds confirmedAt = takenUpAt + Milliseconds(1);
+        core.noteConfigurationConfirmation(confirmedAt);
+        CPPUNIT_ASSERT(core.findOnlyOrigin(confirmedAt, makeRoute("/a/"), takenUpAt) == makeNotice("").origin);
+        CPPUNIT_ASSERT(!core.needsConfirmation(confirmedAt, makeRoute("/a/"), takenUpAt));
     }
 
     void testVersionOfRestartedUpstreamIsUncertain()
--- a/tests/serving/GatewayFleet.cpp
+++ b/tests/serving/GatewayFleet.cpp
@@ -40,7 +40,8 @@
         this->kill(vm);
 }
 
-SealedUpstream& GatewayFleet::addUpstream(const std::string& version, const std::string& region, int slots)
+SealedUpstream& GatewayFleet::addUpstream(
+    const std::string& version, const std::string& region, int slots, Milliseconds listedFor)
 {
     Upstream& upstream = this->upstreams.emplace_back();
     UpstreamRecord& record = upstream.record;
@@ -53,10 +54,20 @@
     record.startedAt = 1;
     record.version = SoftwareVersion(version);
     for (const auto& process : this->processes)
-        process->getCore().getUpstreams().put(process->getClock().now(), record);
+        process->getCore().getUpstreams().put(process->getClock().now() - listedFor, record);
     return upstream.server;
 }
 
+void GatewayFleet::confirm(std::size_t vm)
+{
+    std::promise<void> done;
+    asio::post(this->processes[vm]->getContext(), [&] {
+        this->processes[vm]->getCore().noteConfigurationConfirmation(this->processes[vm]->getClock().now());
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 void GatewayFleet::start()
 {
     for (const auto& process : this->processes)
--- a/tests/serving/GatewayFleet.h
+++ b/tests/serving/GatewayFleet.h
@@ -14,8 +14,16 @@
     explicit GatewayFleet(const std::vector<std::string>& regions);
     ~GatewayFleet();
 
-    /** Adds an upstream of the service of all routes. Call before start(). */
-    SealedUpstream& addUpstream(const std::string& version, const std::string& region = "north", int slots = 8);
+    /**
+        Adds an upstream of the service of all routes. Call before start().
+
+        @param listedFor  time for which the VMs have known it
+    */
+    SealedUpstream& addUpstream(const std::string& version, const std::string& region = "north", int slots = 8,
+        Milliseconds listedFor = Milliseconds(0));
+
+    /** Confirms the view of a VM as a read of the store that is sent now does. */
+    void confirm(std::size_t vm);
 
     /** Starts all processes. */
     void start();
--- a/tests/serving/StreamVersionTest.cpp
+++ b/tests/serving/StreamVersionTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(testRelayedStreamGoesOnAtItsVersion);
     CPPUNIT_TEST(testStreamOfUnknownOriginIsRefused);
     CPPUNIT_TEST(testStreamWhoseVersionIsGoneIsRefusedAtOnce);
+    CPPUNIT_TEST(testStreamOfAVersionThatJoinedMeanwhileIsNotContinuedAtTheOneThatIsKnown);
+    CPPUNIT_TEST(testStreamOfTheOnlyVersionGoesOnOnceThatIsCertain);
     CPPUNIT_TEST(testStreamThatIsTakenUpWaitsForItsVersion);
     CPPUNIT_TEST(testEventsOfUpstreamThatRestartedAsAnotherVersionAreNotForwarded);
     CPPUNIT_TEST_SUITE_END();
@@ -98,6 +100,25 @@
         CPPUNIT_ASSERT(this->fleet->findVersions("next-0").empty());
     }
 
+    void testStreamOfAVersionThatJoinedMeanwhileIsNotContinuedAtTheOneThatIsKnown()
+    {
+        // The VM knows nobody who could tell it of the stream, and last read the list a moment ago.
+        this->beginWithOneVersion();
+        const RawAnswer answer = this->fleet->takeUp(0, "next", "begun-elsewhere");
+        CPPUNIT_ASSERT_EQUAL(503, answer.getStatus());
+        CPPUNIT_ASSERT(answer.has("unknown_stream"));
+        CPPUNIT_ASSERT(this->fleet->findVersions("next").empty());
+    }
+
+    void testStreamOfTheOnlyVersionGoesOnOnceThatIsCertain()
+    {
+        this->beginWithOneVersion();
+        auto answer = std::async(std::launch::async, [this] { return this->fleet->takeUp(0, "next", "elsewhere"); });
+        while (answer.wait_for(std::chrono::milliseconds(20)) != std::future_status::ready)
+            this->fleet->confirm(0);
+        CPPUNIT_ASSERT(answer.get().isComplete());
+    }
+
     void testStreamThatIsTakenUpWaitsForItsVersion()
     {
         this->fleet = std::make_unique<GatewayFleet>(std::vector<std::string> { "north" });
@@ -138,6 +159,17 @@
         this->fleet->start();
     }
 
+    void beginWithOneVersion()
+    {
+        this->fleet = std::make_unique<GatewayFleet>(std::vector<std::string> { "north" });
+        this->fleet->addUpstream("v1", "north", 8, StreamOriginTable::longestLifetime);
+        this->fleet->start();
+        this->fleet->confirm(0);
+        const Milliseconds confirmedAt = Clock().now();
+        while (Clock().now() == confirmedAt)
+            std::this_thread::yield();
+    }
+
     /** Lets each upstream break off its next streams after their second event. */
     void breakNextStreams(std::size_t count)
     {
