Hand requests over while a VM has lost its links to all upstreams (RECOVER)

Cause: a VM took each connection that it could not open for the fault of that upstream. It tried one after the other for 400 ms each, refused for want of retries or of free upstreams, marked sound upstreams as suspect or ended, and stayed in the answers to callers and among the VMs that others relay to. Class of fault: evidence on a path is booked on the far end alone, though the near end explains it better.

Change: once two upstreams in a row cannot be reached, or all are silent for 0.8 s, the VM opens connections to up to three others at once. If none comes about, its links are lost (upstreams_lost in the log) until several are reached again. While they are lost it hands each request to a VM of its region that reaches upstreams, otherwise to another region, within homes, deadline and cancel; the receiver's queue holds it. Its status says so, so that callers and relays go elsewhere; a VM that gets a request all the same refuses it as not sent. Failures of that time count neither as attempts of the route nor against upstreams' health; ends of processes are told to others only once another upstream was reached, and checked by a health call when the links are back; lost connections are no crash under a prompt.

--- a/modules/gateway/core/GatewayCore.cpp
+++ b/modules/gateway/core/GatewayCore.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::size_t minimumOtherUpstreams = 2;
 constexpr std::int64_t rejectionSpreadDivisor = 5; /**< VMs return within a fifth of the time after its end. */
 constexpr Milliseconds longestRejectionSpread { 1'000 };
 
@@ -102,6 +103,8 @@
         return "all_rejecting";
     case RefusalCause::QuarantinedPrompt:
         return "quarantined_prompt";
+    case RefusalCause::UpstreamsUnreachable:
+        return "upstreams_unreachable";
     case RefusalCause::NoRetryLeft:
         return "no_retry_left";
     case RefusalCause::NoTimeLeft:
@@ -348,7 +351,9 @@
     const Milliseconds quarantined = this->quarantine.getRemaining(now, query.service, query.promptParts);
     if (quarantined > Milliseconds(0))
         return PlacementFailure { PlacementFailureCause::Quarantined, quarantined };
-    if (query.promptTokens == 0)
+    query.mayUseOwnUpstreams = !this->upstreamReach.isLost();
+    // The VM that takes a request over counts it against its own share of the prefill capacity.
+    if (query.promptTokens == 0 || !query.mayUseOwnUpstreams)
         return this->placement.choose(now, query, service);
     const double tokens = estimateReadTokens(query);
     SharedAllowance& allowance = this->prefillAllowances[query.service];
@@ -379,6 +384,48 @@
     return decision;
 }
 
+GatewayCore::ShuffledUpstreams GatewayCore::shuffleUpstreams(Milliseconds now)
+{
+    ShuffledUpstreams shuffled;
+    for (const auto& [id, upstream] : this->upstreams.getAll()) {
+        if (upstream.record.region != this->settings.region || upstream.goneAt)
+            continue;
+        const bool isDoubtful = upstream.hasEnded() || upstream.health.isUnreachable(now);
+        (isDoubtful ? shuffled.doubtful : shuffled.sound).push_back(upstream.record);
+    }
+    std::shuffle(shuffled.sound.begin(), shuffled.sound.end(), this->random);
+    std::shuffle(shuffled.doubtful.begin(), shuffled.doubtful.end(), this->random);
+    return shuffled;
+}
+
+std::vector<UpstreamRecord> GatewayCore::chooseCheckedUpstreams(Milliseconds now)
+{
+    auto [chosen, doubtful] = this->shuffleUpstreams(now);
+    chosen.insert(chosen.end(), doubtful.begin(), doubtful.end());
+    chosen.resize(std::min(chosen.size(), UpstreamReach::checkedUpstreams));
+    return chosen;
+}
+
+std::vector<UpstreamRecord> GatewayCore::chooseOtherUpstreams(Milliseconds now, const UpstreamId& ended)
+{
+    std::vector<UpstreamRecord> chosen = this->shuffleUpstreams(now).sound;
+    std::erase_if(chosen, [&ended](const UpstreamRecord& upstream) { return upstream.id == ended; });
+    // One more that has just ended, too, would decide alone.
+    if (chosen.size() < minimumOtherUpstreams)
+        return {};
+    chosen.resize(std::min(chosen.size(), UpstreamReach::checkedUpstreams));
+    return chosen;
+}
+
+bool GatewayCore::noteReachCheck(Milliseconds now, std::size_t tried, std::size_t reached)
+{
+    if (tried == 0 || !this->upstreamReach.noteCheck(now, tried, reached))
+        return false;
+    if (!this->upstreamReach.isLost())
+        this->upstreams.discardHealth(this->settings.region);
+    return true;
+}
+
 StatementChange GatewayCore::noteStatement(
     Milliseconds now, const UpstreamRecord& upstream, UpstreamStatement statement)
 {
@@ -505,6 +552,7 @@
     status.relays = this->settings.listeners.relays;
     status.relayKey = this->relayKey;
     status.isReady = this->configuration && !this->isStopping();
+    status.reachesUpstreams = !this->upstreamReach.isLost();
     status.takesRequests = this->configuration && this->takesRequests(now);
     return status;
 }
--- a/modules/gateway/core/GatewayCore.h
+++ b/modules/gateway/core/GatewayCore.h
@@ -15,6 +15,7 @@
 #include "gateway/settings/GatewaySettings.h"
 #include "gateway/stop/StopSchedule.h"
 #include "gateway/streams/StreamOriginExchange.h"
+#include "gateway/upstreams/UpstreamReach.h"
 #include "gateway/upstreams/UpstreamTable.h"
 #include "gateway/vms/VmRegistry.h"
 #include <memory>
@@ -57,6 +58,7 @@
     AllCold, /**< The upstreams with free capacity have just started and accept few requests. */
     AllRejecting, /**< The upstreams want no requests from this VM for a known time. */
     QuarantinedPrompt, /**< Upstreams crashed under prompts with the same parts, or under the same request. */
+    UpstreamsUnreachable, /**< This VM reaches no upstream, and no VM that reaches some takes the request. */
     NoRetryLeft, /**< An upstream refused the request, and the retry budget is used up. */
     NoTimeLeft, /**< The time allowed for the request has passed. */
 };
@@ -201,6 +203,9 @@
     /** Returns the limits on callers' requests, or the defaults before the first configuration. */
     const CallerLimits& getCallerLimits() const;
 
+    /** Returns the region of this VM. */
+    const RegionId& getRegion() const { return this->settings.region; }
+
     /** Returns the key that VMs must present when they relay requests to this one. */
     const std::string& getRelayKey() const { return this->relayKey; }
 
@@ -223,6 +228,30 @@
     /** Returns the component that chooses upstreams. */
     Placement& getPlacement() { return this->placement; }
 
+    /** Returns whether this VM has lost its links to all upstreams. */
+    UpstreamReach& getUpstreamReach() { return this->upstreamReach; }
+    const UpstreamReach& getUpstreamReach() const { return this->upstreamReach; }
+
+    /**
+        Chooses upstreams of the own region to check this VM's links by, at random. Those that have probably ended only
+        make up for a lack of other ones.
+    */
+    std::vector<UpstreamRecord> chooseCheckedUpstreams(Milliseconds now);
+
+    /**
+        Chooses upstreams of the own region that should run, to tell the end of another one from the loss of this VM's
+        links. Returns none if there are too few of them to decide that.
+    */
+    std::vector<UpstreamRecord> chooseOtherUpstreams(Milliseconds now, const UpstreamId& ended);
+
+    /**
+        Records the result of a check of this VM's links.
+
+        @param tried, reached  upstreams to which connections were tried and opened; nothing happens if none was tried
+        @returns true if the links were lost or regained by it
+    */
+    bool noteReachCheck(Milliseconds now, std::size_t tried, std::size_t reached);
+
     /**
         Records what an upstream states of itself in an answer to this VM.
 
@@ -241,6 +270,12 @@
         return this->upstreams.noteProcessEnded(now, upstream);
     }
 
+    /** Records the same of a process that this VM cannot reach; see UpstreamTable::noteProbableEnd(). */
+    bool noteProbableEnd(Milliseconds now, const UpstreamRecord& upstream)
+    {
+        return this->upstreams.noteProbableEnd(now, upstream);
+    }
+
     /**
         Records that the process that follows one that has ended says for how long it is cold.
 
@@ -275,6 +310,13 @@
     const PromptQuarantine& getQuarantine() const { return this->quarantine; }
 
 private:
+    /** Upstreams of the own region in random order. */
+    struct ShuffledUpstreams {
+        std::vector<UpstreamRecord> sound;
+        std::vector<UpstreamRecord> doubtful; /**< Those that have probably ended. */
+    };
+
+    ShuffledUpstreams shuffleUpstreams(Milliseconds now);
     std::uint64_t getVersionInForce() const { return this->configuration ? this->configuration->getVersion() : 0; }
     /** Returns true if another VM has a later configuration that the store, as far as this VM has read it, has lost. */
     bool lacksConfiguration(Milliseconds now) const;
@@ -304,13 +346,15 @@
     ConfigurationNotice heard; /**< Latest configuration that another VM has told of. */
     Milliseconds heardAt = Milliseconds(0) - Milliseconds::never();
     UpstreamTable upstreams;
+    UpstreamReach upstreamReach;
     VmRegistry vms;
     LoadExchange loadExchange;
     StreamOriginExchange streamOrigins;
     PromptQuarantine quarantine;
     Placement placement;
     StorePosition knownRevision;
-    Milliseconds confirmationNeededAfter = Milliseconds(0) - Milliseconds::never(); /**< For a stream that was taken up then. */
+    Milliseconds confirmationNeededAfter
+        = Milliseconds(0) - Milliseconds::never(); /**< For a stream that was taken up then. */
     std::optional<Milliseconds> behindSince; /**< Since when another VM has reported a later revision. */
     std::map<WorkspaceId, SharedAllowance> workspaceAllowances;
     std::map<ServiceId, SharedAllowance> prefillAllowances; /**< This VM's share of its region's prefill capacity. */
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -46,9 +46,14 @@
 {
     PlacementFailureCause cause = PlacementFailureCause::NoUpstream;
     std::vector<Candidate> candidates;
-    if (isHome(query.homes, this->region))
+    if (!query.mayUseOwnUpstreams) {
+        if (const auto handOver = this->findHandOver(now, query))
+            return *handOver;
+        cause = PlacementFailureCause::Unreachable;
+    } else if (isHome(query.homes, this->region)) {
         candidates = this->findCandidates(now, query, service, cause);
-    if (!query.hasPrefillCapacity)
+    }
+    if (!query.hasPrefillCapacity && query.mayUseOwnUpstreams)
         cause = PlacementFailureCause::AllFull;
     this->estimateCosts(query, candidates);
     const Candidate* best = this->chooseCheapest(candidates);
@@ -61,10 +66,12 @@
     }
     if (query.mayRelay) {
         const double ownCost = best ? best->cost : std::numeric_limits<double>::infinity();
-        const bool hasOwnUpstreams = best || cause != PlacementFailureCause::NoUpstream;
+        const bool hasOwnUpstreams = query.mayUseOwnUpstreams && (best || cause != PlacementFailureCause::NoUpstream);
         if (const auto relay = this->findRelay(now, query, ownCost, hasOwnUpstreams))
             return *relay;
     }
+    if (!best && cause == PlacementFailureCause::Unreachable)
+        return PlacementFailure { cause, Milliseconds(0) };
     if (!best && query.version && !this->isVersionListed(query))
         return PlacementFailure { PlacementFailureCause::NoUpstreamOfVersion, Milliseconds(0) };
     if (!best && cause == PlacementFailureCause::AllRejecting)
@@ -236,7 +243,7 @@
         if (other == this->region || query.triedRegions.contains(other) || !isHome(query.homes, other))
             continue;
         const double cost = this->estimateRegionCost(query, other, hasOwnUpstreams);
-        const VmAnnouncement* vm = cost < lowestCost ? this->chooseRelayVm(now, other) : nullptr;
+        const VmAnnouncement* vm = cost < lowestCost ? this->chooseRelayVm(now, query, other) : nullptr;
         if (vm) {
             chosen = vm;
             lowestCost = cost;
@@ -322,12 +329,28 @@
         + pendingTokens / acceptingUpstreams / this->prefillSpeed.get(query.service);
 }
 
-const VmAnnouncement* Placement::chooseRelayVm(Milliseconds now, const RegionId& other)
+std::optional<UseRelay> Placement::findHandOver(Milliseconds now, const PlacementQuery& query)
+{
+    // What this VM has observed of the upstreams themselves may come from the loss of its own links.
+    const std::vector<const KnownUpstream*> upstreams = this->table.getUsableUpstreams(query.service, this->region);
+    const bool hasUsable = std::any_of(upstreams.begin(), upstreams.end(), [&query](const KnownUpstream* upstream) {
+        return !query.version || upstream->record.version == *query.version;
+    });
+    const bool mayHandOver = query.mayRelay && hasUsable && isHome(query.homes, this->region)
+        && !query.triedRegions.contains(this->region);
+    const VmAnnouncement* chosen = mayHandOver ? this->chooseRelayVm(now, query, this->region) : nullptr;
+    if (!chosen)
+        return std::nullopt;
+    return UseRelay { chosen->vm, chosen->region, chosen->relays, chosen->relayKey };
+}
+
+const VmAnnouncement* Placement::chooseRelayVm(Milliseconds now, const PlacementQuery& query, const RegionId& other)
 {
-    std::vector<const VmAnnouncement*> usable = this->vms.getReadyVms(other);
+    std::vector<const VmAnnouncement*> usable = this->vms.getServingVms(other);
     std::erase_if(usable, [&](const VmAnnouncement* status) {
         const auto avoided = this->avoidedVmsUntil.find(status->vm);
-        return avoided != this->avoidedVmsUntil.end() && now < avoided->second;
+        const bool isAvoided = avoided != this->avoidedVmsUntil.end() && now < avoided->second;
+        return isAvoided || status->vm == this->vm || query.triedVms.contains(status->vm);
     });
     if (usable.empty())
         return nullptr;
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -33,6 +33,8 @@
     bool hasPrefillCapacity = true;
     bool mayRelay = true; /**< False for a request that another VM relayed here. */
     bool mayTrySuspects = true; /**< False if the request must not be the trial of a suspect upstream. */
+    bool mayUseOwnUpstreams = true; /**< False while this VM reaches no upstream of its region. */
+    std::set<VmId> triedVms; /**< VMs that reached no upstream, or of this region, that refused the request. */
 };
 
 /** Decision to send the request to an upstream of this region. */
@@ -43,7 +45,7 @@
     std::optional<Endpoint> cacheSource;
 };
 
-/** Decision to relay the request to a VM of another region. */
+/** Decision to relay the request to another VM, of this region only while this VM reaches no upstream. */
 struct UseRelay {
     VmId vm;
     RegionId region;
@@ -59,6 +61,7 @@
     AllCold, /**< The upstreams with free capacity have just started. */
     AllRejecting, /**< The upstreams want no requests from this VM for a known time. */
     Quarantined, /**< Upstreams crashed under prompts with the same parts, or under the same request. */
+    Unreachable, /**< This VM reaches no upstream, and no VM that reaches some takes the request. */
 };
 
 /** Decision that nothing can take the request now. */
@@ -185,7 +188,9 @@
     std::optional<UseRelay> findRelay(
         Milliseconds now, const PlacementQuery& query, double ownCost, bool hasOwnUpstreams);
     double estimateRegionCost(const PlacementQuery& query, const RegionId& other, bool needsFreeCapacity) const;
-    const VmAnnouncement* chooseRelayVm(Milliseconds now, const RegionId& region);
+    const VmAnnouncement* chooseRelayVm(Milliseconds now, const PlacementQuery& query, const RegionId& region);
+    /** Returns a relay to another VM of this region, or nothing if none may serve the request. */
+    std::optional<UseRelay> findHandOver(Milliseconds now, const PlacementQuery& query);
     std::vector<VmId> getOwnRegionVms() const;
 
     /** Time until VMs that start together know each other: a status is written within 0.5 s and read within 1 s. */
--- a/modules/gateway/upstreams/UpstreamHealth.h
+++ b/modules/gateway/upstreams/UpstreamHealth.h
@@ -24,6 +24,9 @@
     /** Returns true while the upstream should receive only trial requests. */
     bool isSuspect(Milliseconds now) const;
 
+    /** Returns true for a while after no connection to it could be established. */
+    bool isUnreachable(Milliseconds now) const { return now < this->unreachableUntil; }
+
     /** Returns true if a suspect upstream may receive a trial request now. */
     bool isTrialDue(Milliseconds now) const { return now >= this->nextTrial && now >= this->unreachableUntil; }
 
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -224,10 +224,51 @@
     const bool isNews = !known->hasEnded();
     known->endedAt = now;
     known->returnedAt.reset();
+    known->isEndUncertain = false;
     known->coldUntil = now + endLifetime;
     return isNews;
 }
 
+bool UpstreamTable::noteProbableEnd(Milliseconds now, const UpstreamRecord& upstream)
+{
+    const KnownUpstream* known = this->find(upstream.id);
+    const bool isCertain = known && known->hasEnded() && !known->isEndUncertain;
+    const bool isNews = this->noteProcessEnded(now, upstream);
+    if (KnownUpstream* ended = this->get(upstream.id))
+        ended->isEndUncertain = ended->hasEnded() && !isCertain;
+    return isNews;
+}
+
+void UpstreamTable::confirmEnd(const UpstreamId& id)
+{
+    if (KnownUpstream* upstream = this->get(id))
+        upstream->isEndUncertain = false;
+}
+
+void UpstreamTable::refuteEnd(const UpstreamId& id)
+{
+    KnownUpstream* upstream = this->get(id);
+    if (!upstream || !upstream->isEndUncertain)
+        return;
+    forgetEnd(*upstream);
+    upstream->coldUntil = Milliseconds(0);
+}
+
+void UpstreamTable::forgetEnd(KnownUpstream& upstream)
+{
+    upstream.endedAt.reset();
+    upstream.returnedAt.reset();
+    upstream.isEndUncertain = false;
+}
+
+void UpstreamTable::discardHealth(const RegionId& region)
+{
+    for (auto& [id, upstream] : this->upstreams) {
+        if (upstream.record.region == region)
+            upstream.health = {};
+    }
+}
+
 void UpstreamTable::noteContact(
     Milliseconds now, const UpstreamRecord& upstream, Milliseconds connectedAt, Milliseconds coldFor)
 {
@@ -239,8 +280,7 @@
     const bool refutesEnd
         = known->endedAt && connectedAt + messageDelay < *known->endedAt && now > *known->endedAt + messageDelay;
     if (refutesEnd) {
-        known->endedAt.reset();
-        known->returnedAt.reset();
+        forgetEnd(*known);
         known->coldUntil = Milliseconds(0);
     } else if (known->hasEnded() && connectedAt + messageDelay >= *known->endedAt) {
         known->returnedAt = now;
@@ -264,6 +304,7 @@
     if (endedAt > lastKnown + messageDelay) {
         upstream.endedAt = endedAt;
         upstream.returnedAt.reset();
+        upstream.isEndUncertain = false;
         upstream.coldUntil = endedAt + endLifetime;
     }
     // This VM may have had answers of the next process without knowing that it was another one.
@@ -283,8 +324,7 @@
     if (coldFor <= Milliseconds(0) || startedAt <= std::max(upstream.record.startedAt, upstream.laterStart))
         return;
     // Unlike an end that was observed, a listed start is not refuted by any answer.
-    upstream.endedAt.reset();
-    upstream.returnedAt.reset();
+    forgetEnd(upstream);
     upstream.laterStart = startedAt;
     upstream.coldUntil = now + coldFor;
 }
@@ -320,7 +360,7 @@
         const bool hasLeavingNews = upstream.leavingSince && now - *upstream.leavingSince <= statementExchangeTime;
         const auto getAge
             = [now](const std::optional<Milliseconds>& at) { return at ? std::optional(now - *at) : std::nullopt; };
-        const bool isCold = upstream.isCold(now);
+        const bool isCold = upstream.isCold(now) && !upstream.isEndUncertain;
         if (!hasLimitNews && !hasLeavingNews && !isCold)
             continue;
         if (isCold && upstream.laterStart != 0 && !upstream.endedAt) {
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -67,6 +67,8 @@
     /** Last time at which its process was known to have ended. What answers since then has just started. */
     std::optional<Milliseconds> endedAt;
     std::optional<Milliseconds> returnedAt; /**< Time of the first answer since its process ended. */
+    /** Whether this VM may have taken the loss of its own links for that end. */
+    bool isEndUncertain = false;
     /** A start that another VM knows and that is later than that of its entry here; 0 if there is none. */
     std::int64_t laterStart = 0;
     Milliseconds contactSince; /**< Since when this VM has had connections to one process without interruption. */
@@ -199,6 +201,21 @@
     */
     bool noteProcessEnded(Milliseconds now, const UpstreamRecord& upstream);
 
+    /** Does the same for an end that is uncertain, and so not told to other VMs, until confirmEnd() is called. */
+    bool noteProbableEnd(Milliseconds now, const UpstreamRecord& upstream);
+
+    /** Records that the last known end of the process is certain, so that other VMs are told of it. */
+    void confirmEnd(const UpstreamId& id);
+
+    /**
+        Records that the process of an upstream has not ended since the time of an uncertain end. Does nothing if its
+        end is certain.
+    */
+    void refuteEnd(const UpstreamId& id);
+
+    /** Discards what the last attempts at a region's upstreams say of their health, as the VM's links were lost. */
+    void discardHealth(const RegionId& region);
+
     /**
         Records an answer of an upstream. The first one after its process ended begins the time for which it is cold;
        one over a connection that was opened before shows that the process has not ended.
@@ -282,6 +299,7 @@
     /** Records that another VM knows of a later start than the list has told this VM. */
     static void mergeLaterStart(
         Milliseconds now, KnownUpstream& upstream, std::int64_t startedAt, Milliseconds coldFor);
+    static void forgetEnd(KnownUpstream& upstream);
     static bool noteLimit(Milliseconds at, KnownUpstream& upstream, std::optional<double> requestsPerSecond);
     bool isUsable(const KnownUpstream& upstream) const;
 
--- a/modules/gateway/vms/VmAnnouncement.cpp
+++ b/modules/gateway/vms/VmAnnouncement.cpp
@@ -33,6 +33,9 @@
     // Builds before the sequence was introduced do not write it.
     if (object.if_contains("sequence"))
         status.sequence = wholeNumberAt(object, "sequence", 0, std::numeric_limits<std::int64_t>::max());
+    // The same holds for builds that cannot tell.
+    if (const json::value* reaches = object.if_contains("reaches_upstreams"))
+        status.reachesUpstreams = reaches->as_bool();
     return status;
 }
 
@@ -51,6 +54,7 @@
     object["ready"] = status.isReady;
     object["takes_requests"] = status.takesRequests;
     object["sequence"] = status.sequence;
+    object["reaches_upstreams"] = status.reachesUpstreams;
     return json::serialize(object);
 }
 
--- a/modules/gateway/vms/VmAnnouncement.h
+++ b/modules/gateway/vms/VmAnnouncement.h
@@ -19,6 +19,7 @@
     bool isReady = false; /**< False while the VM starts and after it begins to stop. */
     bool takesRequests = false; /**< Stays true for a while after the VM begins to stop. */
     std::int64_t sequence = 0; /**< Rises with each status that one process publishes; 0 if not stated. */
+    bool reachesUpstreams = true; /**< False while it has lost its links to all upstreams. */
 
     bool operator==(const VmAnnouncement&) const = default;
 };
--- a/modules/gateway/vms/VmRegistry.cpp
+++ b/modules/gateway/vms/VmRegistry.cpp
@@ -87,7 +87,9 @@
         const bool isAllowed = status.region == location.region || isHome(location.homes, status.region);
         if (!status.isReady && !(status.takesRequests && isAllowed))
             continue;
-        const std::size_t nearness = !status.isReady         ? 3
+        const bool isServing = status.isReady && status.reachesUpstreams;
+        const std::size_t nearness = !isServing && isAllowed ? 3
+            : !isServing                                     ? 4
             : status.failureDomain == location.failureDomain ? 0
             : status.region == location.region               ? 1
             : isAllowed                                      ? 2
@@ -121,4 +123,11 @@
     return ready;
 }
 
+std::vector<const VmAnnouncement*> VmRegistry::getServingVms(const RegionId& region) const
+{
+    std::vector<const VmAnnouncement*> serving = this->getReadyVms(region);
+    std::erase_if(serving, [](const VmAnnouncement* status) { return !status->reachesUpstreams; });
+    return serving;
+}
+
 } // namespace papayashelf
--- a/modules/gateway/vms/VmRegistry.h
+++ b/modules/gateway/vms/VmRegistry.h
@@ -48,17 +48,20 @@
     std::size_t countRemembered() const { return this->ended.size(); }
 
     /**
-        Returns the VMs that a caller should connect to: ready VMs of its failure domain, otherwise of its region,
-        otherwise of the homes of its requests. If there are none, it returns the stopping VMs in its region or homes
-        that still take requests, otherwise any ready VMs.
+        Returns the VMs that a caller should connect to: ready VMs that reach upstreams in its failure domain, otherwise
+        in its region, otherwise in the homes of its requests. If there are none, it returns the VMs in its region or
+        homes that still take requests though they stop or reach no upstream, otherwise any VMs that are ready.
 
         @param maximumCount  maximum number of VMs to return
     */
     std::vector<Endpoint> chooseEntries(const CallerLocation& location, std::size_t maximumCount) const;
 
-    /** Returns the ready VMs of a region. */
+    /** Returns the ready VMs of a region, whether they reach upstreams or not. */
     std::vector<const VmAnnouncement*> getReadyVms(const RegionId& region) const;
 
+    /** Returns the ready VMs of a region that reach its upstreams. */
+    std::vector<const VmAnnouncement*> getServingVms(const RegionId& region) const;
+
     /** Returns the regions that have any VM, ready or not. */
     std::set<RegionId> getRegions() const;
 
--- a/modules/serving/http/RelayHeaders.h
+++ b/modules/serving/http/RelayHeaders.h
@@ -12,6 +12,10 @@
 constexpr std::string_view notRun = "papayashelf-not-run"; /**< The VM's guarantee that the request has not run. */
 /** "1" beside that guarantee if no upstream has received the request, so that another attempt is not a retry there. */
 constexpr std::string_view notSent = "papayashelf-not-sent";
+/** "1" beside that guarantee if the VM reaches no upstream itself. */
+constexpr std::string_view unreachable = "papayashelf-unreachable";
+/** Milliseconds that the request may wait for an upstream with free capacity; absent if it must not wait. */
+constexpr std::string_view capacityWait = "papayashelf-capacity-wait";
 /** "1" if an upstream crashed as it began to answer the request. */
 constexpr std::string_view crashSuspect = "papayashelf-crash-suspect";
 
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -55,7 +55,8 @@
     , core(settings, makeRelayKey(), std::random_device {}())
     , poolSettings(makePoolSettings())
     , pool(this->context.get_executor(), this->poolSettings)
-    , upstreamWatch(this->context.get_executor(), this->pool, this->core, this->log, this->names)
+    , reachCheck(this->context.get_executor(), this->pool, this->core, this->log)
+    , upstreamWatch(this->context.get_executor(), this->pool, this->core, this->log, this->names, this->reachCheck)
     , digests(this->context.get_executor(), this->core, this->log)
     , streamOrigins(this->context.get_executor(), this->core, this->digests)
     , serving { this->core, this->pool, this->upstreamWatch, this->streamOrigins, this->answerMemory,
@@ -65,6 +66,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     this->pool.setIdleEndHandler(
         [this](const Endpoint& endpoint) { this->upstreamWatch.noteIdleConnectionEnded(endpoint); });
+    this->reachCheck.setRegainedHandler([this] { this->upstreamWatch.askUncertain(); });
     this->log.setCommon({ { "vm", settings.vm.string() } });
 }
 
@@ -168,6 +170,7 @@
         timer.expires_after(tickInterval);
         co_await timer.async_wait(useResult);
         this->core.tick(this->serving.clock.now());
+        this->reachCheck.runIfDue();
         this->reportQuarantineChanges();
         this->pool.dropStale();
         this->log.flush();
@@ -216,6 +219,7 @@
         text.append("papayashelf_unread_tokens{service=\"").append(service.string()).append("\"} ");
         text.append(std::to_string(load.pendingPrefillTokens)).append("\n");
     }
+    gauge("papayashelf_reaches_upstreams", this->core.getUpstreamReach().isLost() ? 0 : 1);
     gauge("papayashelf_upstreams", static_cast<std::int64_t>(this->core.getUpstreams().getAll().size()));
     const auto& upstreams = this->core.getUpstreams().getAll();
     gauge("papayashelf_limited_upstreams", std::count_if(upstreams.begin(), upstreams.end(), [](const auto& entry) {
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -84,6 +84,7 @@
     GatewayCore core;
     EntranceSettings poolSettings;
     UpstreamPool pool;
+    ReachCheck reachCheck;
     UpstreamWatch upstreamWatch;
     ServingMetrics metrics;
     DigestExchange digests;
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -35,6 +35,8 @@
 constexpr std::uint64_t longestDeadline = 86'400'000; /**< Milliseconds; keeps sums of times within their range. */
 constexpr std::int64_t maximumTokens
     = 1'000'000'000; /**< Beyond any prompt; keeps sums of tokens within their range. */
+/** VMs of this region that may refuse a request that this VM cannot send itself; they all know the same load. */
+constexpr std::size_t maximumHandOvers = 4;
 constexpr int extraPlacements = 2; /**< Beyond the route's maximum, after upstreams that did not run the request. */
 /** Interval of checks whether an upstream has free capacity. */
 constexpr std::chrono::milliseconds capacityPollInterval { 40 };
@@ -72,6 +74,8 @@
         return RefusalCause::AllRejecting;
     case PlacementFailureCause::Quarantined:
         return RefusalCause::QuarantinedPrompt;
+    case PlacementFailureCause::Unreachable:
+        return RefusalCause::UpstreamsUnreachable;
     }
     return RefusalCause::NoUpstream;
 }
@@ -238,6 +242,8 @@
         const std::string_view version = findHeader(this->request.headers, relayheaders::version);
         if (!version.empty())
             this->streamVersion = SoftwareVersion(std::string(version));
+        if (const auto wait = this->parseNumberHeader(relayheaders::capacityWait))
+            this->relayedWait = Milliseconds(static_cast<std::int64_t>(std::min(*wait, longestDeadline)));
         Admitted admission;
         admission.configuration = this->context.core.getConfiguration();
         admission.route = isStream ? &streamRoute : &plainRoute;
@@ -360,8 +366,9 @@
         const Milliseconds silentSince = this->answer.hasBegun() ? this->lastEventsAt : this->arrivedAt;
         return silentSince + this->admitted->route->getStreamPatience() - minimumFirstByteTimeout;
     }
-    // Two thirds of the latency target are left for prefill. A relayed request has already waited on the relaying VM.
-    return this->isRelayed ? this->arrivedAt : this->arrivedAt + this->admitted->route->latencyTarget / 3;
+    // Two thirds of the latency target are left for prefill. A relayed request waits on the relaying VM, unless that
+    // one reaches no upstream and so knows nothing of their capacity.
+    return this->arrivedAt + (this->isRelayed ? this->relayedWait : this->admitted->route->latencyTarget / 3);
 }
 
 PlacementQuery RequestServer::makePlacementQuery()
@@ -383,6 +390,7 @@
     }
     query.tried = this->tried;
     query.triedRegions = this->triedRegions;
+    query.triedVms = this->triedVms;
     query.mayRelay = !this->isRelayed;
     return query;
 }
@@ -391,11 +399,17 @@
 {
     Placement& placement = this->context.core.getPlacement();
     ++this->attempts;
+    ++this->countedAttempts;
     auto running = std::make_unique<RunningAttempt>(std::move(destination), this->context, this->activeRequest);
     running->number = this->attempts;
     const Milliseconds sentAt = this->now();
+    running->sentAt = sentAt;
     if (const auto* relay = std::get_if<UseRelay>(&running->destination)) {
-        this->triedRegions.insert(relay->region);
+        const bool isOwnRegion = relay->region == this->context.core.getRegion();
+        if (isOwnRegion)
+            this->triedVms.insert(relay->vm);
+        if (!isOwnRegion || this->triedVms.size() >= maximumHandOvers)
+            this->triedRegions.insert(relay->region);
         placement.noteRelayStarted(relay->region, this->promptTokens);
         running->onFirstEvent
             = [this, &placement, to = relay->region] { placement.noteRelayPrefillDone(to, this->promptTokens); };
@@ -414,7 +428,12 @@
         this->context.core.getPlacement().noteFirstEvent(
             this->admitted->service, this->promptTokens - this->sharedTokens, this->now() - sentAt);
     };
-    running->attempt.setBytesHandler([this, id] { this->context.core.getUpstreams().noteBytes(this->now(), id); });
+    this->context.core.getUpstreamReach().noteSent(sentAt);
+    running->attempt.setConnectedHandler([this] { this->context.core.getUpstreamReach().noteConnected(this->now()); });
+    running->attempt.setBytesHandler([this, id] {
+        this->context.core.getUpstreams().noteBytes(this->now(), id);
+        this->context.core.getUpstreamReach().noteBytes(this->now());
+    });
     running->attempt.setStatementHandler(
         [this, &choice](const UpstreamStatement& statement) { this->noteStatement(choice.upstream, statement); });
     return running;
@@ -574,8 +593,10 @@
     if (std::exchange(running.onFirstEvent, {}))
         table.notePrefillDone(id, this->promptTokens);
     table.noteEnded(id);
+    if (outcome.end == AttemptEnd::NotSent && this->context.core.getUpstreamReach().isLost())
+        --this->countedAttempts;
     this->hasReachedUpstream = this->hasReachedUpstream || outcome.end != AttemptEnd::NotSent;
-    this->reportAttemptEnd(id, outcome);
+    this->reportAttemptEnd(running, outcome);
     if (outcome.isConnectionLost)
         this->context.metrics.noteConnectionLost(toString(outcome.progress));
     if (outcome.end == AttemptEnd::Complete) {
@@ -607,7 +628,15 @@
     this->isCrashSuspect = this->isCrashSuspect || outcome.isCrashSuspect;
     if (outcome.end == AttemptEnd::Complete)
         return;
-    const bool isFailure = outcome.end == AttemptEnd::NotSent || outcome.end == AttemptEnd::Unanswered;
+    if (outcome.isVmCutOff) {
+        // Other VMs of the region may reach upstreams.
+        this->triedVms.insert(choice.vm);
+        if (choice.region != this->context.core.getRegion())
+            this->triedRegions.erase(choice.region);
+        --this->countedAttempts;
+    }
+    const bool isFailure
+        = outcome.end == AttemptEnd::NotSent || outcome.end == AttemptEnd::Unanswered || outcome.isVmCutOff;
     if (isFailure && outcome.endedBy != AttemptEndedBy::OtherAttempt)
         this->context.core.getPlacement().noteRelayFailed(this->now(), choice.vm);
     this->context.log.write(this->now(), LogWeight::Notable, "relay_failed",
@@ -643,6 +672,11 @@
     if (!co_await this->context.upstreamWatch.refusesConnections(
             upstream, std::min(connectLimit, this->getRemaining())))
         co_return;
+    // This VM may have lost its links instead.
+    UpstreamWatch& watch = this->context.upstreamWatch;
+    const bool hasEnded = co_await watch.reachesOthers(upstream.id);
+    if (!hasEnded)
+        co_return;
     // Many streams end with their upstream. Parts that are known to be harmless would only hide the others among them.
     const bool isStreaming = outcome.progress == AnswerProgress::Events;
     const bool leavesOutHarmless = isStreaming || (isHarmless && !hasBegunAnswer);
@@ -681,14 +715,18 @@
         log("upstream_rejecting", "for_ms", statement.rejectsFor.count());
 }
 
-void RequestServer::reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome)
+void RequestServer::reportAttemptEnd(const RunningAttempt& running, const AttemptOutcome& outcome)
 {
+    const UpstreamId& upstream = std::get<UseUpstream>(running.destination).upstream.id;
     UpstreamTable& table = this->context.core.getUpstreams();
     this->context.metrics.noteAttempt(outcome.isOverLimit ? "over_limit" : toString(outcome.end));
     if (outcome.load)
         table.noteLoad(this->now(), upstream, *outcome.load);
     if (outcome.endedBy == AttemptEndedBy::OtherAttempt || outcome.endedBy == AttemptEndedBy::OtherVersion)
         return;
+    const UpstreamReach& reach = this->context.core.getUpstreamReach();
+    if (outcome.end != AttemptEnd::Complete && reach.mayExplainFailure(running.sentAt))
+        return;
     switch (outcome.end) {
     case AttemptEnd::Complete:
         table.noteHealthObservation(this->now(), upstream,
@@ -696,6 +734,7 @@
         break;
     case AttemptEnd::NotSent:
         table.noteHealthObservation(this->now(), upstream, HealthObservation::Unreachable);
+        this->context.core.getUpstreamReach().noteUnreachable(upstream);
         break;
     case AttemptEnd::Unanswered:
     case AttemptEnd::Broken:
@@ -798,8 +837,8 @@
 {
     const ServingRoute& route = *this->admitted->route;
     const bool hasBegun = this->answer.hasBegun();
-    const bool hasAttemptsLeft
-        = this->possibleRuns + 1 < route.maximumAttempts && this->attempts < route.maximumAttempts + extraPlacements;
+    const bool hasAttemptsLeft = this->possibleRuns + 1 < route.maximumAttempts
+        && this->countedAttempts < route.maximumAttempts + extraPlacements;
     if (this->isRelayed || this->isCrashSuspect || !route.isRetryable || (hasBegun && !this->mayContinueStream())
         || !hasAttemptsLeft || this->getRemaining() <= minimumAttemptTime
         || !this->context.core.hasRetry(this->now(), this->admitted->service))
@@ -809,7 +848,8 @@
     // is.
     const bool isCallerAboutToLeave
         = silentFor >= route.getStreamPatience() - route.getStreamPatience() / lastChanceDivisor;
-    query.mayTrySuspects = query.mayRelay = !hasBegun || isCallerAboutToLeave;
+    query.mayTrySuspects = query.mayRelay
+        = !hasBegun || isCallerAboutToLeave || this->context.core.getUpstreamReach().isLost();
     const PlacementDecision decision = this->context.core.place(this->now(), query, this->admitted->priority);
     if (std::holds_alternative<PlacementFailure>(decision)
         || !this->context.core.tryRetry(this->now(), this->admitted->service))
@@ -832,7 +872,7 @@
     if (this->answer.hasBegun() && !this->mayContinueStream())
         return this->streamVersion->isEmpty() ? "uncertain_version" : "not_resumable";
     if (this->possibleRuns >= std::max(1, route.maximumAttempts)
-        || this->attempts >= route.maximumAttempts + extraPlacements)
+        || this->countedAttempts >= route.maximumAttempts + extraPlacements)
         return "attempts_used";
     if (this->getRemaining() <= minimumAttemptTime)
         return this->isEndedByStop() ? "stopping" : "no_time";
@@ -907,6 +947,8 @@
         head.headers.emplace_back(std::string(relayheaders::crashSuspect), "1");
     if (this->isRelayed && isNotRun && !this->hasReachedUpstream)
         head.headers.emplace_back(std::string(relayheaders::notSent), "1");
+    if (this->isRelayed && isNotRun && this->context.core.getUpstreamReach().isLost())
+        head.headers.emplace_back(std::string(relayheaders::unreachable), "1");
     const std::string body = "{\"error\":\"" + std::string(code) + "\"}";
     co_await this->answer.writeComplete(head, body);
 }
@@ -956,6 +998,9 @@
 {
     std::string text = this->formatCommonHead(true);
     text.append(relayheaders::key).append(": ").append(relay.relayKey).append("\r\n");
+    const Milliseconds wait = this->getCapacityDeadline() - this->now();
+    if (this->context.core.getUpstreamReach().isLost() && wait > Milliseconds(0))
+        text.append(relayheaders::capacityWait).append(": ").append(std::to_string(wait.count())).append("\r\n");
     text.append(relayheaders::service).append(": ").append(this->admitted->service.string()).append("\r\n\r\n");
     return text;
 }
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -80,6 +80,7 @@
         PlacementInputs inputs; /**< What the upstream was chosen by. */
         std::function<void()> onFirstEvent; /**< Reports the end of prefill; empty once called. */
         int number = 0;
+        Milliseconds sentAt;
     };
 
     /** Where the events of a stream come from. */
@@ -146,7 +147,7 @@
     /** Records a complete answer, as it shows which parts are harmless. */
     void noteHarmless(const AttemptOutcome& outcome);
     void noteStatement(const UpstreamRecord& upstream, const UpstreamStatement& statement);
-    void reportAttemptEnd(const UpstreamId& upstream, const AttemptOutcome& outcome);
+    void reportAttemptEnd(const RunningAttempt& running, const AttemptOutcome& outcome);
     bool mayForward(const AttemptOutcome& outcome) const;
     Milliseconds getRemaining() const;
     /** Whether the time of a planned stop, and not that of the request, is over. */
@@ -179,7 +180,11 @@
     std::unique_ptr<RunningAttempt> successor; /**< Whose answer has begun while the current attempt was silent. */
     std::set<UpstreamId> tried;
     std::set<RegionId> triedRegions;
+    std::set<VmId> triedVms; /**< VMs that reached no upstream, and those of this region that got the request. */
+    Milliseconds relayedWait; /**< Time that a relayed request may wait for an upstream with free capacity. */
     int attempts = 0; /**< Attempts at upstreams or other VMs. */
+    /** The same without those that came to nothing because this or the other VM reached no upstream. */
+    int countedAttempts = 0;
     int possibleRuns = 0; /**< Attempts whose request may have run. */
     bool isRelayed = false;
     bool hasQueriedPlacement = false; /**< Whether placement was queried at least once. */
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -315,6 +315,8 @@
     if (failure || !socket.is_open())
         co_return false;
     prepareUpstreamSocket(socket);
+    if (this->onConnected)
+        this->onConnected();
     co_return true;
 }
 
@@ -515,6 +517,7 @@
     result.end = isNotRun ? AttemptEnd::NotRun : AttemptEnd::Complete;
     result.progress = isNotRun ? AnswerProgress::Nothing : AnswerProgress::Events;
     result.isNotSentGuaranteed = isNotRun && hasHeader(parser, relayheaders::notSent);
+    result.isVmCutOff = result.isNotSentGuaranteed && hasHeader(parser, relayheaders::unreachable);
     result.head = { status, std::string(parser.get().reason()), extractForwardableHeaders(parser.get()) };
     result.body = std::move(parser.get().body());
     result.memory = std::move(this->reservation);
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -64,6 +64,7 @@
     Milliseconds silentFor; /**< Time between the last bytes of the upstream and the end of the attempt. */
     std::optional<ReportedLoad> load;
     bool isNotSentGuaranteed = false; /**< Whether a relaying VM stated that no upstream has received the request. */
+    bool isVmCutOff = false; /**< Whether a relaying VM stated that it reaches no upstream. */
     bool isCrashSuspect = false; /**< Whether a relaying VM stated that an upstream crashed as it began to answer. */
     bool isOverLimit = false; /**< Whether the answer exceeded a bound on its size. */
     MemoryBudget::Reservation memory; /**< For the body. */
@@ -151,6 +152,9 @@
         this->onStatement = std::move(handler);
     }
 
+    /** Sets a function that is called when a new connection to the upstream was opened. */
+    void setConnectedHandler(std::function<void()> handler) { this->onConnected = std::move(handler); }
+
     /** Sets a function that is called whenever bytes of the upstream have arrived. */
     void setBytesHandler(std::function<void()> handler) { this->onBytes = std::move(handler); }
 
@@ -241,6 +245,7 @@
         lastBytesAt; /**< Time of the request's last byte, the last read from the upstream or the last events sent. */
     MemoryBudget::Reservation reservation;
     std::function<void(const UpstreamStatement&)> onStatement;
+    std::function<void()> onConnected;
     std::function<void()> onBytes;
     SilenceHandler onSilence;
     std::shared_ptr<std::function<void(bool hasEnded)>> onActivity;
--- a/tests/serving/GatewayFleet.cpp
+++ b/tests/serving/GatewayFleet.cpp
@@ -1,15 +1,20 @@
 #include "serving/GatewayFleet.h"
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/TestAssert.h>
-#include <future>
 
 namespace papayashelf {
 
 namespace asio = boost::asio;
 
-GatewayFleet::GatewayFleet(const std::vector<std::string>& regions)
+namespace {
+
+constexpr std::chrono::seconds implausiblyLong { 10 };
+
+} // namespace
+
+GatewayFleet::GatewayFleet(const std::vector<std::string>& regions, Links links)
+    : linkKind(links)
 {
     const auto nothing = [](std::string_view) { return SimpleHttpResponse {}; };
     std::vector<VmAnnouncement> announcements;
@@ -53,19 +58,35 @@
     record.slots = slots;
     record.startedAt = 1;
     record.version = SoftwareVersion(version);
-    for (const auto& process : this->processes)
-        process->getCore().getUpstreams().put(process->getClock().now() - listedFor, record);
+    for (const auto& process : this->processes) {
+        UpstreamRecord seen = record;
+        if (this->linkKind == Links::Cuttable)
+            seen.endpoint = upstream.links.emplace_back(std::make_unique<CuttableLink>(record.endpoint))->getEndpoint();
+        process->getCore().getUpstreams().put(process->getClock().now() - listedFor, seen);
+    }
     return upstream.server;
 }
 
+void GatewayFleet::addUpstreamAt(const Endpoint& endpoint, const std::string& region)
+{
+    UpstreamRecord record;
+    record.id = UpstreamId("raw-" + endpoint.string());
+    record.service = ServiceId("service");
+    record.region = RegionId(region);
+    record.failureDomain = FailureDomainId(region + "-a");
+    record.endpoint = endpoint;
+    record.slots = 8;
+    record.startedAt = 1;
+    for (const auto& process : this->processes)
+        process->getCore().getUpstreams().put(process->getClock().now(), record);
+}
+
 void GatewayFleet::confirm(std::size_t vm)
 {
-    std::promise<void> done;
-    asio::post(this->processes[vm]->getContext(), [&] {
-        this->processes[vm]->getCore().noteConfigurationConfirmation(this->processes[vm]->getClock().now());
-        done.set_value();
+    this->ask(vm, [&](GatewayCore& core) {
+        core.noteConfigurationConfirmation(this->processes[vm]->getClock().now());
+        return true;
     });
-    done.get_future().wait();
 }
 
 void GatewayFleet::start()
@@ -114,6 +135,53 @@
     });
 }
 
+void GatewayFleet::cutOff(std::size_t vm, LinkCut kind)
+{
+    // On the thread of the VM, which then sees all links cut at once.
+    this->ask(vm, [&](GatewayCore&) {
+        for (const Upstream& upstream : this->upstreams)
+            upstream.links[vm]->cut(kind);
+        return true;
+    });
+}
+
+void GatewayFleet::heal(std::size_t vm)
+{
+    for (const Upstream& upstream : this->upstreams)
+        upstream.links[vm]->heal();
+}
+
+bool GatewayFleet::makeKnowCut(std::size_t vm) const
+{
+    const auto end = std::chrono::steady_clock::now() + implausiblyLong;
+    for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
+        if (this->ask(vm, [](GatewayCore& core) { return core.getUpstreamReach().isLost(); }))
+            return true;
+        this->call(vm, "cut-" + std::to_string(vm) + "-" + std::to_string(number));
+    }
+    return false;
+}
+
+bool GatewayFleet::awaitRegained(std::size_t vm) const
+{
+    const auto end = std::chrono::steady_clock::now() + implausiblyLong;
+    while (std::chrono::steady_clock::now() < end) {
+        if (this->ask(vm, [](GatewayCore& core) { return !core.getUpstreamReach().isLost(); }))
+            return true;
+    }
+    return false;
+}
+
+void GatewayFleet::announce(std::size_t vm)
+{
+    const auto makeStatus = [&](GatewayCore& core) { return core.makeStatus(this->processes[vm]->getClock().now()); };
+    VmAnnouncement status = this->ask(vm, makeStatus);
+    status.callers = this->processes[vm]->getCallersEndpoint();
+    status.relays = this->processes[vm]->getRelaysEndpoint();
+    status.sequence = ++this->announced;
+    this->runOnAll([&](GatewayProcess& process) { process.getCore().putVm(status); });
+}
+
 RawAnswer GatewayFleet::call(std::size_t vm, const std::string& id, const std::string& more) const
 {
     const Endpoint& to = this->processes[vm]->getCallersEndpoint();
@@ -123,6 +191,17 @@
     return ServingHarness::readAnswer(socket);
 }
 
+RawAnswer GatewayFleet::upload(
+    std::size_t vm, const std::string& path, const std::string& id, const std::string& body) const
+{
+    const Endpoint& to = this->processes[vm]->getCallersEndpoint();
+    asio::ip::tcp::socket socket(this->clients);
+    socket.connect({ asio::ip::make_address(to.address), to.port });
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    asio::write(socket, asio::buffer(ServingHarness::makeHead("POST", path, id, length) + "\r\n" + body));
+    return ServingHarness::readAnswer(socket);
+}
+
 std::vector<std::string> GatewayFleet::findVersions(const std::string& id) const
 {
     std::vector<std::string> versions;
