--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -242,6 +242,7 @@
     const std::array<asio::const_buffer, 2> pieces { asio::buffer(head), asio::buffer(body) };
     const auto [failure, written] = co_await asio::async_write(this->connection->socket, pieces, useResult);
     this->lastBytesAt = std::chrono::steady_clock::now();
+    this->hasSendFailed = failure.failed();
     if (failure && written == 0 && !this->connection->isReused)
         co_return this->fail(AttemptEnd::NotSent, "connection broke before the request");
     std::optional<AttemptOutcome> result = co_await this->readAnswer(requestId, isStream);
@@ -384,7 +385,8 @@
             until = std::chrono::steady_clock::now() + silenceCheckInterval;
             continue;
         }
-        this->hasEnded = failure == asio::error::eof;
+        // The socket reports a reset only once. After a failed write, its end is no longer known to be a clean one.
+        this->hasEnded = failure == asio::error::eof && !this->hasSendFailed;
         this->isConnectionLost = !this->connection->deadline.hasPassed() && !this->isCancelled
             && !this->request.isCallerGone() && !this->request.isStopped();
         co_return false;
@@ -649,7 +651,7 @@
 void UpstreamAttempt::release(const Parser& parser)
 {
     const bool isReusable = parser.keep_alive() && parser.is_done() && this->connection->buffer.size() == 0
-        && this->connection->socket.is_open();
+        && this->connection->socket.is_open() && !this->hasSendFailed;
     if (!isReusable)
         return;
     const auto stated = parser.get()[http::field::keep_alive];
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -259,6 +259,7 @@
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the connection ended other than by a time limit of this VM. */
     bool hasEnded = false; /**< Whether the upstream closed its side of the connection cleanly. */
+    bool hasSendFailed = false; /**< Whether the request could not be sent completely. */
 };
 
 /** Prepares a connection that was just opened for requests. */
