--- a/modules/foundation/http/MessageFraming.h
+++ b/modules/foundation/http/MessageFraming.h
@@ -6,9 +6,12 @@
 
 namespace papayashelf {
 
+constexpr unsigned int lowestStatus = 100;
+constexpr unsigned int highestStatus = 599; /**< RFC 9110, 15. */
+
 /**
-    Returns why the head of a message leaves the length of its body uncertain, or an empty text if the length is
-   certain.
+    Returns why the head of a message leaves the length of its body uncertain, or why an answer has no meaning; an empty
+    text if neither holds.
 
     With such a head, one reader takes for the next message what another takes for the body (RFC 9112, 6.1 and 6.3). The
     message must not be used, and nothing more may be read from its connection. Of all transfer codings only chunked is
@@ -20,6 +23,10 @@
 std::string_view findFramingFault(const boost::beast::http::header<isRequest, Fields>& head)
 {
     namespace http = boost::beast::http;
+    if constexpr (!isRequest) {
+        if (head.result_int() < lowestStatus || head.result_int() > highestStatus)
+            return "a status that HTTP does not have";
+    }
     const auto codings = head.count(http::field::transfer_encoding);
     if (codings == 0)
         return {};
--- a/tests/foundation/MessageFramingTest.cpp
+++ b/tests/foundation/MessageFramingTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(MessageFramingTest);
     CPPUNIT_TEST(testCertainLengthsAreAccepted);
     CPPUNIT_TEST(testUncertainLengthsAreFaults);
+    CPPUNIT_TEST(testImpossibleStatusesAreFaults);
     CPPUNIT_TEST_SUITE_END();
 
     using Fields = std::vector<std::pair<http::field, std::string>>;
@@ -52,6 +53,20 @@
         CPPUNIT_ASSERT(isFaulty({ { http::field::content_length, "0" }, { coding, "identity" } }));
         CPPUNIT_ASSERT(isFaulty({ { coding, "chunked" } }, 10));
     }
+
+    void testImpossibleStatusesAreFaults()
+    {
+        for (const unsigned status : { 0U, 1U, 99U, 600U, 999U }) {
+            http::response<http::empty_body> response;
+            response.result(status);
+            CPPUNIT_ASSERT(!findFramingFault(response).empty());
+        }
+        for (const unsigned status : { 100U, 200U, 421U, 599U }) {
+            http::response<http::empty_body> response;
+            response.result(status);
+            CPPUNIT_ASSERT(findFramingFault(response).empty());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageFramingTest);
