--- a/modules/entrance/upstream/UpstreamPool.cpp
+++ b/modules/entrance/upstream/UpstreamPool.cpp
@@ -48,7 +48,8 @@
 void UpstreamPool::giveBack(std::unique_ptr<UpstreamConnection> connection)
 {
     Idle& idle = this->endpoints[connection->endpoint];
-    const bool isTrusted = idle.generation == connection->generation && connection->buffer.size() == 0;
+    const bool isTrusted
+        = idle.generation == connection->generation && connection->buffer.size() == 0 && !connection->end.isKnown();
     if (!isTrusted || idle.connections.size() >= this->settings.maximumIdlePerUpstream)
         return;
     connection->buffer.shrink_to_fit();
@@ -108,9 +109,7 @@
 bool UpstreamPool::isOpen(UpstreamConnection& connection)
 {
     // Anything readable now is the end of the connection, or an answer that belongs to no request.
-    char byte = 0;
-    boost::system::error_code error;
-    connection.socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    const boost::system::error_code error = connection.peek();
     return error == asio::error::would_block || error == asio::error::try_again;
 }
 
--- a/modules/entrance/upstream/UpstreamPool.h
+++ b/modules/entrance/upstream/UpstreamPool.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include "entrance/server/Deadline.h"
 #include "entrance/server/EntranceSettings.h"
-#include "entrance/server/Signal.h"
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include "entrance/upstream/UpstreamConnection.h"
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -22,26 +19,6 @@
     }
 };
 
-/** One connection to an upstream. */
-struct UpstreamConnection {
-    explicit UpstreamConnection(const boost::asio::any_io_executor& executor)
-        : socket(executor)
-        , deadline(this->socket)
-    {
-    }
-
-    boost::asio::ip::tcp::socket socket;
-    Deadline deadline;
-    boost::beast::flat_buffer buffer;
-    Endpoint endpoint;
-    TimePoint openedAt;
-    TimePoint idleSince;
-    Milliseconds idleLimit; /**< After which it is not used again. */
-    std::shared_ptr<void> idleWatch; /**< Exists while the pool watches the connection for its end. */
-    std::uint64_t generation = 0; /**< Of its endpoint when it was opened. */
-    bool isReused = false;
-};
-
 /**
     Keeps idle connections to upstreams for one I/O thread.
 
@@ -64,7 +41,8 @@
     /** Makes a connection that is not yet open. */
     std::unique_ptr<UpstreamConnection> makeConnection(const Endpoint& endpoint);
 
-    /** Keeps a connection whose last answer was read whole, unless its endpoint was forgotten since it was opened. */
+    /** Keeps a connection whose last answer was read whole, unless it has ended or its endpoint was forgotten since it
+        was opened. */
     void giveBack(std::unique_ptr<UpstreamConnection> connection);
 
     /** Closes the idle connections to an endpoint and keeps none of those in use: something on the way is dead. */
--- a/modules/entrance/upstream/UpstreamSource.cpp
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -4,7 +4,6 @@
 #include "entrance/upstream/AnswerBounds.h"
 #include "foundation/http/MessageFraming.h"
 #include <algorithm>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <utility>
@@ -102,13 +101,13 @@
     if (connection.buffer.size() > answerbounds::maximumUnparsedBytes)
         co_return this->fail(otherwise);
     const auto space = connection.buffer.prepare(receiveBytes);
-    const auto [error, count] = co_await connection.socket.async_read_some(space, useResult);
+    const auto [error, count] = co_await connection.receive(space);
     connection.buffer.commit(count);
     this->isSilent = false;
     if (!error && !this->cancelled)
         co_return AttemptResult::Completed;
     boost::system::error_code endError = error;
-    if (error == asio::error::eof && !this->cancelled && this->parser->got_some()) {
+    if (connection.end.isOrderly() && !this->cancelled && this->parser->got_some()) {
         endError = {};
         this->parser->put_eof(endError);
         if (!endError && this->parser->is_done())
@@ -173,7 +172,7 @@
     const std::string head = this->formatHead();
     const std::array<asio::const_buffer, 2> pieces { asio::buffer(head), asio::buffer(*this->request.body) };
     this->limitNext(this->limits.firstByte);
-    const auto [error, count] = co_await asio::async_write(this->connection->socket, pieces, useResult);
+    const auto [error, count] = co_await this->connection->send(pieces);
     if (!error && !this->cancelled)
         co_return AttemptResult::Completed;
     const bool isCertain = count == 0 && !this->cancelled;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -7,7 +7,6 @@
 #include "serving/http/RelayHeaders.h"
 #include <algorithm>
 #include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
 #include <cmath>
@@ -240,9 +239,8 @@
     this->connection->deadline.setExtension([this] { return this->extendWait(); });
     this->connection->deadline.set(this->timeouts.firstByte);
     const std::array<asio::const_buffer, 2> pieces { asio::buffer(head), asio::buffer(body) };
-    const auto [failure, written] = co_await asio::async_write(this->connection->socket, pieces, useResult);
+    const auto [failure, written] = co_await this->connection->send(pieces);
     this->lastBytesAt = std::chrono::steady_clock::now();
-    this->hasSendFailed = failure.failed();
     if (failure && written == 0 && !this->connection->isReused)
         co_return this->fail(AttemptEnd::NotSent, "connection broke before the request");
     std::optional<AttemptOutcome> result = co_await this->readAnswer(requestId, isStream);
@@ -296,10 +294,7 @@
             const auto onEvent = weak.lock();
             if (!onEvent)
                 return;
-            boost::system::error_code ended = failure;
-            std::array<char, 1> byte {};
-            if (!ended)
-                this->connection->socket.receive(asio::buffer(byte), asio::ip::tcp::socket::message_peek, ended);
+            const boost::system::error_code ended = failure ? failure : this->connection->peek();
             this->isConnectionLost = ended.failed() && !this->isEnded();
             (*onEvent)(ended.failed());
         });
@@ -369,7 +364,7 @@
     while (true) {
         this->connection->deadline.set(std::min(until, this->timeouts.end));
         this->isReading = true;
-        const auto [failure, count] = co_await this->connection->socket.async_read_some(space, useResult);
+        const auto [failure, count] = co_await this->connection->receive(space);
         this->isReading = false;
         const bool wasSilentTooLong = std::exchange(this->isSilentTooLong, false);
         if (!failure) {
@@ -385,8 +380,7 @@
             until = std::chrono::steady_clock::now() + silenceCheckInterval;
             continue;
         }
-        // The socket reports a reset only once. After a failed write, its end is no longer known to be a clean one.
-        this->hasEnded = failure == asio::error::eof && !this->hasSendFailed;
+        this->hasEndedInOrder = failure == asio::error::eof && this->connection->end.isOrderly();
         this->isConnectionLost = !this->connection->deadline.hasPassed() && !this->isCancelled
             && !this->request.isCallerGone() && !this->request.isStopped();
         co_return false;
@@ -437,7 +431,7 @@
             = std::chrono::steady_clock::now() + std::chrono::milliseconds(this->timeouts.maximumSilence.count());
         if (co_await this->receive(until))
             continue;
-        if (!this->hasEnded)
+        if (!this->hasEndedInOrder)
             co_return false;
         parser.put_eof(failure);
         co_return !failure;
@@ -601,7 +595,7 @@
         const TimePoint silenceDeadline = now + std::chrono::milliseconds(this->timeouts.maximumSilence.count());
         if (co_await this->receive(hasFirstEvent ? silenceDeadline : this->timeouts.firstByte))
             continue;
-        if (!this->hasEnded)
+        if (!this->hasEndedInOrder)
             break;
         parser.put_eof(failure);
         if (failure)
@@ -651,7 +645,7 @@
 void UpstreamAttempt::release(const Parser& parser)
 {
     const bool isReusable = parser.keep_alive() && parser.is_done() && this->connection->buffer.size() == 0
-        && this->connection->socket.is_open() && !this->hasSendFailed;
+        && this->connection->socket.is_open();
     if (!isReusable)
         return;
     const auto stated = parser.get()[http::field::keep_alive];
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -258,8 +258,7 @@
     std::string_view exceededBound; /**< Name of the bound that the answer exceeded; empty for none. */
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the connection ended other than by a time limit of this VM. */
-    bool hasEnded = false; /**< Whether the upstream closed its side of the connection cleanly. */
-    bool hasSendFailed = false; /**< Whether the request could not be sent completely. */
+    bool hasEndedInOrder = false; /**< Whether the last read met the connection's end and no operation its loss. */
 };
 
 /** Prepares a connection that was just opened for requests. */
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -1,10 +1,9 @@
 #include "serving/SealedUpstream.h"
 
 #include <array>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
-#include <set>
 
 namespace papayashelf {
 
@@ -318,6 +317,28 @@
     co_return !failure;
 }
 
+asio::awaitable<bool> SealedUpstream::stall(const StandinHttp::Request& request, StandinHttp::Stream& stream)
+{
+    const std::string text = formatResponseHead("200 OK", getHeader(request, "Attempt-Id"), true)
+        + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        + "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+    co_await asio::async_write(stream, asio::buffer(text), standinResult);
+    asio::steady_timer timer(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
+    this->stalled.insert(&timer);
+    co_await timer.async_wait(standinResult);
+    this->stalled.erase(&timer);
+    stream.socket().set_option(asio::ip::tcp::socket::linger(true, 0));
+    co_return false;
+}
+
+void SealedUpstream::resetStalled()
+{
+    asio::post(this->http->getExecutor(), [this] {
+        for (asio::steady_timer* timer : this->stalled)
+            timer->cancel();
+    });
+}
+
 asio::awaitable<bool> SealedUpstream::handle(const StandinHttp::Request& request, StandinHttp::Stream& stream)
 {
     if (request.target() == healthPath) {
@@ -348,6 +369,8 @@
         asio::steady_timer timer(co_await asio::this_coro::executor, lateness);
         co_await timer.async_wait(standinResult);
     }
+    if (kind == AnswerKind::Stalled)
+        co_return co_await this->stall(request, stream);
     if (kind == AnswerKind::Paused)
         co_return co_await this->sendWithPause(request, stream);
     if (const auto endless = makeEndlessAnswer(kind, getHeader(request, "Attempt-Id")))
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -3,9 +3,11 @@
 #include "foundation/time/Clock.h"
 #include "standins/engine/StandinHttp.h"
 #include <atomic>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
 #include <memory>
+#include <set>
 
 namespace papayashelf {
 
@@ -27,6 +29,7 @@
     Late, /**< Complete, after SealedUpstream::lateness. */
     LateRejected, /**< As Rejected, after SealedUpstream::lateness. */
     Large, /**< A complete stream of more bytes than the sockets between it and a caller hold. */
+    Stalled, /**< A stream without length that stops after its second event; see SealedUpstream::resetStalled(). */
     Paused, /**< A complete stream with a pause of SealedUpstream::pause after its second event. */
     Reset, /**< The connection is closed without an answer. */
     Coded, /**< The body has a transfer coding and ends with the connection. */
@@ -114,6 +117,9 @@
     /** Time for which it says that it is cold after startAgain(). */
     static constexpr std::chrono::milliseconds coldTime { 3'000 };
 
+    /** Resets the connections of stalled streams. Precondition: it is started. */
+    void resetStalled();
+
     /** Returns the requests received since the last start, but for those for its health; none while it is ended. */
     std::vector<StandinRequest> getRequests() const;
 
@@ -131,6 +137,7 @@
     AnswerKind takeNextAnswer();
     boost::asio::awaitable<void> waitUntilClosed(StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendWithPause(const StandinHttp::Request& request, StandinHttp::Stream& stream);
+    boost::asio::awaitable<bool> stall(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     std::string addStatements(std::string answer) const;
     void listen(const Endpoint& at);
     std::string makeHealthAnswer() const;
@@ -148,6 +155,7 @@
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
     std::chrono::steady_clock::time_point coldUntil;
+    std::set<boost::asio::steady_timer*> stalled; /**< One for each stalled stream; used on the server's thread. */
     std::unique_ptr<StandinHttp> http; /**< Null while it is ended. */
 };
 
