--- a/tests/adapter/RestorableStore.cpp
+++ b/tests/adapter/RestorableStore.cpp
@@ -46,7 +46,7 @@
 {
     const std::int64_t revision = ++this->state.revision;
     this->state.items[key] = { base64, revision, lease };
-    this->state.changes[revision] = key;
+    this->state.changes[revision] = { key, this->state.items[key] };
     return revision;
 }
 
@@ -54,7 +54,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->state.items.erase(key);
-    this->state.changes[++this->state.revision] = key;
+    this->state.changes[++this->state.revision] = { key, std::nullopt };
 }
 
 std::int64_t RestorableStore::grantLease()
@@ -83,6 +83,18 @@
     this->script.emplace_back(target, std::move(reply));
 }
 
+void RestorableStore::setMaximumChanges(std::size_t count)
+{
+    const std::lock_guard lock(this->mutex);
+    this->maximumChanges = count;
+}
+
+void RestorableStore::setAway(bool away)
+{
+    const std::lock_guard lock(this->mutex);
+    this->isAway = away;
+}
+
 std::optional<std::string> RestorableStore::getValue(const std::string& key) const
 {
     const std::lock_guard lock(this->mutex);
@@ -170,32 +182,38 @@
     co_return !error && request.keep_alive();
 }
 
-json::object RestorableStore::describe(const std::string& key, std::int64_t revision) const
+json::object RestorableStore::describe(const std::string& key, const Item& item)
 {
-    const auto found = this->state.items.find(key);
-    if (found == this->state.items.end())
-        return { { "key", key }, { "revision", revision }, { "removed", true } };
-    return { { "key", key }, { "revision", found->second.revision }, { "value", found->second.value },
-        { "lease", found->second.lease } };
+    return { { "key", key }, { "revision", item.revision }, { "value", item.value }, { "lease", item.lease } };
 }
 
 std::optional<RestorableStore::Reply> RestorableStore::handleWatch(std::int64_t after) const
 {
+    if (this->isAway)
+        return Reply { 503, {} };
     if (after > this->state.revision)
         return Reply { 410, {} };
     json::array events;
-    for (auto change = this->state.changes.upper_bound(after); change != this->state.changes.end(); ++change)
-        events.push_back(this->describe(change->second, change->first));
+    std::int64_t revision = this->state.revision;
+    for (auto change = this->state.changes.upper_bound(after); change != this->state.changes.end(); ++change) {
+        const auto& [key, item] = change->second;
+        events.push_back(item ? describe(key, *item)
+                              : json::object { { "key", key }, { "revision", change->first }, { "removed", true } });
+        if (events.size() < this->maximumChanges)
+            continue;
+        revision = change->first;
+        break;
+    }
     if (events.empty())
         return std::nullopt;
-    return Reply { 200, { { "events", events }, { "store_revision", this->state.revision } } };
+    return Reply { 200, { { "events", events }, { "store_revision", revision } } };
 }
 
 RestorableStore::Reply RestorableStore::handleRange() const
 {
     json::array items;
     for (const auto& [key, item] : this->state.items)
-        items.push_back(this->describe(key, item.revision));
+        items.push_back(describe(key, item));
     return { 200, { { "items", items }, { "truncated", false }, { "store_revision", this->state.revision } } };
 }
 
@@ -219,6 +237,8 @@
 
 RestorableStore::Reply RestorableStore::handle(const std::string& target, const std::string& body)
 {
+    if (this->isAway)
+        return { 503, {} };
     if (contains(target, "kv-watch"))
         return { 200, { { "events", json::array() }, { "store_revision", this->state.revision } } };
     if (contains(target, "kv-range"))
--- a/tests/adapter/RestorableStore.h
+++ b/tests/adapter/RestorableStore.h
@@ -4,6 +4,7 @@
 #include <boost/json/object.hpp>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -54,6 +55,12 @@
     /** Gives this reply to the next call whose target contains the text. */
     void scriptReply(const std::string& target, ScriptedReply reply);
 
+    /** Lets replies to watches hold no more than so many changes from now on; the rest follows with the next one. */
+    void setMaximumChanges(std::size_t count);
+
+    /** Rejects all calls, or answers them again. */
+    void setAway(bool isAway);
+
     std::optional<std::string> getValue(const std::string& key) const;
     std::int64_t getLease(const std::string& key) const;
 
@@ -68,9 +75,14 @@
         std::int64_t lease = 0;
     };
 
+    struct Change {
+        std::string key;
+        std::optional<Item> item; /**< As it was written; empty if it was removed. */
+    };
+
     struct State {
         std::map<std::string, Item> items;
-        std::map<std::int64_t, std::string> changes; /**< Key by revision. */
+        std::map<std::int64_t, Change> changes; /**< By revision. */
         std::set<std::int64_t> leases;
         std::int64_t revision = 30;
         std::int64_t lastLease = 0;
@@ -90,7 +102,7 @@
     /** Returns nothing while the watch has to wait. */
     std::optional<Reply> handleWatch(std::int64_t after) const;
     std::int64_t put(const std::string& key, const std::string& base64, std::int64_t lease);
-    boost::json::object describe(const std::string& key, std::int64_t revision) const;
+    static boost::json::object describe(const std::string& key, const Item& item);
 
     StandinHttp http;
     Endpoint endpoint;
@@ -98,6 +110,8 @@
     State state;
     State copy;
     std::int64_t era = 1;
+    std::size_t maximumChanges = std::numeric_limits<std::size_t>::max();
+    bool isAway = false;
     std::deque<std::pair<std::string, ScriptedReply>> script;
 };
 
--- a/tests/adapter/StoreFollowerOddItemsTest.cpp
+++ b/tests/adapter/StoreFollowerOddItemsTest.cpp
@@ -72,6 +72,7 @@
                     context.stop();
             };
             callbacks.onRestored = [](StorePosition) {};
+            callbacks.onProgress = [](StorePosition) {};
             callbacks.onFreshnessConfirmed = [](Milliseconds, StorePosition) {};
             callbacks.needsFrequentConfirmation = [] { return true; };
             StoreEra era;
--- a/tests/adapter/StoreFollowerTest.cpp
+++ b/tests/adapter/StoreFollowerTest.cpp
@@ -24,7 +24,11 @@
         , log(this->logFile)
         , follower(this->context.get_executor(), store.getEndpoint(), this->era, "",
               { [this](const StoreItem& item) { this->items.push_back(item); }, [](StorePosition) {},
-                  [this](Milliseconds, StorePosition position) { this->confirmed.push_back(position.revision); },
+                  [](StorePosition) {},
+                  [this](Milliseconds sentAt, StorePosition position) {
+                      this->confirmed.push_back(position.revision);
+                      this->confirmedTimes.push_back(sentAt);
+                  },
                   [hasShortWatches] { return hasShortWatches; } },
               this->log)
     {
@@ -42,6 +46,8 @@
         return condition();
     }
 
+    void runFor(std::chrono::milliseconds duration) { this->context.run_for(duration); }
+
     bool runUntilConfirmed(std::size_t times = 1)
     {
         const std::size_t count = this->confirmed.size() + times;
@@ -64,6 +70,7 @@
 
     std::vector<StoreItem> items;
     std::vector<std::int64_t> confirmed; /**< Revisions. */
+    std::vector<Milliseconds> confirmedTimes; /**< By the same index, the time as of which each was confirmed. */
 
 private:
     asio::io_context context;
@@ -88,6 +95,9 @@
     CPPUNIT_TEST(testPageWithUnreadableLastItemEnds);
     CPPUNIT_TEST(testPageThatEndsWithAnOddKeyIsFollowedByTheNextOne);
     CPPUNIT_TEST(testImpossibleRevisionDoesNotEndTheFollower);
+    CPPUNIT_TEST(testReplyThatLeavesChangesOutConfirmsNothing);
+    CPPUNIT_TEST(testConfirmationsBetweenSlowChangesHold);
+    CPPUNIT_TEST(testFastChangesAreConfirmedAllTheTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -219,6 +229,78 @@
         store.scriptReply("kv-watch", { 1, 200, R"({"events":[],"store_revision":31.5})" });
         CPPUNIT_ASSERT(run.runUntilConfirmed(3));
     }
+
+    void testReplyThatLeavesChangesOutConfirmsNothing()
+    {
+        RestorableStore store;
+        store.write("op/config", "first");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.setMaximumChanges(1);
+        const std::vector<Write> writes
+            = this->writeAtIntervals(store, run, "entry", 40, std::chrono::milliseconds(30));
+        CPPUNIT_ASSERT(run.runUntil([&] { return run.hasReported("op/config", "entry 40"); }));
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        this->checkConfirmations(run, writes);
+    }
+
+    void testConfirmationsBetweenSlowChangesHold()
+    {
+        for (const bool hasShortWatches : { true, false }) {
+            RestorableStore store;
+            store.write("op/config", "first");
+            FollowerRun run(store, hasShortWatches);
+            CPPUNIT_ASSERT(run.runUntilConfirmed());
+            const std::vector<Write> writes
+                = this->writeAtIntervals(store, run, "entry", 4, std::chrono::milliseconds(400));
+            CPPUNIT_ASSERT(run.runUntil([&] { return run.hasReported("op/config", "entry 4"); }));
+            this->checkConfirmations(run, writes);
+        }
+    }
+
+    void testFastChangesAreConfirmedAllTheTime()
+    {
+        RestorableStore store;
+        store.write("op/config", "first");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        const std::vector<Write> writes
+            = this->writeAtIntervals(store, run, "entry", 150, std::chrono::milliseconds(20));
+        this->checkConfirmations(run, writes);
+        for (std::size_t index = 1; index < run.confirmedTimes.size(); ++index)
+            CPPUNIT_ASSERT(run.confirmedTimes[index] - run.confirmedTimes[index - 1] < longestLag);
+        CPPUNIT_ASSERT(Clock().now() - run.confirmedTimes.back() < longestLag);
+    }
+
+private:
+    /** Of a follower that asks at least every second, with as much again for reading. */
+    static constexpr Milliseconds longestLag { 2'000 };
+
+    struct Write {
+        Milliseconds at;
+        std::int64_t revision = 0;
+    };
+
+    /** Writes "VALUE 1", "VALUE 2" and so on as the configuration while the follower runs. */
+    std::vector<Write> writeAtIntervals(RestorableStore& store, FollowerRun& run, const std::string& value, int count,
+        std::chrono::milliseconds interval)
+    {
+        std::vector<Write> writes;
+        for (int number = 1; number <= count; ++number) {
+            writes.push_back({ Clock().now(), store.write("op/config", value + " " + std::to_string(number)) });
+            run.runFor(interval);
+        }
+        return writes;
+    }
+
+    /** Each confirmation must hold every change that was made before the time that it names. */
+    void checkConfirmations(const FollowerRun& run, const std::vector<Write>& writes)
+    {
+        for (std::size_t index = 0; index < run.confirmed.size(); ++index) {
+            for (const Write& write : writes)
+                CPPUNIT_ASSERT(write.at >= run.confirmedTimes[index] || write.revision <= run.confirmed[index]);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
