--- a/tests/adapter/StoreFollowerTest.cpp
+++ b/tests/adapter/StoreFollowerTest.cpp
@@ -97,7 +97,9 @@
     CPPUNIT_TEST(testImpossibleRevisionDoesNotEndTheFollower);
     CPPUNIT_TEST(testReplyThatLeavesChangesOutConfirmsNothing);
     CPPUNIT_TEST(testConfirmationsBetweenSlowChangesHold);
+    CPPUNIT_TEST(testFastChangesInBoundedRepliesAreFollowed);
     CPPUNIT_TEST(testFastChangesAreConfirmedAllTheTime);
+    CPPUNIT_TEST(testFewChangesAfterAnOutageAreFollowed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -258,6 +260,22 @@
         }
     }
 
+    void testFastChangesInBoundedRepliesAreFollowed()
+    {
+        RestorableStore store;
+        store.write("op/config", std::string(largeBytes, 'x'));
+        FollowerRun run(store, false);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.setMaximumChanges(1);
+        this->writeAtIntervals(store, run, std::string(largeBytes, 'x'), 40, std::chrono::milliseconds(100));
+        const Milliseconds writtenAt = Clock().now();
+        CPPUNIT_ASSERT(
+            run.runUntil([&] { return run.hasReported("op/config", std::string(largeBytes, 'x') + " 40"); }));
+        CPPUNIT_ASSERT(Clock().now() - writtenAt < longestLag);
+        // Most of what was replaced in the meantime was not worth reading.
+        CPPUNIT_ASSERT(run.items.size() < 30);
+    }
+
     void testFastChangesAreConfirmedAllTheTime()
     {
         RestorableStore store;
@@ -272,7 +290,28 @@
         CPPUNIT_ASSERT(Clock().now() - run.confirmedTimes.back() < longestLag);
     }
 
+    void testFewChangesAfterAnOutageAreFollowed()
+    {
+        RestorableStore store;
+        for (int number = 0; number < 20; ++number)
+            store.write("servers/" + std::to_string(number), "entry");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.write("servers/1", "before");
+        CPPUNIT_ASSERT(run.runUntil([&] { return run.hasReported("servers/1", "before"); }));
+        store.setAway(true);
+        CPPUNIT_ASSERT(run.runUntil([&] { return contains(run.readLog(), "store_lost"); }));
+        store.write("servers/1", "first");
+        store.write("servers/1", "second");
+        store.setAway(false);
+        CPPUNIT_ASSERT(run.runUntil([&] { return run.hasReported("servers/1", "second"); }));
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        CPPUNIT_ASSERT(run.hasReported("servers/1", "first"));
+        CPPUNIT_ASSERT(!contains(run.readLog(), "store_read_anew"));
+    }
+
 private:
+    static constexpr std::size_t largeBytes = 250'000;
     /** Of a follower that asks at least every second, with as much again for reading. */
     static constexpr Milliseconds longestLag { 2'000 };
 
