--- a/tests/adapter/StoreFollowerTest.cpp
+++ b/tests/adapter/StoreFollowerTest.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST(testConfirmationsBetweenSlowChangesHold);
     CPPUNIT_TEST(testFastChangesInBoundedRepliesAreFollowed);
     CPPUNIT_TEST(testFastChangesAreConfirmedAllTheTime);
+    CPPUNIT_TEST(testReplyThatIsTooLargeIsFollowedByAFullRead);
     CPPUNIT_TEST(testFewChangesAfterAnOutageAreFollowed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -290,6 +291,23 @@
         CPPUNIT_ASSERT(Clock().now() - run.confirmedTimes.back() < longestLag);
     }
 
+    void testReplyThatIsTooLargeIsFollowedByAFullRead()
+    {
+        RestorableStore store;
+        store.write("op/config", "first");
+        FollowerRun run(store);
+        CPPUNIT_ASSERT(run.runUntilConfirmed());
+        store.setAway(true);
+        CPPUNIT_ASSERT(run.runUntil([&] { return contains(run.readLog(), "store_lost"); }));
+        constexpr int count = 40;
+        for (int number = 1; number <= count; ++number)
+            store.write("op/config", std::string(largeBytes, 'x') + " " + std::to_string(number));
+        store.setAway(false);
+        CPPUNIT_ASSERT(
+            run.runUntil([&] { return run.hasReported("op/config", std::string(largeBytes, 'x') + " 40"); }));
+        CPPUNIT_ASSERT(run.runUntil([&] { return contains(run.readLog(), "store_read_anew"); }));
+    }
+
     void testFewChangesAfterAnOutageAreFollowed()
     {
         RestorableStore store;
