--- a/modules/entrance/upstream/UpstreamConnection.cpp
+++ b/modules/entrance/upstream/UpstreamConnection.cpp
@@ -8,6 +8,7 @@
 
 asio::awaitable<UpstreamConnection::Transfer> UpstreamConnection::send(std::array<asio::const_buffer, 2> pieces)
 {
+    ++this->requests;
     const auto [failure, bytes] = co_await asio::async_write(this->socket, pieces, useResult);
     this->end.note(failure);
     co_return Transfer { failure, bytes };
--- a/modules/entrance/upstream/UpstreamConnection.h
+++ b/modules/entrance/upstream/UpstreamConnection.h
@@ -49,6 +49,8 @@
     Deadline deadline;
     boost::beast::flat_buffer buffer;
     Endpoint endpoint;
+    std::uint64_t number = 0; /**< Tells it from all others of its pool. */
+    std::size_t requests = 0; /**< Requests sent over it so far. */
     TimePoint openedAt;
     TimePoint idleSince;
     Milliseconds idleLimit; /**< After which it is not used again. */
--- a/modules/entrance/upstream/UpstreamPool.cpp
+++ b/modules/entrance/upstream/UpstreamPool.cpp
@@ -23,10 +23,11 @@
             boost::system::error_code ignored;
             connection->socket.cancel(ignored);
         }
-        const bool isYoung = !this->isStale(*connection, std::chrono::steady_clock::now());
-        if (!isYoung || !isOpen(*connection)) {
-            if (isYoung && this->onIdleEnd)
-                this->onIdleEnd(endpoint);
+        if (this->isStale(*connection, std::chrono::steady_clock::now()))
+            continue;
+        if (const std::optional<IdleEnd> end = findEnd(*connection)) {
+            if (this->onIdleEnd)
+                this->onIdleEnd(*connection, *end);
             continue;
         }
         connection->isReused = true;
@@ -39,6 +40,7 @@
 {
     auto connection = std::make_unique<UpstreamConnection>(this->executor);
     connection->endpoint = endpoint;
+    connection->number = ++this->connectionsMade;
     connection->idleLimit = this->settings.maximumUpstreamIdle;
     connection->openedAt = std::chrono::steady_clock::now();
     connection->generation = this->endpoints[endpoint].generation;
@@ -65,7 +67,7 @@
     const auto found = this->endpoints.find(endpoint);
     return found != this->endpoints.end()
         && std::any_of(found->second.connections.begin(), found->second.connections.end(),
-            [](const auto& connection) { return isOpen(*connection); });
+            [](const auto& connection) { return !findEnd(*connection); });
 }
 
 void UpstreamPool::watch(UpstreamConnection& connection)
@@ -81,9 +83,12 @@
 
 void UpstreamPool::dropEnded(UpstreamConnection& connection)
 {
-    const Endpoint endpoint = connection.endpoint;
-    std::erase_if(this->endpoints[endpoint].connections, [&](const auto& idle) { return idle.get() == &connection; });
-    this->onIdleEnd(endpoint);
+    auto& idle = this->endpoints[connection.endpoint].connections;
+    const auto position
+        = std::find_if(idle.begin(), idle.end(), [&](const auto& other) { return other.get() == &connection; });
+    const std::unique_ptr<UpstreamConnection> ended = std::move(*position);
+    idle.erase(position);
+    this->onIdleEnd(*ended, findEnd(*ended).value_or(IdleEnd::Ended));
 }
 
 void UpstreamPool::forget(const Endpoint& endpoint)
@@ -106,11 +111,12 @@
         idle.connections.clear();
 }
 
-bool UpstreamPool::isOpen(UpstreamConnection& connection)
+std::optional<IdleEnd> UpstreamPool::findEnd(UpstreamConnection& connection)
 {
-    // Anything readable now is the end of the connection, or an answer that belongs to no request.
     const boost::system::error_code error = connection.peek();
-    return error == asio::error::would_block || error == asio::error::try_again;
+    if (error == asio::error::would_block || error == asio::error::try_again)
+        return std::nullopt;
+    return error ? IdleEnd::Ended : IdleEnd::UnaskedBytes;
 }
 
 bool UpstreamPool::isStale(const UpstreamConnection& connection, TimePoint now) const
--- a/modules/entrance/upstream/UpstreamPool.h
+++ b/modules/entrance/upstream/UpstreamPool.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,6 +20,12 @@
     }
 };
 
+/** Why an idle connection was given up. */
+enum class IdleEnd {
+    Ended, /**< The upstream closed or reset it. */
+    UnaskedBytes, /**< The upstream sent something while no request was under way. */
+};
+
 /**
     Keeps idle connections to upstreams for one I/O thread.
 
@@ -29,8 +36,12 @@
     /** @param settings  must outlive the pool */
     UpstreamPool(const boost::asio::any_io_executor& executor, const EntranceSettings& settings);
 
-    /** Sets a function that is called when an upstream ends an idle connection; empty for none. */
-    void setIdleEndHandler(std::function<void(const Endpoint&)> handler) { this->onIdleEnd = std::move(handler); }
+    /** Called with the connection that is given up. */
+    using IdleEndHandler = std::function<void(const UpstreamConnection&, IdleEnd)>;
+
+    /** Sets a function that is called when an upstream ends an idle connection or sends something on it; empty for
+     * none. */
+    void setIdleEndHandler(IdleEndHandler handler) { this->onIdleEnd = std::move(handler); }
 
     /** Returns true if there is an idle connection to the endpoint that is still open. */
     bool hasIdle(const Endpoint& endpoint) const;
@@ -60,7 +71,8 @@
         std::vector<std::unique_ptr<UpstreamConnection>> connections; /**< The one used last stands last. */
     };
 
-    static bool isOpen(UpstreamConnection& connection);
+    /** Returns why an idle connection cannot be used, or nothing if it can. */
+    static std::optional<IdleEnd> findEnd(UpstreamConnection& connection);
     void watch(UpstreamConnection& connection);
     void dropEnded(UpstreamConnection& connection);
     bool isStale(const UpstreamConnection& connection, TimePoint now) const;
@@ -68,7 +80,8 @@
     boost::asio::any_io_executor executor;
     const EntranceSettings& settings;
     std::unordered_map<Endpoint, Idle, EndpointHash> endpoints;
-    std::function<void(const Endpoint&)> onIdleEnd;
+    IdleEndHandler onIdleEnd;
+    std::uint64_t connectionsMade = 0;
 };
 
 } // namespace papayashelf
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -64,8 +64,11 @@
     , signals(this->context, SIGTERM, SIGHUP, SIGINT)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    this->pool.setIdleEndHandler(
-        [this](const Endpoint& endpoint) { this->upstreamWatch.noteIdleConnectionEnded(endpoint); });
+    this->pool.setIdleEndHandler([this](const UpstreamConnection& connection, IdleEnd end) {
+        if (end == IdleEnd::UnaskedBytes)
+            this->metrics.noteDroppedAnswer("unasked");
+        this->upstreamWatch.noteIdleConnectionEnded(connection.endpoint);
+    });
     this->reachCheck.setRegainedHandler([this] { this->upstreamWatch.askUncertain(); });
     this->log.setCommon({ { "vm", settings.vm.string() } });
 }
--- a/modules/serving/process/GatewayProcess.h
+++ b/modules/serving/process/GatewayProcess.h
@@ -61,6 +61,9 @@
     /** Returns the decision log of this process. */
     DecisionLog& getLog() { return this->log; }
 
+    /** Returns all metrics in the Prometheus text format. Call it from the thread that calls run(). */
+    std::string formatMetrics() const;
+
     /** Returns the clock that all times passed to the core come from. */
     Clock getClock() const { return this->serving.clock; }
 
@@ -72,7 +75,6 @@
     boost::asio::awaitable<void> stopGracefully();
     static std::string_view nameQuarantineStep(QuarantineStep step);
     void reportQuarantineChanges();
-    std::string formatMetrics() const;
 
     GatewaySettings settings;
     HeaderNames names;
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -41,6 +41,7 @@
 /** Interval of checks whether an upstream has free capacity. */
 constexpr std::chrono::milliseconds capacityPollInterval { 40 };
 constexpr std::uint64_t lowestPriority = 9;
+constexpr std::size_t maximumLoggedIdBytes = 64; /**< Of an id that an upstream states. */
 constexpr std::size_t maximumLoggedPartBytes = 200; /**< About ten parts, far more than prompts usually have. */
 constexpr int successStatus = 200;
 constexpr std::string_view bearerPrefix = "Bearer ";
@@ -404,6 +405,8 @@
     running->number = this->attempts;
     const Milliseconds sentAt = this->now();
     running->sentAt = sentAt;
+    running->attempt.setDroppedAnswerHandler(
+        [this](const DroppedAnswer& dropped) { this->noteDroppedAnswer(dropped); });
     if (const auto* relay = std::get_if<UseRelay>(&running->destination)) {
         const bool isOwnRegion = relay->region == this->context.core.getRegion();
         if (isOwnRegion)
@@ -606,8 +609,11 @@
     this->context.log.write(this->now(), LogWeight::Notable, "attempt_failed",
         { { "request", this->requestId }, { "upstream", id.string() }, { "end", toString(outcome.end) },
             { "detail", outcome.detail }, { "attempt", boost::json::value(running.number) },
-            { "reused_connection", boost::json::value(outcome.isReused) }, { "progress", toString(outcome.progress) },
-            { "ended_by", toString(outcome.endedBy) }, { "silent_ms", boost::json::value(outcome.silentFor.count()) },
+            { "reused_connection", boost::json::value(outcome.earlierRequests > 0) },
+            { "connection", boost::json::value(outcome.connection) },
+            { "earlier_requests", boost::json::value(outcome.earlierRequests) },
+            { "progress", toString(outcome.progress) }, { "ended_by", toString(outcome.endedBy) },
+            { "silent_ms", boost::json::value(outcome.silentFor.count()) },
             { "connection_lost", boost::json::value(outcome.isConnectionLost) },
             { "request_identity",
                 outcome.isConnectionLost ? this->identity.make(this->admitted->workspace).string() : std::string() },
@@ -643,9 +649,23 @@
         { { "request", this->requestId }, { "vm", choice.vm.string() }, { "region", choice.region.string() },
             { "end", toString(outcome.end) }, { "detail", outcome.detail }, { "ended_by", toString(outcome.endedBy) },
             { "silent_ms", boost::json::value(outcome.silentFor.count()) },
+            { "connection", boost::json::value(outcome.connection) },
+            { "earlier_requests", boost::json::value(outcome.earlierRequests) },
             { "attempt", boost::json::value(running.number) } });
 }
 
+void RequestServer::noteDroppedAnswer(const DroppedAnswer& dropped)
+{
+    this->context.metrics.noteDroppedAnswer(dropped.status == 0 ? "unasked" : dropped.isRefusal ? "refusal" : "answer");
+    this->context.log.write(this->now(), LogWeight::Notable, "answer_dropped",
+        { { "request", this->requestId }, { "upstream", this->lastUpstream },
+            { "status", boost::json::value(dropped.status) },
+            { "names_request", std::string_view(dropped.namedRequest).substr(0, maximumLoggedIdBytes) },
+            { "not_run", boost::json::value(dropped.isRefusal) },
+            { "connection", boost::json::value(dropped.connection) },
+            { "earlier_requests", boost::json::value(dropped.earlierRequests) } });
+}
+
 void RequestServer::noteHarmless(const AttemptOutcome& outcome)
 {
     PromptQuarantine& quarantine = this->context.core.getQuarantine();
--- a/modules/serving/request/ServingMetrics.cpp
+++ b/modules/serving/request/ServingMetrics.cpp
@@ -53,6 +53,7 @@
     std::string text = formatCounter("papayashelf_requests_total", "outcome", this->requests);
     text += formatCounter("papayashelf_attempts_total", "end", this->attempts);
     text += formatCounter("papayashelf_upstream_connections_lost_total", "answer", this->lostConnections);
+    text += formatCounter("papayashelf_answers_dropped_total", "kind", this->droppedAnswers);
     text += format("papayashelf_first_byte_milliseconds", this->firstByte);
     text += format("papayashelf_answer_milliseconds", this->completeAnswer);
     text += "# TYPE papayashelf_open_requests gauge\npapayashelf_open_requests " + std::to_string(this->openRequests)
--- a/modules/serving/request/ServingMetrics.h
+++ b/modules/serving/request/ServingMetrics.h
@@ -26,6 +26,9 @@
     /** Counts an upstream's connection that ended within a request. @param progress  stable name of what had arrived */
     void noteConnectionLost(std::string_view progress) { ++this->lostConnections[std::string(progress)]; }
 
+    /** Counts an answer that belongs to no request under way. @param kind  a stable name of what it is */
+    void noteDroppedAnswer(std::string_view kind) { ++this->droppedAnswers[std::string(kind)]; }
+
     /** Records the time from the arrival of a request to the first event of its answer. */
     void noteFirstByteTime(Milliseconds time) { this->firstByte.note(time); }
 
@@ -59,6 +62,7 @@
     std::map<std::string, std::uint64_t> requests;
     std::map<std::string, std::uint64_t> attempts;
     std::map<std::string, std::uint64_t> lostConnections; /**< By how much of the answer had arrived. */
+    std::map<std::string, std::uint64_t> droppedAnswers; /**< By kind. */
     Histogram firstByte;
     Histogram completeAnswer;
     std::int64_t openRequests = 0;
--- a/modules/serving/upstream/AttemptOutcome.h
+++ b/modules/serving/upstream/AttemptOutcome.h
@@ -62,10 +62,22 @@
     bool isCrashSuspect = false; /**< Whether a relaying VM stated that an upstream crashed as it began to answer. */
     bool isOverLimit = false; /**< Whether the answer exceeded a bound on its size. */
     MemoryBudget::Reservation memory; /**< For the body. */
-    bool isReused = false; /**< Whether the connection had served an earlier request. */
+    std::uint64_t connection = 0; /**< Number of the connection; 0 without one. */
+    std::size_t earlierRequests = 0; /**< That the connection had carried before this one. */
     bool isRefused = false; /**< Whether nothing accepts connections at the endpoint. */
     AnswerProgress progress = AnswerProgress::Nothing;
     bool isConnectionLost = false; /**< Whether the upstream closed or reset the connection before the answer's end. */
 };
 
+/** An answer that was read and not used, as it did not belong to the request under way. */
+struct DroppedAnswer {
+    int status = 0; /**< 0 for bytes behind a complete answer, which are not read. */
+    std::string namedRequest; /**< Id of the request that it names; empty for none. */
+    bool isRefusal = false; /**< Whether it guarantees that the request that it belongs to has not run. */
+    std::uint64_t connection = 0; /**< Number of its connection. */
+    std::size_t earlierRequests = 0; /**< That the connection had carried before the one under way. */
+
+    bool operator==(const DroppedAnswer&) const = default;
+};
+
 } // namespace papayashelf
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -153,15 +153,24 @@
     return std::chrono::steady_clock::now() < this->timeouts.end ? AttemptEndedBy::Silence : AttemptEndedBy::Deadline;
 }
 
-AttemptOutcome UpstreamAttempt::fail(AttemptEnd end, std::string detail) const
+AttemptOutcome UpstreamAttempt::makeOutcome() const
 {
     AttemptOutcome result;
+    if (this->connection) {
+        result.connection = this->connection->number;
+        result.earlierRequests = std::max<std::size_t>(this->connection->requests, 1) - 1;
+    }
+    return result;
+}
+
+AttemptOutcome UpstreamAttempt::fail(AttemptEnd end, std::string detail) const
+{
+    AttemptOutcome result = this->makeOutcome();
     result.endedBy = this->findWhoEndedIt();
     result.silentFor = this->getSilence();
     result.end = this->request.isCallerGone() ? AttemptEnd::CallerDisconnected : end;
     result.isOverLimit = !this->exceededBound.empty();
     result.detail = result.isOverLimit ? "exceeded " + std::string(this->exceededBound) : std::move(detail);
-    result.isReused = this->connection && this->connection->isReused;
     result.progress = this->progress;
     result.isConnectionLost = this->isConnectionLost;
     result.isRefused = this->isRefused;
@@ -432,10 +441,21 @@
             co_return this->evaluateAnswer(*this->parser);
         if (isRefusal)
             co_return this->evaluateAnswer(*this->parser);
+        this->noteDropped(*this->parser);
     }
     co_return this->fail(AttemptEnd::Unanswered, "answers of other requests");
 }
 
+void UpstreamAttempt::noteDropped(const Parser& parser) const
+{
+    if (!this->onDroppedAnswer)
+        return;
+    const AttemptOutcome place = this->makeOutcome();
+    this->onDroppedAnswer(
+        { static_cast<int>(parser.get().result_int()), std::string(findHeader(parser, this->names.requestId).value),
+            this->hasNotRunGuarantee(parser), place.connection, place.earlierRequests });
+}
+
 bool UpstreamAttempt::hasNotRunGuarantee(const Parser& parser) const
 {
     const auto& message = parser.get();
@@ -445,7 +465,7 @@
 
 AttemptOutcome UpstreamAttempt::evaluateAnswer(Parser& parser)
 {
-    AttemptOutcome result;
+    AttemptOutcome result = this->makeOutcome();
     const auto status = static_cast<int>(parser.get().result_int());
     const bool isSealed = parser.get().find(this->names.seal) != parser.get().end();
     const bool isNotRun = this->hasNotRunGuarantee(parser);
@@ -469,7 +489,7 @@
 
 asio::awaitable<AttemptOutcome> UpstreamAttempt::forwardStream(Parser& parser, StreamTarget& stream)
 {
-    AttemptOutcome result;
+    AttemptOutcome result = this->makeOutcome();
     result.load = this->readLoad(parser);
     ResponseHead head { 200, std::string(parser.get().reason()), extractForwardableHeaders(parser.get()) };
     parser.eager(true);
@@ -589,6 +609,10 @@
 
 void UpstreamAttempt::release(const Parser& parser)
 {
+    if (parser.is_done() && this->connection->buffer.size() > 0 && this->onDroppedAnswer) {
+        const AttemptOutcome place = this->makeOutcome();
+        this->onDroppedAnswer({ 0, {}, false, place.connection, place.earlierRequests });
+    }
     const bool isReusable = parser.keep_alive() && parser.is_done() && this->connection->buffer.size() == 0
         && this->connection->socket.is_open();
     if (!isReusable)
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -95,6 +95,12 @@
         this->onStatement = std::move(handler);
     }
 
+    /** Sets a function that is called with each answer that is dropped, as it does not belong to the request. */
+    void setDroppedAnswerHandler(std::function<void(const DroppedAnswer&)> handler)
+    {
+        this->onDroppedAnswer = std::move(handler);
+    }
+
     /** Sets a function that is called when a new connection to the upstream was opened. */
     void setConnectedHandler(std::function<void()> handler) { this->onConnected = std::move(handler); }
 
@@ -171,7 +177,10 @@
     bool hasNotRunGuarantee(const Parser& parser) const;
     std::optional<ReportedLoad> readLoad(const Parser& parser) const;
     UpstreamStatement readStatement(const Parser& parser) const;
+    /** Returns an outcome that tells of the connection only. */
+    AttemptOutcome makeOutcome() const;
     AttemptOutcome fail(AttemptEnd end, std::string detail) const;
+    void noteDropped(const Parser& parser) const;
     AttemptEndedBy findWhoEndedIt() const;
     /** Returns until when to wait for a silent upstream, or nothing to abandon the attempt. */
     std::optional<TimePoint> extendWait();
@@ -188,6 +197,7 @@
         lastBytesAt; /**< Time of the request's last byte, the last read from the upstream or the last events sent. */
     MemoryBudget::Reservation reservation;
     std::function<void(const UpstreamStatement&)> onStatement;
+    std::function<void(const DroppedAnswer&)> onDroppedAnswer;
     std::function<void()> onConnected;
     std::function<void()> onBytes;
     SilenceHandler onSilence;
--- a/tests/serving/RequestServerTest.cpp
+++ b/tests/serving/RequestServerTest.cpp
@@ -193,6 +193,8 @@
         const RawAnswer answer = this->get("/once/x", "id-1");
         CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
         CPPUNIT_ASSERT(answer.text.ends_with("body of id-1"));
+        CPPUNIT_ASSERT(this->harness->readMetrics().find("papayashelf_answers_dropped_total{kind=\"answer\"} 1\n")
+            != std::string::npos);
     }
 
     void testAnswerDelimitedByConnectionCloseIsForwarded()
@@ -402,6 +404,8 @@
         CPPUNIT_ASSERT_EQUAL(200, answer.getStatus());
         CPPUNIT_ASSERT(answer.has("body of id-1"));
         CPPUNIT_ASSERT_EQUAL(before + 1, this->harness->getArrivals().size());
+        CPPUNIT_ASSERT(this->harness->readMetrics().find("papayashelf_answers_dropped_total{kind=\"refusal\"} 1\n")
+            != std::string::npos);
     }
 
     void testErrorOfResumingUpstreamDoesNotEnterTheStream()
--- a/tests/serving/ServingHarness.cpp
+++ b/tests/serving/ServingHarness.cpp
@@ -152,6 +152,13 @@
     return ended.get_future().get();
 }
 
+std::string ServingHarness::readMetrics()
+{
+    std::promise<std::string> metrics;
+    asio::post(this->process->getContext(), [this, &metrics] { metrics.set_value(this->process->formatMetrics()); });
+    return metrics.get_future().get();
+}
+
 void ServingHarness::beginStopping()
 {
     std::promise<void> begun;
--- a/tests/serving/ServingHarness.h
+++ b/tests/serving/ServingHarness.h
@@ -60,6 +60,9 @@
     /** Returns true if the process knows that an upstream's process has ended. */
     bool hasEnded(const UpstreamId& upstream);
 
+    /** Returns the metrics of the process as text. */
+    std::string readMetrics();
+
     /** Waits until the process has ended by itself. */
     void awaitEnd();
 
