Test that copies of refusals pass for no answer, known to fail (TWICE)

What callers saw: 503, which promises that a request has not run, for one that ran.

RepeatedRefusalTest plays it on three ways to send a request over one connection twice: an upstream that started again at its address under another id, refusing with 421 or 503, and a request that reaches a VM twice through another one; each for repeatable and other requests and streams.

--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -104,6 +105,10 @@
     /** Sets header lines, each with its end, that answers to the request carry from now on; empty for none. */
     void setStatedHeaders(const std::string& lines);
 
+    /** Sends a copy of each refusal that names its request, ahead of the next answer to that request on the same
+        connection. */
+    void repeatRefusals() { this->repeatsRefusals = true; }
+
     /** Sets what answers on its health say of its cold time; empty for the truth. */
     void setStatedColdTime(const std::string& milliseconds);
 
@@ -141,6 +146,8 @@
     std::string addStatements(std::string answer) const;
     void listen(const Endpoint& at);
     std::string makeHealthAnswer() const;
+    /** Returns the answer after a copy of the refusal that the request got on its connection, if it got one. */
+    std::string repeatRefusal(const StandinHttp::Request& request, unsigned short port, const std::string& answer);
     /** Sends the head, some events and a part of the next one, and refuses all connections from then on. */
     boost::asio::awaitable<bool> crash(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendEndlessly(std::string begin, std::string repeated, StandinHttp::Stream& stream);
@@ -152,6 +159,9 @@
     std::string statedColdTime;
     std::atomic<std::size_t> endlessBytes = 0;
     std::atomic<int> eventsBeforeCrash = 0;
+    std::atomic<bool> repeatsRefusals = false;
+    /** Refusals by the remote port of their connection and the request's id; used on the server's thread. */
+    std::map<std::pair<unsigned short, std::string>, std::string> refusals;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
     std::chrono::steady_clock::time_point coldUntil;
