Send no request twice over one connection, and let one rule decide whose answer came (TWICE)

What callers saw: 503 for a request that ran (REFUSED), and one that must run once ran twice when it was sent again (TWICE). An upstream had started again at its address under another id, refused the request that named the old id, got it for the new id over the same connection, sent a copy of the refusal, and ran it.

Cause: an answer was taken for the refusal of the request under way if it named that request. Requests did not return to an upstream by its id, and connections are kept by address, so that nothing held the same id off a connection that had carried it before. Refusals without an id had a mark of their own, the first answer on a fresh connection.

All else is dropped and logged, as before. It holds for upstreams and for other VMs, for every status, and for answers of any kind.

Weighed: closing the connection after each refusal (a new connection for each refusal of a full upstream); a list in each request of the connections that it used (lost when it comes to the VM a second time through another one).

Evidence: answer_dropped and attempt_failed named the same connection for both refusals before.

--- a/modules/entrance/upstream/UpstreamConnection.cpp
+++ b/modules/entrance/upstream/UpstreamConnection.cpp
@@ -1,14 +1,18 @@
 #include "entrance/upstream/UpstreamConnection.h"
 
 #include <boost/asio/write.hpp>
+#include <cassert>
 
 namespace papayashelf {
 
 namespace asio = boost::asio;
 
-asio::awaitable<UpstreamConnection::Transfer> UpstreamConnection::send(std::array<asio::const_buffer, 2> pieces)
+asio::awaitable<UpstreamConnection::Transfer> UpstreamConnection::send(
+    std::string_view id, std::array<asio::const_buffer, 2> pieces)
 {
-    ++this->requests;
+    assert(this->mayCarry(id));
+    this->sentRequests.add(id);
+    this->requestId = id;
     const auto [failure, bytes] = co_await asio::async_write(this->socket, pieces, useResult);
     this->end.note(failure);
     co_return Transfer { failure, bytes };
@@ -21,6 +25,14 @@
     co_return Transfer { failure, bytes };
 }
 
+AnswerOwner UpstreamConnection::noteAnswer(std::string_view namedRequest)
+{
+    const bool isFirst = this->answers++ == 0 && this->sentRequests.count() == 1;
+    if (namedRequest.empty())
+        return isFirst ? AnswerOwner::FirstRequest : AnswerOwner::Uncertain;
+    return namedRequest == this->requestId ? AnswerOwner::Request : AnswerOwner::Uncertain;
+}
+
 boost::system::error_code UpstreamConnection::peek()
 {
     std::array<char, 1> byte {};
--- a/modules/entrance/upstream/UpstreamPool.cpp
+++ b/modules/entrance/upstream/UpstreamPool.cpp
@@ -1,6 +1,7 @@
 #include "entrance/upstream/UpstreamPool.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace papayashelf {
 
@@ -12,12 +13,17 @@
 {
 }
 
-std::unique_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Endpoint& endpoint)
+std::unique_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Endpoint& endpoint, std::string_view requestId)
 {
     auto& idle = this->endpoints[endpoint].connections;
-    while (!idle.empty()) {
-        std::unique_ptr<UpstreamConnection> connection = std::move(idle.back());
-        idle.pop_back();
+    while (true) {
+        const auto suitable = std::find_if(
+            idle.rbegin(), idle.rend(), [&](const auto& connection) { return connection->mayCarry(requestId); });
+        if (suitable == idle.rend())
+            return nullptr;
+        const auto position = std::prev(suitable.base());
+        std::unique_ptr<UpstreamConnection> connection = std::move(*position);
+        idle.erase(position);
         if (connection->idleWatch) {
             connection->idleWatch.reset();
             boost::system::error_code ignored;
@@ -25,15 +31,12 @@
         }
         if (this->isStale(*connection, std::chrono::steady_clock::now()))
             continue;
-        if (const std::optional<IdleEnd> end = findEnd(*connection)) {
-            if (this->onIdleEnd)
-                this->onIdleEnd(*connection, *end);
-            continue;
-        }
-        connection->isReused = true;
-        return connection;
+        const std::optional<IdleEnd> end = findEnd(*connection);
+        if (!end)
+            return connection;
+        if (this->onIdleEnd)
+            this->onIdleEnd(*connection, *end);
     }
-    return nullptr;
 }
 
 std::unique_ptr<UpstreamConnection> UpstreamPool::makeConnection(const Endpoint& endpoint)
@@ -50,8 +53,8 @@
 void UpstreamPool::giveBack(std::unique_ptr<UpstreamConnection> connection)
 {
     Idle& idle = this->endpoints[connection->endpoint];
-    const bool isTrusted
-        = idle.generation == connection->generation && connection->buffer.size() == 0 && !connection->end.isKnown();
+    const bool isTrusted = idle.generation == connection->generation && connection->buffer.size() == 0
+        && !connection->end.isKnown() && connection->mayCarry({});
     if (!isTrusted || idle.connections.size() >= this->settings.maximumIdlePerUpstream)
         return;
     connection->buffer.shrink_to_fit();
--- a/modules/entrance/upstream/UpstreamPool.h
+++ b/modules/entrance/upstream/UpstreamPool.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -46,14 +47,19 @@
     /** Returns true if there is an idle connection to the endpoint that is still open. */
     bool hasIdle(const Endpoint& endpoint) const;
 
-    /** Takes the idle connection used last that is young enough and still open; null if there is none. */
-    std::unique_ptr<UpstreamConnection> takeIdle(const Endpoint& endpoint);
+    /**
+        Takes the idle connection used last that is young enough, still open, and may carry the request; null if there
+        is none.
+
+        @param requestId  the id that the answer is to name; empty if the protocol has none
+    */
+    std::unique_ptr<UpstreamConnection> takeIdle(const Endpoint& endpoint, std::string_view requestId);
 
     /** Makes a connection that is not yet open. */
     std::unique_ptr<UpstreamConnection> makeConnection(const Endpoint& endpoint);
 
-    /** Keeps a connection whose last answer was read whole, unless it has ended or its endpoint was forgotten since it
-        was opened. */
+    /** Keeps a connection whose last answer was read whole, unless it has ended, it can carry no further request, or
+        its endpoint was forgotten since it was opened. */
     void giveBack(std::unique_ptr<UpstreamConnection> connection);
 
     /** Closes the idle connections to an endpoint and keeps none of those in use: something on the way is dead. */
--- a/modules/entrance/upstream/UpstreamSource.cpp
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -143,7 +143,7 @@
     if (this->cancelled)
         co_return AttemptResult::Cancelled;
     if (!this->request.needsFreshConnection)
-        this->connection = this->pool.takeIdle(this->request.endpoint);
+        this->connection = this->pool.takeIdle(this->request.endpoint, {});
     if (this->connection)
         co_return AttemptResult::Completed;
     boost::system::error_code error;
@@ -172,7 +172,7 @@
     const std::string head = this->formatHead();
     const std::array<asio::const_buffer, 2> pieces { asio::buffer(head), asio::buffer(*this->request.body) };
     this->limitNext(this->limits.firstByte);
-    const auto [error, count] = co_await this->connection->send(pieces);
+    const auto [error, count] = co_await this->connection->send({}, pieces);
     if (!error && !this->cancelled)
         co_return AttemptResult::Completed;
     const bool isCertain = count == 0 && !this->cancelled;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -158,7 +158,7 @@
     AttemptOutcome result;
     if (this->connection) {
         result.connection = this->connection->number;
-        result.earlierRequests = std::max<std::size_t>(this->connection->requests, 1) - 1;
+        result.earlierRequests = this->connection->countEarlierRequests();
     }
     return result;
 }
@@ -182,7 +182,7 @@
 {
     this->timeouts = newTimeouts;
     this->lastBytesAt = std::chrono::steady_clock::now();
-    this->connection = this->pool.takeIdle(endpoint);
+    this->connection = this->pool.takeIdle(endpoint, requestId);
     if (!this->connection) {
         this->connection = this->pool.makeConnection(endpoint);
         this->request.addConnection(this->connection.get());
@@ -193,11 +193,11 @@
     this->connection->deadline.setExtension([this] { return this->extendWait(); });
     this->connection->deadline.set(this->timeouts.firstByte);
     const std::array<asio::const_buffer, 2> pieces { asio::buffer(head), asio::buffer(body) };
-    const auto [failure, written] = co_await this->connection->send(pieces);
+    const auto [failure, written] = co_await this->connection->send(requestId, pieces);
     this->lastBytesAt = std::chrono::steady_clock::now();
-    if (failure && written == 0 && !this->connection->isReused)
+    if (failure && written == 0 && this->connection->countEarlierRequests() == 0)
         co_return this->fail(AttemptEnd::NotSent, "connection broke before the request");
-    std::optional<AttemptOutcome> result = co_await this->readAnswer(requestId, isStream);
+    std::optional<AttemptOutcome> result = co_await this->readAnswer(isStream);
     if (!result && this->isCancelled)
         result = this->fail(AttemptEnd::Unanswered, "cancelled");
     co_return result;
@@ -393,7 +393,7 @@
     co_return true;
 }
 
-asio::awaitable<std::optional<AttemptOutcome>> UpstreamAttempt::readAnswer(std::string_view requestId, bool isStream)
+asio::awaitable<std::optional<AttemptOutcome>> UpstreamAttempt::readAnswer(bool isStream)
 {
     int interimAnswers = 0;
     for (int strayAnswers = 0; strayAnswers <= maximumStrayAnswers; ++strayAnswers) {
@@ -411,17 +411,15 @@
             --strayAnswers;
             continue;
         }
-        const auto echoed = this->parser->get()[this->names.requestId];
-        const bool isForThisRequest = std::string_view(echoed.data(), echoed.size()) == requestId;
+        const auto named = this->parser->get()[this->names.requestId];
+        const AnswerOwner owner = this->connection->noteAnswer(std::string_view(named.data(), named.size()));
+        const bool isForThisRequest = owner == AnswerOwner::Request;
         const bool isSealed = this->parser->get().find(this->names.seal) != this->parser->get().end();
         const bool isContentEncoded
             = this->parser->get().find(http::field::content_encoding) != this->parser->get().end();
         if (isForThisRequest && isSealed)
             this->progress = AnswerProgress::Head;
-        // On a kept connection it may be an earlier refusal that the upstream has written once more.
-        const bool isFirstAnswer = strayAnswers == 0 && !this->connection->isReused;
-        const bool isRefusal
-            = this->hasNotRunGuarantee(*this->parser) && (isForThisRequest || (echoed.empty() && isFirstAnswer));
+        const bool isRefusal = this->hasNotRunGuarantee(*this->parser) && owner != AnswerOwner::Uncertain;
         // Anybody may have sent an answer without a seal, other requests' answers may be old, and an upstream that the
         // request was not meant for says nothing of the one that it was meant for.
         if (this->onStatement && status != misdirectedRequestStatus && ((isForThisRequest && isSealed) || isRefusal))
@@ -437,9 +435,7 @@
         }
         if (!co_await this->readBody(*this->parser, isUsable ? maximumBodyBytes : maximumUnusedBodyBytes))
             co_return this->fail(AttemptEnd::Unanswered, "answer broke off");
-        if (isForThisRequest)
-            co_return this->evaluateAnswer(*this->parser);
-        if (isRefusal)
+        if (isForThisRequest || isRefusal)
             co_return this->evaluateAnswer(*this->parser);
         this->noteDropped(*this->parser);
     }
--- a/modules/serving/upstream/UpstreamAttempt.h
+++ b/modules/serving/upstream/UpstreamAttempt.h
@@ -78,9 +78,8 @@
 /**
     Sends a request to one upstream or another VM and reads the answer.
 
-    An answer is valid only if it echoes the request id and carries the upstream's seal; a guarantee that the request
-    has not run may lack both if it is the first answer on its connection. Other answers are read and dropped, as they
-    belong to earlier requests.
+    An answer is valid only if it names the request and carries the upstream's seal; a guarantee that the request has
+    not run may lack both where the connection can tell its owner. Other answers are read and dropped.
 
     Thread safety: none; owned by one I/O thread.
 */
@@ -167,7 +166,7 @@
     boost::asio::awaitable<bool> connect(const Endpoint& endpoint, Milliseconds limit);
     boost::asio::awaitable<bool> readHead(Parser& parser);
     boost::asio::awaitable<bool> readBody(Parser& parser, std::size_t maximumBytes);
-    boost::asio::awaitable<std::optional<AttemptOutcome>> readAnswer(std::string_view requestId, bool isStream);
+    boost::asio::awaitable<std::optional<AttemptOutcome>> readAnswer(bool isStream);
     boost::asio::awaitable<AttemptOutcome> forwardStream(Parser& parser, StreamTarget& stream);
     boost::asio::awaitable<bool> receive(TimePoint until);
     /** Returns true to go on with an upstream that was silent for too long. */
