Take a refusal on a kept connection of serve for no proof that a request has not run (TWICE)

What callers could see: with a route that does not declare GET as repeatable, a request that ran once more after a busy refusal that came late from the same connection.

Cause: upstreams of serve name no request in their answers, and requests with GET, HEAD and OPTIONS go over kept connections whatever their route says.

Change: the same rule as for gateway. A busy refusal that is not the first answer of its connection still counts as busy for the upstream, and the request may have run: it is repeated only if its route allows that, and its caller is told so. Connections of refusals were, and are, not kept.

Evidence: testRefusalOnKeptConnectionIsNoProof and testRequestIsNotRepeatedAfterAnUncertainRefusal; both need the new field and were not run on the code before.

--- a/modules/dispatch/dispatcher/DispatcherAttempts.cpp
+++ b/modules/dispatch/dispatcher/DispatcherAttempts.cpp
@@ -132,7 +132,7 @@
     }
     this->releaseTarget(now, inFlight, in_flight_rules::classifyResult(ended.result, ended.status), router);
     const bool isCertainlyNotRun
-        = ended.result == AttemptResult::NotSent || ended.result == AttemptResult::RejectedBusy;
+        = ended.result == AttemptResult::NotSent || (ended.result == AttemptResult::RejectedBusy && !ended.mayHaveRun);
     inFlight.mayHaveRun = inFlight.mayHaveRun || !isCertainlyNotRun;
     if (inFlight.kept && ended.result != AttemptResult::Completed) {
         this->returnToKept(inFlight, output);
--- a/modules/dispatch/messages/RequestMessages.h
+++ b/modules/dispatch/messages/RequestMessages.h
@@ -107,6 +107,7 @@
     int status = 0; /**< HTTP status; 0 if none was received. */
     std::int64_t answerTokens = 0; /**< Tokens delivered to the caller over all attempts. */
     std::int64_t promptTokens = 0; /**< Prompt tokens as counted by the upstream; 0 if not reported. */
+    bool mayHaveRun = false; /**< Despite RejectedBusy: that may be the late answer to an earlier request. */
 
     bool operator==(const AttemptEnded&) const = default;
 };
--- a/modules/entrance/exchange/AttemptSource.h
+++ b/modules/entrance/exchange/AttemptSource.h
@@ -16,6 +16,7 @@
 /** What came of opening a source: Completed with a head, or why there is none. */
 struct SourceHead {
     AttemptResult result = AttemptResult::NotSent;
+    bool mayHaveRun = false; /**< Despite RejectedBusy: that may be the late answer to an earlier request. */
     int status = 0;
     std::vector<HeaderField> headers; /**< Without hop-by-hop fields and length. */
     std::optional<std::uint64_t> length;
--- a/modules/entrance/exchange/ExchangeAttempts.h
+++ b/modules/entrance/exchange/ExchangeAttempts.h
@@ -28,6 +28,7 @@
     const SourceHead head = co_await source->open();
     ended.status = head.status;
     ended.result = head.result;
+    ended.mayHaveRun = head.mayHaveRun;
     if (head.result == AttemptResult::Completed)
         ended.result = this->acceptHead(head, ended.attempt);
     if (ended.result == AttemptResult::Completed)
--- a/modules/entrance/upstream/UpstreamSource.cpp
+++ b/modules/entrance/upstream/UpstreamSource.cpp
@@ -46,8 +46,11 @@
     if (failed.result != AttemptResult::Completed)
         co_return failed;
     SourceHead head = this->describeHead();
-    if (saysNotRun(this->parser->get().base()))
+    const AnswerOwner owner = this->connection->noteAnswer({});
+    if (saysNotRun(this->parser->get().base())) {
+        head.mayHaveRun = owner == AnswerOwner::Uncertain;
         head.result = this->fail(AttemptResult::RejectedBusy);
+    }
     co_return head;
 }
 
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(testStreamResumesAfterDeliveredTokens);
     CPPUNIT_TEST(testReportsOfEndedAttemptsAreDiscarded);
     CPPUNIT_TEST(testSilentAttemptGoesOnWithoutAnotherUpstream);
+    CPPUNIT_TEST(testRequestIsNotRepeatedAfterAnUncertainRefusal);
     CPPUNIT_TEST(testSilentAttemptGoesOnIfItMayNotRunAgain);
     CPPUNIT_TEST(testSilentAttemptIsKeptUntilAnotherIsAccepted);
     CPPUNIT_TEST(testSilentAttemptGoesOnAfterTheOtherOneFailed);
@@ -100,6 +101,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, selectDirectives<FinishRequest>(output).size());
     }
 
+    void testRequestIsNotRepeatedAfterAnUncertainRefusal()
+    {
+        for (const bool mayHaveRun : { false, true }) {
+            Router router = makeRouter(makeGovernance(3));
+            Dispatcher dispatcher = makeDispatcher();
+            const StartAttempt started = this->expectStart(dispatcher.submit(this->now, makeReservation(1), router));
+            AttemptEnded ended = makeAttemptEnded(started, AttemptResult::RejectedBusy);
+            ended.mayHaveRun = mayHaveRun;
+            const auto refused = selectDirectives<RefuseRequest>(dispatcher.handle(this->now, ended, router));
+            CPPUNIT_ASSERT_EQUAL(mayHaveRun, !refused.empty());
+            if (mayHaveRun)
+                CPPUNIT_ASSERT(refused.front().ran == Ran::Unknown);
+        }
+    }
+
     void testSilentAttemptGoesOnIfItMayNotRunAgain()
     {
         Router router = makeRouter(makeGovernance(3));
--- a/tests/entrance/UpstreamFaultTest.cpp
+++ b/tests/entrance/UpstreamFaultTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(testSilentDeathEmptiesPool);
     CPPUNIT_TEST(testWholeAnswerCutIsNotBegun);
     CPPUNIT_TEST(testUnreachableAndBusyAreCertainlyNotRun);
+    CPPUNIT_TEST(testRefusalOnKeptConnectionIsNoProof);
     CPPUNIT_TEST(testLostAnswerIsNotCalledNotSent);
     CPPUNIT_TEST(testPlainAnswerCutIsVisible);
     CPPUNIT_TEST(testPlainCallRunsOnWhenCallerGoes);
@@ -126,6 +127,29 @@
         CPPUNIT_ASSERT_EQUAL(0, service.getExecutions("id"));
     }
 
+    void testRefusalOnKeptConnectionIsNoProof()
+    {
+        StandinService service;
+        EntranceHarness harness;
+        const Endpoint entry = harness.start(service.start(), ServiceKind::PlainService);
+        std::vector<AttemptEnded> ends;
+        // The connection of a refusal is not kept, so that the fourth request has a new one.
+        for (const bool isRefused : { true, false, true, true }) {
+            if (isRefused)
+                service.getHttp().setFault({ StandinFault::RefuseBusy, 0, 1 });
+            TestCaller caller(entry);
+            caller.send("GET /a HTTP/1.1\r\nhost: g\r\n\r\n");
+            CPPUNIT_ASSERT(caller.readAnswer());
+            const RequestReport report = harness.waitFor([&](const RequestReport& each) {
+                const auto* ended = std::get_if<AttemptEnded>(&each);
+                return ended && std::find(ends.begin(), ends.end(), *ended) == ends.end();
+            });
+            ends.push_back(std::get<AttemptEnded>(report));
+            CPPUNIT_ASSERT_EQUAL(isRefused, ends.back().result == AttemptResult::RejectedBusy);
+        }
+        CPPUNIT_ASSERT(!ends[0].mayHaveRun && ends[2].mayHaveRun && !ends[3].mayHaveRun);
+    }
+
     void testLostAnswerIsNotCalledNotSent()
     {
         StandinService service;
