--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -65,9 +65,10 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     this->pool.setIdleEndHandler([this](const UpstreamConnection& connection, IdleEnd end) {
-        if (end == IdleEnd::UnaskedBytes)
+        if (end == IdleEnd::Ended)
+            this->upstreamWatch.noteIdleConnectionEnded(connection.endpoint);
+        else
             this->metrics.noteDroppedAnswer("unasked");
-        this->upstreamWatch.noteIdleConnectionEnded(connection.endpoint);
     });
     this->reachCheck.setRegainedHandler([this] { this->upstreamWatch.askUncertain(); });
     this->log.setCommon({ { "vm", settings.vm.string() } });
--- a/tests/entrance/ConnectedPair.h
+++ b/tests/entrance/ConnectedPair.h
@@ -41,6 +41,13 @@
         this->connection->socket.wait(boost::asio::ip::tcp::socket::wait_read);
     }
 
+    /** Sends a byte from the other side, and waits until this side can see it. */
+    void sendBack()
+    {
+        boost::asio::write(this->upstream, boost::asio::buffer("x", 1));
+        this->connection->socket.wait(boost::asio::ip::tcp::socket::wait_read);
+    }
+
     boost::system::error_code receive()
     {
         boost::system::error_code result;
--- a/tests/entrance/ConnectionEndTest.cpp
+++ b/tests/entrance/ConnectionEndTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(testOrderlyEndStaysOrderlyAfterAPeek);
     CPPUNIT_TEST(testOwnCloseTellsNothing);
     CPPUNIT_TEST(testResetConnectionIsNotKept);
+    CPPUNIT_TEST(testUnaskedBytesAreNoEndOfTheUpstream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,6 +77,23 @@
         pair.pool.giveBack(std::move(pair.connection));
         CPPUNIT_ASSERT(!pair.pool.takeIdle(endpoint, {}));
     }
+
+    void testUnaskedBytesAreNoEndOfTheUpstream()
+    {
+        for (const IdleEnd expected : { IdleEnd::Ended, IdleEnd::UnaskedBytes }) {
+            ConnectedPair pair;
+            const Endpoint endpoint = pair.connection->endpoint;
+            std::vector<IdleEnd> ends;
+            if (expected == IdleEnd::Ended)
+                pair.close();
+            else
+                pair.sendBack();
+            pair.pool.giveBack(std::move(pair.connection));
+            pair.pool.setIdleEndHandler([&](const UpstreamConnection&, IdleEnd end) { ends.push_back(end); });
+            CPPUNIT_ASSERT(!pair.pool.takeIdle(endpoint, {}));
+            CPPUNIT_ASSERT(ends == std::vector<IdleEnd> { expected });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionEndTest);
