Let upstreams of the soak repeat refusals and come back at once at their address (TWICE)

Half of the refusals come again, a moment later or ahead of the next answer on their connection; most now name their request, as upstreams do. An upstream may crash and be back at its address at once under another id. The promise connections: no request arrives twice over one connection.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 from upstream import Fault
 
 MEAN_GAP_S = 0.9
+SERIES_GAP_S = 4.0
 REWRITE_S = 1.8  # The operator and the upstreams write again within that time after a restore.
 
 
@@ -20,11 +21,11 @@
     seed: int
 
 
-def draw_plan(random, begin, end, names=None):
+def draw_plan(random, begin, end, names=None, mean_gap=MEAN_GAP_S):
     plan, at = [], begin
     choices = names or list(FAULTS)
     while True:
-        at += random.expovariate(1 / MEAN_GAP_S)
+        at += random.expovariate(1 / mean_gap)
         if at >= end:
             return plan
         plan.append(PlannedFault(round(at, 3), random.choice(choices), random.getrandbits(32)))
@@ -190,6 +191,17 @@
     await gone
 
 
+async def reborn_upstream(world, random):
+    """An upstream crashes and is back at its address at once under another id, while its old entry still stands."""
+    upstream = random.choice(world.upstreams)
+    if not upstream.is_up or upstream.is_leaving:
+        return
+    gone = asyncio.get_running_loop().create_task(upstream.crash())
+    await asyncio.sleep(random.uniform(0, 0.1))
+    await upstream.start(is_new=True, is_cold=random.random() < 0.5)
+    await gone
+
+
 async def replace(upstream, world, random, is_listed):
     others = [each for each in world.upstreams if each is not upstream and each.service == upstream.service
               and each.region == upstream.region and each.is_up and not each.is_leaving]
@@ -330,6 +342,8 @@
     world.store.remove(f"op/evacuate/{domain}")
 
 
+# Not among those that a plan draws from by default, so that the plans of seeds stay as they are.
+SERIES = {each.__name__: each for each in (reborn_upstream,)}
 FAULTS = {each.__name__: each for each in (
     stop_vm, kill_vm, freeze_vm, reload_vm, roll_vms, kill_region, kill_all, trouble_store, slow_store, drop_history,
     restore_store, cut_from_store, silence_store_connections, forge_entries, leave_odd_entries, crash_upstream,
--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -27,6 +27,8 @@
         self.writer = writer
         self.protocol = h11.Connection(h11.SERVER)
         self.peer_gone = asyncio.Event()
+        self.attempts = set()  # Ids of the requests so far.
+        self.copies = []  # Answers too many, as bytes, that are due ahead of the next one.
 
     async def serve(self, handler):
         try:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,6 +1,7 @@
 """What callers sent and saw, what upstreams ran, and what was done to the system meanwhile."""
 
 import asyncio
+import collections
 from dataclasses import dataclass, field
 
 
@@ -105,6 +106,7 @@
     routes_removed: dict = field(default_factory=dict)
     upstream_ends: list = field(default_factory=list)  # (upstream, time)
     stops: list = field(default_factory=list)  # (vm, time of SIGTERM)
+    copies: collections.Counter = field(default_factory=collections.Counter)  # Of refusals, by when they were sent.
 
     def now(self):
         return asyncio.get_running_loop().time()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,6 +48,8 @@
     "hide_routes": Sabotage("configuration", ("change_routes",)),
     "mix_regions": Sabotage("homes", ("reload_vm",)),
     "run_refused": Sabotage("twice", ("break_upstreams",)),
+    "forge_copies": Sabotage("refused", ("fail_service",), callers=40),
+    "join_connections": Sabotage("connections", ("reborn_upstream",), callers=60),
     "skip_event": Sabotage("order", ("reload_vm",)),
     "rewrite_older": Sabotage("configuration", ("restore_store",), callers=60),
     "hide_status": Sabotage("listed", ("reload_vm",)),
@@ -88,6 +90,7 @@
         self.is_over = False
         self.begun_at, self.healed_at = 0.0, 0.0
         self.figures = {}
+        self.seed = arguments.seed
         self.random = random.Random(arguments.seed)
 
     async def build(self, vms):
@@ -204,12 +207,18 @@
         asking = [asyncio.create_task(caller.run()) for caller in crowd]
         asking.append(asyncio.create_task(self.look_at_vms()))
         begin = self.begun_at = self.ledger.now()
-        plan = faults.draw_plan(self.random, SETTLE_S, seconds - CALM_END_S, names)
+        end = seconds - CALM_END_S
+        plan = faults.draw_plan(self.random, SETTLE_S, end, names)
+        if not names:
+            beside = random.Random(f"series {self.seed}")
+            plan += faults.draw_plan(beside, SETTLE_S, end, list(faults.SERIES), faults.SERIES_GAP_S)
+            plan.sort(key=lambda planned: planned.at)
         tasks = []
         for planned in plan:
             await asyncio.sleep(max(0.0, begin + planned.at - self.ledger.now()))
             self.note(planned)
-            tasks.append(asyncio.create_task(faults.FAULTS[planned.name](self, random.Random(planned.seed))))
+            fault = (faults.FAULTS | faults.SERIES)[planned.name]
+            tasks.append(asyncio.create_task(fault(self, random.Random(planned.seed))))
         await asyncio.gather(*tasks)
         self.heal()
         await asyncio.sleep(CALM_END_S / 2)
@@ -282,7 +291,7 @@
         statuses[name] = statuses.get(name, 0) + 1
     broken = sorted({promise for promise, _ in world.ledger.violations})
     result = {"seed": arguments.seed, "sabotage": world.sabotage, "requests": len(outcomes), "runs": len(world.ledger.runs),
-              "statuses": statuses, **world.figures, "broken": broken}
+              "statuses": statuses, "copies": world.ledger.copies, **world.figures, "broken": broken}
     if world.sabotage:
         result["seen_to_fail"] = SABOTAGES[world.sabotage].promise in broken
     (world.folder / "report.json").write_text(
@@ -301,7 +310,7 @@
     parser.add_argument("--vms", type=int, default=6)
     parser.add_argument("--callers", type=int, default=20)
     parser.add_argument("--limited-rate", type=float, default=4000, help="tokens a second of the limited workspace")
-    parser.add_argument("--only", action="append", choices=sorted(faults.FAULTS), help="only these faults")
+    parser.add_argument("--only", action="append", choices=sorted(faults.FAULTS | faults.SERIES), help="only these faults")
     parser.add_argument("--sabotage", choices=sorted(SABOTAGES), help="break a mechanism; passes if its promise fails")
     parser.add_argument("--binary", default="build/papayashelf")
     parser.add_argument("--folder", default="build/soak", help="logs and report of each seed go there")
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import time
+from random import Random
 
 import http1
 from ledger import Offer, Run, Statement
@@ -16,6 +17,8 @@
 EVENT_GAP_S = 0.04
 WORK_S = 0.02
 COLD_S = 3.0
+COPY_SHARE = 0.5  # Of the refusals that name their request.
+UNNAMED_SHARE = 0.2  # Of the refusals of a full upstream.
 
 
 class Fault(enum.Enum):
@@ -36,6 +39,11 @@
     return f"id: {number}\ndata: {attempt} piece {number}\n\n".encode()
 
 
+def encode_answer(status, headers, body):
+    lines = [f"HTTP/1.1 {status} Refused", *(f"{name}: {value}" for name, value in headers), f"Content-Length: {len(body)}"]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
 class Upstream:
     serials = itertools.count(1)
 
@@ -51,6 +59,9 @@
         self.is_up = False
         self.proxy = None
         self._tasks = set()
+        # Of its own, so that the other draws of a seed stay as they are.
+        self._copy_random = Random(hash(random.getstate()))
+        self._all_attempts = set()
 
     async def start(self, is_new=True, is_cold=True):
         """Starts to serve and registers; anew, or under the id and the address that it had."""
@@ -139,18 +150,20 @@
     async def _answer(self, request, connection):
         attempt = request.header("attempt-id")
         self.ledger.arrivals.append((self.ledger.now(), self.service, attempt))
+        self._send_copies(attempt, connection)
         if request.header("expect-instance") != self.id:
-            await connection.answer(421, [("Not-Executed", "1")], b"")
+            await self._refuse(421, attempt, [("Not-Executed", "1")], b"", connection)
             return
         stated = self._state(attempt, connection) if self._states() else []
         if self.retry_after:
-            await connection.answer(503, [("Attempt-Id", attempt), ("Not-Executed", "1"), *stated], b"not now")
+            await self._refuse(503, attempt, [("Not-Executed", "1"), *stated], b"not now", connection)
             return
         fault = self.fault if self.random.random() < self.fault_share else Fault.NONE
         if fault is Fault.REFUSES:
             if self.sabotage == "run_refused":
                 self._begin_run(request, attempt)
-            await connection.answer(503, [("Not-Executed", "1"), *stated], b"full")
+            is_named = self._copy_random.random() >= UNNAMED_SHARE
+            await self._refuse(503, attempt if is_named else "", [("Not-Executed", "1"), *stated], b"full", connection)
             return
         run = self._begin_run(request, attempt)
         try:
@@ -158,6 +171,37 @@
         finally:
             run.ended_at = self.ledger.now()
 
+    async def _refuse(self, status, attempt, headers, body, connection):
+        """Refuses, and may send a copy of the refusal later: by itself, or ahead of the next answer on that connection."""
+        named = [("Attempt-Id", attempt)] if attempt else []
+        await connection.answer(status, [*named, *headers], body)
+        if self._copy_random.random() >= COPY_SHARE:
+            return
+        copy = encode_answer(status, [*named, *headers], body)
+        if self._copy_random.random() < 0.3:
+            self.ledger.copies["unasked"] += 1
+            asyncio.get_running_loop().call_later(self._copy_random.uniform(0, 0.03), self._send_alone, copy, connection)
+        else:
+            connection.copies.append(copy)
+
+    @staticmethod
+    def _send_alone(copy, connection):
+        if not connection.writer.transport.is_closing():
+            connection.writer.write(copy)
+
+    def _send_copies(self, attempt, connection):
+        """Sends what is due ahead of the answer, and notes which requests the connection has brought."""
+        attempts = self._all_attempts if self.sabotage == "join_connections" else connection.attempts
+        if attempt and attempt in attempts:
+            self.ledger.violate("connections", f"{attempt}: twice over one connection to {self.id}")
+        attempts.add(attempt)
+        for copy in connection.copies:
+            self.ledger.copies["ahead of an answer"] += 1
+            connection.writer.write(copy)
+        if connection.copies and self.sabotage == "forge_copies":
+            connection.writer.write(encode_answer(503, [("Attempt-Id", attempt), ("Not-Executed", "1")], b"forged"))
+        connection.copies.clear()
+
     def _states(self):
         """True from the first statement of this start on. Senders are looked up only then: it takes some milliseconds."""
         self.has_stated = self.has_stated or self.is_leaving or self.retry_after > 0 or self.limit > 0
