--- a/tests/entrance/ConnectionEndTest.cpp
+++ b/tests/entrance/ConnectionEndTest.cpp
@@ -5,7 +5,6 @@
 namespace papayashelf {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 /** A loss that one operation on a connection reports must not be an orderly end for those that follow. */
 class ConnectionEndTest : public CppUnit::TestFixture {
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -254,7 +254,7 @@
     const StandinHttp::Request& request, unsigned short port, const std::string& answer)
 {
     std::string& refusal = this->refusals[{ port, getHeader(request, "Attempt-Id") }];
-    const std::string text = refusal + answer;
+    std::string text = refusal + answer;
     const bool isRefusal = answer.starts_with("HTTP/1.1 421") || answer.find("Not-Executed") != std::string::npos;
     refusal = isRefusal ? answer : std::string();
     return text;
