Read an answer that comes behind many late ones

What callers saw: 502 for a request whose answer was there, behind three or more answers too many on a kept connection.

Cause: the third one ended the attempt. Connections of a full upstream carry many refusals, and their copies may come together. The bound keeps an upstream from sending answers without end; 16, each of 64 KB at most, does that too.

--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t maximumHeaderBytes = 32 * kibibyte;
 constexpr std::size_t maximumBodyBytes = 8 * mebibyte; /**< For an answer that is not streamed. */
 constexpr std::size_t maximumUnusedBodyBytes = 64 * kibibyte; /**< For a refusal or an answer to another request. */
-constexpr int maximumStrayAnswers = 2; /**< Unread answers to earlier requests that a connection may still deliver. */
+constexpr int maximumStrayAnswers = 16; /**< Answers to earlier requests that are read ahead of the right one. */
 /** Ahead of the upstream's own idle close, so that it does not close on a request in transit. */
 constexpr Milliseconds idleCloseMargin { 1'000 };
 constexpr Milliseconds maximumIdleTime { 30'000 }; /**< Even if the upstream announces a longer idle timeout. */
--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -103,6 +103,10 @@
         return formatWithLength(formatResponseHead("200 OK", id, false), body);
     case AnswerKind::OtherId:
         return formatWithLength(formatResponseHead("200 OK", "another", true), "body of another") + completeAnswer;
+    case AnswerKind::ManyOtherIds: {
+        const std::string other = formatWithLength(formatResponseHead("200 OK", "another", true), "body of another");
+        return other + other + other + other + other + other + other + other + completeAnswer;
+    }
     case AnswerKind::Truncated:
         return formatResponseHead("200 OK", id, true) + "Content-Length: 100\r\n\r\n" + body;
     case AnswerKind::Coded:
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -24,6 +24,7 @@
     TruncatedHeadLine, /**< The connection ends within a header line, after the seal. */
     Unsealed, /**< A success without the seal. */
     OtherId, /**< An answer to another request, followed by the right one. */
+    ManyOtherIds, /**< Eight answers to another request, followed by the right one. */
     Truncated, /**< The body is shorter than its Content-Length. */
     TruncatedEvent, /**< A stream that ends in the middle of its third event. */
     NoResponse, /**< No answer; the connection stays open. */
