--- a/modules/dispatch/dispatcher/DispatcherAttempts.cpp
+++ b/modules/dispatch/dispatcher/DispatcherAttempts.cpp
@@ -131,8 +131,10 @@
         return;
     }
     this->releaseTarget(now, inFlight, in_flight_rules::classifyResult(ended.result, ended.status), router);
+    // A request that may be repeated loses nothing by the belief that it has not run.
+    const bool isRefusalCertain = !ended.mayHaveRun || inFlight.admitted.isIdempotent;
     const bool isCertainlyNotRun
-        = ended.result == AttemptResult::NotSent || (ended.result == AttemptResult::RejectedBusy && !ended.mayHaveRun);
+        = ended.result == AttemptResult::NotSent || (ended.result == AttemptResult::RejectedBusy && isRefusalCertain);
     inFlight.mayHaveRun = inFlight.mayHaveRun || !isCertainlyNotRun;
     if (inFlight.kept && ended.result != AttemptResult::Completed) {
         this->returnToKept(inFlight, output);
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(testReportsOfEndedAttemptsAreDiscarded);
     CPPUNIT_TEST(testSilentAttemptGoesOnWithoutAnotherUpstream);
     CPPUNIT_TEST(testRequestIsNotRepeatedAfterAnUncertainRefusal);
+    CPPUNIT_TEST(testRefusedRequestIsNotChargedAfterAnUncertainRefusal);
     CPPUNIT_TEST(testSilentAttemptGoesOnIfItMayNotRunAgain);
     CPPUNIT_TEST(testSilentAttemptIsKeptUntilAnotherIsAccepted);
     CPPUNIT_TEST(testSilentAttemptGoesOnAfterTheOtherOneFailed);
@@ -116,6 +117,20 @@
         }
     }
 
+    void testRefusedRequestIsNotChargedAfterAnUncertainRefusal()
+    {
+        Router router = makeRouter(makeGovernance(3));
+        DispatchSettings settings;
+        settings.attemptsPerRequest = 1;
+        Dispatcher dispatcher = makeDispatcher(settings);
+        const StartAttempt started = this->expectStart(dispatcher.submit(this->now, makeRequest(1), router));
+        AttemptEnded ended = makeAttemptEnded(started, AttemptResult::RejectedBusy);
+        ended.mayHaveRun = true;
+        const DispatchOutput output = dispatcher.handle(this->now, ended, router);
+        CPPUNIT_ASSERT(this->expectRefusal(output).ran == Ran::No);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, output.settlements.front().usedTokens);
+    }
+
     void testSilentAttemptGoesOnIfItMayNotRunAgain()
     {
         Router router = makeRouter(makeGovernance(3));
