Name the sender of a dropped answer, not the attempt that began last

While an attempt at a silent upstream is kept beside another one, answer_dropped blamed the other one. Also: RepeatedRefusalTest expects the second try on a connection of its own, so that it cannot pass for another reason.

--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -147,6 +147,13 @@
     return host.substr(0, host.find(':'));
 }
 
+/** Returns the name of an attempt's destination, for the log. */
+std::string nameDestination(const std::variant<UseUpstream, UseRelay>& destination)
+{
+    const auto* upstream = std::get_if<UseUpstream>(&destination);
+    return upstream ? upstream->upstream.id.string() : "relay:" + std::get<UseRelay>(destination).vm.string();
+}
+
 bool mayHaveRun(const AttemptOutcome& outcome)
 {
     return outcome.end == AttemptEnd::Complete || outcome.end == AttemptEnd::Unanswered
@@ -406,7 +413,8 @@
     const Milliseconds sentAt = this->now();
     running->sentAt = sentAt;
     running->attempt.setDroppedAnswerHandler(
-        [this](const DroppedAnswer& dropped) { this->noteDroppedAnswer(dropped); });
+        [this, name = nameDestination(running->destination)](
+            const DroppedAnswer& dropped) { this->noteDroppedAnswer(name, dropped); });
     if (const auto* relay = std::get_if<UseRelay>(&running->destination)) {
         const bool isOwnRegion = relay->region == this->context.core.getRegion();
         if (isOwnRegion)
@@ -446,15 +454,14 @@
 {
     const auto* relay = std::get_if<UseRelay>(&running.destination);
     this->wasLastAttemptRelayed = relay != nullptr;
+    this->lastUpstream = nameDestination(running.destination);
     std::string head;
     Endpoint endpoint;
     if (relay) {
-        this->lastUpstream = "relay:" + relay->vm.string();
         endpoint = relay->endpoint;
         head = this->formatRelayHead(*relay);
     } else {
         const auto& choice = std::get<UseUpstream>(running.destination);
-        this->lastUpstream = choice.upstream.id.string();
         endpoint = choice.upstream.endpoint;
         head = this->formatUpstreamHead(choice);
     }
@@ -520,10 +527,8 @@
 
 void RequestServer::noteStreamSource(const RunningAttempt& running)
 {
-    const auto* upstream = std::get_if<UseUpstream>(&running.destination);
     StreamSource source;
-    source.destination
-        = upstream ? upstream->upstream.id.string() : "relay:" + std::get<UseRelay>(running.destination).vm.string();
+    source.destination = nameDestination(running.destination);
     source.version = this->findVersion(running);
     if (this->streamSource || this->parseNumberHeader(this->context.names.lastEventId)) {
         const StreamSource before = this->streamSource.value_or(StreamSource {});
@@ -654,12 +659,11 @@
             { "attempt", boost::json::value(running.number) } });
 }
 
-void RequestServer::noteDroppedAnswer(const DroppedAnswer& dropped)
+void RequestServer::noteDroppedAnswer(const std::string& destination, const DroppedAnswer& dropped)
 {
     this->context.metrics.noteDroppedAnswer(dropped.status == 0 ? "unasked" : dropped.isRefusal ? "refusal" : "answer");
     this->context.log.write(this->now(), LogWeight::Notable, "answer_dropped",
-        { { "request", this->requestId }, { "upstream", this->lastUpstream },
-            { "status", boost::json::value(dropped.status) },
+        { { "request", this->requestId }, { "upstream", destination }, { "status", boost::json::value(dropped.status) },
             { "names_request", std::string_view(dropped.namedRequest).substr(0, maximumLoggedIdBytes) },
             { "not_run", boost::json::value(dropped.isRefusal) },
             { "connection", boost::json::value(dropped.connection) },
--- a/modules/serving/request/RequestServer.h
+++ b/modules/serving/request/RequestServer.h
@@ -112,7 +112,8 @@
     boost::asio::awaitable<void> noteEnd(RunningAttempt& running, const AttemptOutcome& outcome);
     boost::asio::awaitable<void> noteUpstreamEnd(RunningAttempt& running, const AttemptOutcome& outcome);
     void noteRelayEnd(const RunningAttempt& running, const AttemptOutcome& outcome);
-    void noteDroppedAnswer(const DroppedAnswer& dropped);
+    /** @param destination  name of what sent the answer */
+    void noteDroppedAnswer(const std::string& destination, const DroppedAnswer& dropped);
     /**
         Makes another attempt while the upstream of the current one is silent. Returns true, and sets this->successor,
        once the answer to the other attempt has begun; false to go on with the current one.
--- a/tests/serving/RepeatedRefusalTest.cpp
+++ b/tests/serving/RepeatedRefusalTest.cpp
@@ -49,6 +49,7 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(path + ": " + answer.text, 200, answer.getStatus());
         CPPUNIT_ASSERT_MESSAGE(path + ": " + answer.text, answer.isComplete());
         CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t { 2 }, upstream.getRequests().size());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t { 2 }, upstream.countConnectionsUsed());
     }
 
     /** An upstream has started again at its address under another id while the list still names both. */
