--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -8,6 +8,7 @@
 import time
 from random import Random
 
+import h11
 import http1
 from ledger import Offer, Run, Statement
 from proxy import FaultProxy
@@ -60,7 +61,7 @@
         self.proxy = None
         self._tasks = set()
         # Of its own, so that the other draws of a seed stay as they are.
-        self._copy_random = Random(hash(random.getstate()))
+        self._copy_random = Random(repr(random.getstate()))
         self._all_attempts = set()
 
     async def start(self, is_new=True, is_cold=True):
@@ -186,7 +187,8 @@
 
     @staticmethod
     def _send_alone(copy, connection):
-        if not connection.writer.transport.is_closing():
+        """Sends a copy, unless an answer is under way, ahead of which or behind which it would have to go."""
+        if connection.protocol.our_state is h11.IDLE and not connection.writer.transport.is_closing():
             connection.writer.write(copy)
 
     def _send_copies(self, attempt, connection):
