--- a/modules/platform/http/HttpConnection.cpp
+++ b/modules/platform/http/HttpConnection.cpp
@@ -22,6 +22,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint64_t largestAnswerBytes = 67'108'864;
+constexpr unsigned firstFinalStatus = 200;
 
 /** A connection idle for longer may have been forgotten by something on the way, which drops what is sent on it. */
 constexpr Milliseconds longestTrustedIdle { 5'000 };
@@ -128,6 +129,10 @@
                 return;
             }
             result.answer = WireAnswer { static_cast<int>(response.result_int()), response.body() };
+            if (response.result_int() < firstFinalStatus) {
+                self->fail("no usable answer: interim");
+                return;
+            }
             state.isConnected = response.keep_alive();
             self->finish(std::move(result));
         });
@@ -157,7 +162,7 @@
 bool HttpConnection::isReusable()
 {
     State& state = *this->state;
-    if (!state.isConnected || state.handler)
+    if (!state.isConnected || state.handler || state.buffer.size() > 0)
         return false;
     if ((Clock().now() - state.idleSince).count() > longestTrustedIdle.count())
         return false;
--- a/tests/adapter/StoreConnectionTest.cpp
+++ b/tests/adapter/StoreConnectionTest.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
@@ -60,6 +62,48 @@
     return reply;
 }
 
+std::string formatReply(int number)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"n\":" + std::to_string(number) + "}";
+}
+
+/** Serves calls with numbered replies, and writes each reply again a moment later. */
+class CopyingStore {
+public:
+    explicit CopyingStore(asio::io_context& context)
+        : acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        asio::co_spawn(context, this->accept(), asio::detached);
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            tcp::socket socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::array<char, 1024> request {};
+        while (true) {
+            co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+            const std::string reply = formatReply(++this->replies);
+            co_await asio::async_write(socket, asio::buffer(reply), asio::use_awaitable);
+            asio::steady_timer pause(socket.get_executor(), std::chrono::milliseconds(20));
+            co_await pause.async_wait(asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(reply), asio::use_awaitable);
+        }
+    }
+
+    tcp::acceptor acceptor;
+    int replies = 0;
+};
+
 } // namespace
 
 class StoreConnectionTest : public CppUnit::TestFixture {
@@ -68,6 +112,8 @@
     CPPUNIT_TEST(testMissingReplyFailsCall);
     CPPUNIT_TEST(testStalledReplyFailsCall);
     CPPUNIT_TEST(testOddItemLeavesTheOthersOfItsPageReadable);
+    CPPUNIT_TEST(testCopyOfAReplyIsNotTakenForTheNextOne);
+    CPPUNIT_TEST(testInterimReplyIsNotTakenForTheReply);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +150,36 @@
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(3));
     }
 
+    void testCopyOfAReplyIsNotTakenForTheNextOne()
+    {
+        asio::io_context context;
+        CopyingStore store(context);
+        StoreEra era;
+        StoreConnection connection(context.get_executor(), store.endpoint(), era);
+        std::vector<std::int64_t> numbers;
+        const auto run = [&]() -> asio::awaitable<void> {
+            for (int call = 0; call < 3; ++call) {
+                const auto reply
+                    = co_await connection.call(boost::beast::http::verb::get, "/", std::nullopt, Milliseconds(1'000));
+                CPPUNIT_ASSERT(reply);
+                numbers.push_back(reply.value().body.at("n").to_number<std::int64_t>());
+                asio::steady_timer pause(context, std::chrono::milliseconds(100));
+                co_await pause.async_wait(asio::use_awaitable);
+            }
+            context.stop();
+        };
+        asio::co_spawn(context, run, asio::detached);
+        context.run();
+        CPPUNIT_ASSERT(numbers == (std::vector<std::int64_t> { 1, 2, 3 }));
+    }
+
+    void testInterimReplyIsNotTakenForTheReply()
+    {
+        PiecewiseStore store({ "HTTP/1.1 102 Processing\r\n\r\n", formatReply(1) }, std::chrono::milliseconds(50));
+        const auto reply = callOnce(store.endpoint(), Milliseconds(300));
+        CPPUNIT_ASSERT(reply && !*reply && reply->error().code == ErrorCode::OutcomeUnknown);
+    }
+
     void testOddItemLeavesTheOthersOfItsPageReadable()
     {
         const std::string nested = std::string(100, '[') + std::string(100, ']');
