Let tests queue answers only after the last request has its own

Cause, by reading: SealedUpstream listed a request before it had chosen its answer. Tests that wait for a request and then queue other answers could replace the answer of that very request; here the stream would be reset and use the retry itself. The time between is some microseconds, longer under sanitizers. The failure was not reproduced, so that another cause is not ruled out.

Change: a request is listed and its answer chosen under one lock. All tests that wait for requests of these upstreams gain by it; no test or bound changes.

--- a/tests/serving/SealedUpstream.cpp
+++ b/tests/serving/SealedUpstream.cpp
@@ -61,6 +61,17 @@
     return { value.data(), value.size() };
 }
 
+bool hasDeadlyPart(const StandinHttp::Request& request)
+{
+    return getHeader(request, "Prompt-Prefix").find(std::string(SealedUpstream::deadlyPart) + ':') != std::string::npos;
+}
+
+bool hasDeadlyTarget(const StandinHttp::Request& request)
+{
+    return request.target().find(SealedUpstream::deadlyTarget) != std::string_view::npos
+        && request.body() != SealedUpstream::harmlessBody;
+}
+
 std::string makeStreamAnswer(const StandinHttp::Request& request, AnswerKind kind)
 {
     const std::string last = getHeader(request, "Last-Event-Id");
@@ -182,7 +193,12 @@
 
 void SealedUpstream::listen(const Endpoint& at)
 {
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->requests.clear();
+    }
     this->http = std::make_unique<StandinHttp>(at);
+    this->http->setRecording(false);
     this->endpoint = this->http->start([this](const StandinHttp::Request& request, StandinHttp::Stream& stream) {
         return this->handle(request, stream);
     });
@@ -203,9 +219,8 @@
 
 std::vector<StandinRequest> SealedUpstream::getRequests() const
 {
-    std::vector<StandinRequest> requests = this->http ? this->http->getRequests() : std::vector<StandinRequest>();
-    std::erase_if(requests, [](const StandinRequest& request) { return request.target == healthPath; });
-    return requests;
+    const std::scoped_lock lock(this->mutex);
+    return this->http ? this->requests : std::vector<StandinRequest>();
 }
 
 void SealedUpstream::setStatedColdTime(const std::string& milliseconds)
@@ -264,10 +279,12 @@
     return text;
 }
 
-AnswerKind SealedUpstream::takeNextAnswer()
+AnswerKind SealedUpstream::receive(const StandinHttp::Request& request, unsigned short port)
 {
     const std::scoped_lock lock(this->mutex);
-    if (this->queuedAnswers.empty())
+    this->ports.push_back(port);
+    this->requests.push_back(StandinHttp::makeRecord(request));
+    if (hasDeadlyPart(request) || hasDeadlyTarget(request) || this->queuedAnswers.empty())
         return AnswerKind::Complete;
     const AnswerKind kind = this->queuedAnswers.front();
     this->queuedAnswers.pop_front();
@@ -361,19 +378,13 @@
         co_return true;
     }
     const unsigned short port = stream.socket().remote_endpoint().port();
-    {
-        const std::scoped_lock lock(this->mutex);
-        this->ports.push_back(port);
-    }
-    if (getHeader(request, "Prompt-Prefix").find(std::string(deadlyPart) + ':') != std::string::npos)
+    const AnswerKind kind = this->receive(request, port);
+    if (hasDeadlyPart(request))
         co_return co_await this->crash(request, stream);
-    const auto target = request.target();
-    const std::string_view targetText(target.data(), target.size());
-    if (targetText.find(deadlyTarget) != std::string_view::npos && request.body() != harmlessBody) {
+    if (hasDeadlyTarget(request)) {
         this->http->stopListening();
         co_return false;
     }
-    const AnswerKind kind = this->takeNextAnswer();
     if (kind == AnswerKind::NoResponse) {
         co_await this->waitUntilClosed(stream);
         co_return false;
@@ -390,7 +401,7 @@
         co_return co_await this->sendWithPause(request, stream);
     if (const auto endless = makeEndlessAnswer(kind, getHeader(request, "Attempt-Id")))
         co_return co_await this->sendEndlessly(endless->begin, endless->repeated, stream);
-    const bool isStream = targetText.starts_with("/stream/");
+    const bool isStream = request.target().starts_with("/stream/");
     const bool isStreamKind = kind == AnswerKind::Complete || kind == AnswerKind::Late
         || kind == AnswerKind::TruncatedEvent || kind == AnswerKind::Unsealed || kind == AnswerKind::Large;
     std::string text = this->addStatements(
--- a/tests/serving/SealedUpstream.h
+++ b/tests/serving/SealedUpstream.h
@@ -55,7 +55,7 @@
 /**
     A fake upstream that seals its answers and can be told, request by request, to misbehave.
 
-    Thread safety: only the owner calls queueAnswers(), before the request that it applies to.
+    Thread safety: only the owner calls queueAnswers(), before getRequests() lists the request that it applies to.
 */
 class SealedUpstream {
 public:
@@ -126,7 +126,10 @@
     /** Resets the connections of stalled streams. Precondition: it is started. */
     void resetStalled();
 
-    /** Returns the requests received since the last start, but for those for its health; none while it is ended. */
+    /**
+        Returns the requests received since the last start, but for those for its health; none while it is ended. Once
+        a request is listed, queueAnswers() no longer changes its answer.
+    */
     std::vector<StandinRequest> getRequests() const;
 
     /** Returns the bytes of endless answers that were sent so far. */
@@ -140,7 +143,8 @@
 
 private:
     boost::asio::awaitable<bool> handle(const StandinHttp::Request& request, StandinHttp::Stream& stream);
-    AnswerKind takeNextAnswer();
+    /** Lists the request and returns the kind of its answer. */
+    AnswerKind receive(const StandinHttp::Request& request, unsigned short port);
     boost::asio::awaitable<void> waitUntilClosed(StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> sendWithPause(const StandinHttp::Request& request, StandinHttp::Stream& stream);
     boost::asio::awaitable<bool> stall(const StandinHttp::Request& request, StandinHttp::Stream& stream);
@@ -163,6 +167,7 @@
     std::atomic<bool> repeatsRefusals = false;
     /** Refusals by the remote port of their connection and the request's id; used on the server's thread. */
     std::map<std::pair<unsigned short, std::string>, std::string> refusals;
+    std::vector<StandinRequest> requests;
     std::vector<unsigned short> ports; /**< Remote port of the connection of each request. */
     Endpoint endpoint;
     std::chrono::steady_clock::time_point coldUntil;
--- a/tests/standins/engine/StandinHttp.cpp
+++ b/tests/standins/engine/StandinHttp.cpp
@@ -229,18 +229,23 @@
     }
 }
 
+StandinRequest StandinHttp::makeRecord(const Request& request)
+{
+    StandinRequest record;
+    record.method = std::string(request.method_string());
+    record.target = std::string(request.target());
+    for (const auto& field : request.base())
+        record.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    record.body = request.body();
+    return record;
+}
+
 void StandinHttp::record(const Request& request)
 {
     const std::lock_guard lock(this->mutex);
     if (!this->isRecording || isControl(request.target()))
         return;
-    StandinRequest recorded;
-    recorded.method = std::string(request.method_string());
-    recorded.target = std::string(request.target());
-    for (const auto& field : request.base())
-        recorded.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    recorded.body = request.body();
-    this->requests.push_back(std::move(recorded));
+    this->requests.push_back(makeRecord(request));
     this->changed.notify_all();
 }
 
--- a/tests/standins/engine/StandinHttp.h
+++ b/tests/standins/engine/StandinHttp.h
@@ -114,6 +114,9 @@
     /** How often an event was counted. */
     int getCount(const std::string& event) const;
 
+    /** Returns what getRequests() keeps of a request. */
+    static StandinRequest makeRecord(const Request& request);
+
     /** Writes a whole JSON answer; returns whether the connection goes on. */
     static boost::asio::awaitable<bool> answer(
         Stream& stream, const Request& request, unsigned status, std::string body, bool saysNotRun = false);
