Keep closed ports of tests from being taken by other processes

Suspected cause: tests took the port of a stand-in that had ended for a closed one. Until its use, the kernel may give it to any other process, and test programs run beside each other. ClosedPort holds a port that is bound and does not listen, so that connections are refused.

The assertion now shows how the attempt ended.

--- a/tests/entrance/SilentUpstreamTest.cpp
+++ b/tests/entrance/SilentUpstreamTest.cpp
@@ -2,6 +2,7 @@
 #include "entrance/ScriptedUpstream.h"
 #include "standins/engine/StandinEngine.h"
 #include "standins/engine/StandinService.h"
+#include "standins/network/ClosedPort.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -72,6 +73,11 @@
         CPPUNIT_ASSERT(answer->body().ends_with(ScriptedUpstream::endMark));
     }
 
+    static void assertEndedAs(AttemptResult expected, const AttemptEnded& ended)
+    {
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(expected), static_cast<int>(ended.result));
+    }
+
     // The limit on silence cut the answer off although nothing else could take it.
     void testSilentStreamIsNotCutOffWithoutAnotherUpstream()
     {
@@ -96,13 +102,9 @@
     /** Each upstream that does not take a request over, with how the attempt at it ends. */
     void forEachFailure(const std::function<void(const StartAttempt&, AttemptResult)>& test)
     {
-        Endpoint closed;
-        {
-            StandinService gone;
-            closed = gone.start();
-        }
+        const ClosedPort closed;
         const Milliseconds patience { 10'000 };
-        test(attemptAt(closed, patience), AttemptResult::NotSent);
+        test(attemptAt(closed.getEndpoint(), patience), AttemptResult::NotSent);
         StandinEngine busy;
         const Endpoint busyEndpoint = busy.start();
         busy.getHttp().setFault({ StandinFault::RefuseBusy, 0, 1 });
@@ -129,7 +131,7 @@
             TestCaller caller(entry);
             caller.send(TestCaller::chatRequest(true, 6));
             const RequestId request = harness.waitForReport<RequestArrival>().request;
-            CPPUNIT_ASSERT(harness.waitForEnd(request, 2).result == expected);
+            assertEndedAs(expected, harness.waitForEnd(request, 2));
             goOn.set_value();
             assertTokens(caller.readAnswer(), 6);
             CPPUNIT_ASSERT(harness.waitForEnd(request, 1).result == AttemptResult::Completed);
@@ -153,7 +155,7 @@
                 TestCaller caller(entry);
                 caller.send(isPlain ? "GET /a HTTP/1.1\r\nhost: g\r\n\r\n" : TestCaller::chatRequest(true, 6));
                 const RequestId request = harness.waitForReport<RequestArrival>().request;
-                CPPUNIT_ASSERT(harness.waitForEnd(request, 2).result == expected);
+                assertEndedAs(expected, harness.waitForEnd(request, 2));
                 goOn.set_value();
                 const auto answer = caller.readAnswer();
                 if (isPlain)
@@ -248,7 +250,7 @@
             TestCaller caller(entry);
             caller.send(TestCaller::chatRequest(true, 6));
             const RequestId request = near.waitForReport<RequestArrival>().request;
-            CPPUNIT_ASSERT(near.waitForEnd(request, 2).result == expected);
+            assertEndedAs(expected, near.waitForEnd(request, 2));
             goOn.set_value();
             assertTokens(caller.readAnswer(), 6);
             CPPUNIT_ASSERT(near.waitForEnd(request, 1).result == AttemptResult::Completed);
--- a/tests/entrance/UpstreamFaultTest.cpp
+++ b/tests/entrance/UpstreamFaultTest.cpp
@@ -1,6 +1,7 @@
 #include "entrance/EntranceHarness.h"
 #include "standins/engine/StandinEngine.h"
 #include "standins/engine/StandinService.h"
+#include "standins/network/ClosedPort.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -114,12 +115,8 @@
 
     void testUnreachableAndBusyAreCertainlyNotRun()
     {
-        Endpoint closed;
-        {
-            StandinService gone;
-            closed = gone.start();
-        }
-        CPPUNIT_ASSERT(resultOfPost(closed) == AttemptResult::NotSent);
+        const ClosedPort closed;
+        CPPUNIT_ASSERT(resultOfPost(closed.getEndpoint()) == AttemptResult::NotSent);
         StandinService service;
         const Endpoint upstream = service.start();
         service.getHttp().setFault({ StandinFault::RefuseBusy, 0, 1 });
--- a/tests/platform/HttpKeyValueClientTest.cpp
+++ b/tests/platform/HttpKeyValueClientTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/http/BlockingHttpCall.h"
 #include "platform/http/BlockingKeyValueClient.h"
 #include "platform/http/HttpVmListClient.h"
+#include "standins/network/ClosedPort.h"
 #include "standins/platform/StandinPlatform.h"
 
 #include <array>
@@ -52,14 +53,6 @@
     std::unique_ptr<HttpKeyValueClient> client;
 };
 
-/** A port of loopback where nothing listens. */
-Endpoint closedEndpoint()
-{
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    return { "127.0.0.1", acceptor.local_endpoint().port() };
-}
-
 /** Takes one connection, reads some bytes of a call, sends the given text and closes. */
 struct AbruptServer {
     explicit AbruptServer(boost::asio::io_context& context, std::string answer)
@@ -136,8 +129,9 @@
 
     void testNothingListeningIsUnavailable()
     {
+        const ClosedPort closed;
         Fixture fixture;
-        fixture.client = std::make_unique<HttpKeyValueClient>(fixture.context, closedEndpoint());
+        fixture.client = std::make_unique<HttpKeyValueClient>(fixture.context, closed.getEndpoint());
         CPPUNIT_ASSERT(ErrorCode::Unavailable == fixture.call(swap("k", "a", 0)).error().code);
     }
 
--- a/tests/publication/CommandTest.cpp
+++ b/tests/publication/CommandTest.cpp
@@ -3,6 +3,7 @@
 #include "publication/commands/Commands.h"
 #include "publication/commands/VmStatusPolling.h"
 #include "settings/settings.h"
+#include "standins/network/ClosedPort.h"
 #include "standins/platform/StandinPlatform.h"
 
 #include <atomic>
@@ -277,11 +278,8 @@
         const TemporaryTree tree(exampleTree());
         const PlatformThread platform;
         const StatusServer north("north", { 0 });
-        Endpoint closed;
-        {
-            const StatusServer gone("south", { 0 });
-            closed = gone.endpoint();
-        }
+        const ClosedPort port;
+        const Endpoint closed = port.getEndpoint();
         PublishOptions options = optionsFor(tree.path(), platform.service);
         options.administration = { north.endpoint(), closed };
         options.wait = Milliseconds(1);
@@ -332,11 +330,8 @@
     void testPublishWithoutAStore()
     {
         const TemporaryTree tree(exampleTree());
-        Endpoint closed;
-        {
-            const PlatformThread gone;
-            closed = gone.service;
-        }
+        const ClosedPort port;
+        const Endpoint closed = port.getEndpoint();
         CPPUNIT_ASSERT_EQUAL(4, publish(optionsFor(tree.path(), closed)).code);
         CPPUNIT_ASSERT_EQUAL(2, publish(optionsFor(tree.path(), {})).code);
         tree.write("club/workspace.gateway.toml", "[workspace]\n");
