Share out the slots of upstreams that fail if they reject too much (LIMIT)

Cause: nothing read the statement, and each VM fills an upstream's slots by a view of the other VMs' load that is up to half a second old.

Change: the statement is read and passed on with the digests, with an age of its own. While it holds, the VMs of the region share out the slots of the upstream evenly, alike in each view, so that their sum needs no news of each other. A VM sends nothing there in its first two seconds, and for a second after a rejection. Builds before read the longer digests and ignore what is new; those of such builds state no limit.

--- a/modules/gateway/digest/Digest.cpp
+++ b/modules/gateway/digest/Digest.cpp
@@ -176,11 +176,15 @@
         json::array fields { statement.upstream.string(), statement.startedAt, statement.age.count(),
             statement.isLeaving ? 1 : 0,
             statement.requestsPerSecond ? json::value(*statement.requestsPerSecond) : json::value() };
-        if (statement.endedFor || statement.coldFor > Milliseconds(0)) {
+        if (statement.endedFor || statement.coldFor > Milliseconds(0) || statement.rejectionLimitAge) {
             fields.push_back(encodeAge(statement.endedFor));
             fields.push_back(encodeAge(statement.returnedFor));
             fields.emplace_back(statement.coldFor.count());
         }
+        if (statement.rejectionLimitAge) {
+            fields.push_back(statement.rejectionLimit ? json::value(*statement.rejectionLimit) : json::value());
+            fields.push_back(encodeAge(statement.rejectionLimitAge));
+        }
         encoded.push_back(std::move(fields));
     }
     message["statements"] = std::move(encoded);
@@ -205,6 +209,12 @@
             statement.returnedFor = decodeOptionalAge(fields[6]);
             statement.coldFor = decodeAge(fields[7]);
         }
+        // Those of a later one state no limits on rejections.
+        if (fields.size() > 9) {
+            if (!fields[8].is_null())
+                statement.rejectionLimit = std::max(0.0, fields[8].to_number<double>());
+            statement.rejectionLimitAge = decodeOptionalAge(fields[9]);
+        }
         statements.push_back(std::move(statement));
     }
     return statements;
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/limits/ReturnSchedule.h"
 #include "gateway/limits/SharedAllowance.h"
 #include "gateway/limits/SharedRetryBudget.h"
+#include "gateway/limits/SlotShare.h"
 #include "gateway/limits/StatedRateLimit.h"
 #include "gateway/limits/StoredConfiguration.h"
 #include "gateway/limits/VmSelection.h"
--- a/modules/gateway/placement/Placement.cpp
+++ b/modules/gateway/placement/Placement.cpp
@@ -38,7 +38,8 @@
     , loadExchange(loadExchange)
     , random(seed)
     , coldLimit(vm)
-    , statedLimit(std::move(vm))
+    , statedLimit(vm)
+    , slotShare(std::move(vm))
 {
 }
 
@@ -126,7 +127,7 @@
         const bool isColdBound = upstream->isCold(now) && service.coldRequestsPerSecond > 0;
         const bool isAtStatedLimit = upstream->requestsPerSecond
             && !this->statedLimit.mayUse(now, upstream->record.id, *upstream->requestsPerSecond, regionVms);
-        if (candidate.load >= fullLoad || isAtStatedLimit) {
+        if (candidate.load >= fullLoad || isAtStatedLimit || this->isSlotShareUsed(now, *upstream, regionVms)) {
             cause = PlacementFailureCause::AllFull;
         } else if (isColdBound
             && (now < this->vmsKnownAt
@@ -168,6 +169,15 @@
     return std::any_of(regions.begin(), regions.end(), isListedIn);
 }
 
+bool Placement::isSlotShareUsed(Milliseconds now, const KnownUpstream& upstream, const std::vector<VmId>& regionVms)
+{
+    if (!upstream.rejectionLimit)
+        return false;
+    // A VM that has just started may not know all others, and would take their shares.
+    return now < this->vmsKnownAt
+        || upstream.running >= this->slotShare.get(now, upstream.record.id, upstream.record.slots, regionVms);
+}
+
 bool Placement::mayReturnTo(Milliseconds now, const KnownUpstream& upstream, std::size_t regionVms)
 {
     const Milliseconds elapsed = now - upstream.rejectsUntil;
@@ -378,6 +388,8 @@
         this->statedLimit.noteUse(upstream);
     else
         this->statedLimit.forget(upstream);
+    if (!found || !found->rejectionLimit)
+        this->slotShare.forget(upstream);
 }
 
 } // namespace papayashelf
--- a/modules/gateway/placement/Placement.h
+++ b/modules/gateway/placement/Placement.h
@@ -2,6 +2,7 @@
 
 #include "gateway/digest/LoadExchange.h"
 #include "gateway/limits/ColdStartLimit.h"
+#include "gateway/limits/SlotShare.h"
 #include "gateway/limits/StatedRateLimit.h"
 #include "gateway/model/ServingConfiguration.h"
 #include "gateway/placement/PrefillSpeed.h"
@@ -151,6 +152,7 @@
     {
         this->coldLimit.forget(upstream);
         this->statedLimit.forget(upstream);
+        this->slotShare.forget(upstream);
     }
 
     /** Records that a VM refused a relayed request or was unreachable. It gets no relayed requests for a while. */
@@ -168,6 +170,11 @@
     static bool mayUseVersion(const PlacementQuery& query, const KnownUpstream& upstream);
     /** Returns true if any upstream of the version that a request needs is listed where the request may go. */
     bool isVersionListed(const PlacementQuery& query) const;
+    /**
+        Returns true if this VM has all the requests at an upstream that it may have there while each rejection might
+        make the upstream fail.
+    */
+    bool isSlotShareUsed(Milliseconds now, const KnownUpstream& upstream, const std::vector<VmId>& regionVms);
     /** Returns true if the request may use an upstream that may have rejected requests shortly before. */
     bool mayReturnTo(Milliseconds now, const KnownUpstream& upstream, std::size_t regionVms);
     /** Returns the time until the first of the service's upstreams accepts requests again; 0 if none rejects them. */
@@ -205,6 +212,7 @@
     std::mt19937_64 random;
     ColdStartLimit coldLimit;
     StatedRateLimit statedLimit;
+    SlotShare slotShare;
     Milliseconds vmsKnownAt;
     PrefillSpeed prefillSpeed;
     PromptLength promptLength;
--- a/modules/gateway/upstreams/UpstreamRecord.h
+++ b/modules/gateway/upstreams/UpstreamRecord.h
@@ -39,6 +39,9 @@
     /** Requests per second that it accepts from all VMs together; empty if it states no limit. */
     std::optional<double> requestsPerSecond;
     bool isLimitKnown = true; /**< False if the response tells neither a limit nor that there is none. */
+    /** Rejections for want of room in a second above which it fails; empty if it states no such limit. */
+    std::optional<double> rejectionLimit;
+    bool isRejectionLimitKnown = true; /**< False if the response tells neither that limit nor that there is none. */
     bool isLeaving = false; /**< Whether it is about to end. */
     Milliseconds rejectsFor; /**< Time for which it wants no request from the VM that it answers; 0 for none. */
     Milliseconds connectedFor; /**< Time since the connection of the response was opened. */
--- a/modules/gateway/upstreams/UpstreamTable.cpp
+++ b/modules/gateway/upstreams/UpstreamTable.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds endLifetime { 6'000 };
 /** Older than any statement of a limit that counts. */
 constexpr Milliseconds unknownAge { 86'400'000 };
+/** Covers the exchange of a few load reports, after which other VMs know what the upstream is busy with. */
+constexpr Milliseconds rejectionPause { 1'000 };
 constexpr Milliseconds coldMargin { 300 }; /**< Covers the upstream's clock error and the delay of the list. */
 
 } // namespace
@@ -80,9 +82,14 @@
     if (hasRestarted) {
         const int running = upstream.running;
         const std::int64_t pendingTokens = upstream.pendingPrefillTokens;
+        const std::optional<double> rejectionLimit = upstream.rejectionLimit;
+        const Milliseconds rejectionLimitStatedAt = upstream.rejectionLimitStatedAt;
         upstream = KnownUpstream {};
         upstream.running = running;
         upstream.pendingPrefillTokens = pendingTokens;
+        // It may have failed by its rejections. Its first answer tells whether the limit still holds.
+        upstream.rejectionLimit = rejectionLimit;
+        upstream.rejectionLimitStatedAt = rejectionLimitStatedAt;
     }
     upstream.record = record;
     upstream.goneAt.reset();
@@ -200,6 +207,8 @@
     if (change.rejecting)
         known->rejectsUntil = rejectsUntil;
     change.limit = statement.isLimitKnown && noteLimit(now, *known, statement.requestsPerSecond);
+    change.rejectionLimit
+        = statement.isRejectionLimitKnown && noteRejectionLimit(now, *known, statement.rejectionLimit);
     return change;
 }
 
@@ -216,6 +225,24 @@
     return true;
 }
 
+bool UpstreamTable::noteRejectionLimit(Milliseconds at, KnownUpstream& upstream, std::optional<double> rejectionLimit)
+{
+    upstream.rejectionLimitStatedAt = at;
+    if (upstream.rejectionLimit == rejectionLimit)
+        return false;
+    if (!rejectionLimit)
+        upstream.rejectionLimitEndedAt = at;
+    upstream.rejectionLimit = rejectionLimit;
+    return true;
+}
+
+void UpstreamTable::noteRejection(Milliseconds now, const UpstreamId& id)
+{
+    KnownUpstream* upstream = this->get(id);
+    if (upstream && upstream->rejectionLimit)
+        upstream->rejectsUntil = std::max(upstream->rejectsUntil, now + rejectionPause);
+}
+
 bool UpstreamTable::noteProcessEnded(Milliseconds now, const UpstreamRecord& upstream)
 {
     KnownUpstream* known = this->get(upstream.id);
@@ -345,6 +372,8 @@
         upstream->leavingSince = now;
     if (statedAt > upstream->statedAt)
         noteLimit(statedAt, *upstream, statement.requestsPerSecond);
+    if (statement.rejectionLimitAge && now - *statement.rejectionLimitAge > upstream->rejectionLimitStatedAt)
+        noteRejectionLimit(now - *statement.rejectionLimitAge, *upstream, statement.rejectionLimit);
 }
 
 std::vector<SharedStatement> UpstreamTable::getSharedStatements(Milliseconds now, const RegionId& region) const
@@ -353,15 +382,17 @@
     for (const auto& [id, upstream] : this->upstreams) {
         if (upstream.record.region != region)
             continue;
-        const bool wasLimited
-            = upstream.limitEndedAt > Milliseconds(0) && now - upstream.limitEndedAt <= statementExchangeTime;
+        const auto isRecent
+            = [now](Milliseconds at) { return at > Milliseconds(0) && now - at <= statementExchangeTime; };
         const bool hasLimitNews
-            = now - upstream.statedAt <= statementExchangeTime && (upstream.requestsPerSecond || wasLimited);
+            = isRecent(upstream.statedAt) && (upstream.requestsPerSecond || isRecent(upstream.limitEndedAt));
+        const bool hasRejectionLimitNews = isRecent(upstream.rejectionLimitStatedAt)
+            && (upstream.rejectionLimit || isRecent(upstream.rejectionLimitEndedAt));
         const bool hasLeavingNews = upstream.leavingSince && now - *upstream.leavingSince <= statementExchangeTime;
         const auto getAge
             = [now](const std::optional<Milliseconds>& at) { return at ? std::optional(now - *at) : std::nullopt; };
         const bool isCold = upstream.isCold(now) && !upstream.isEndUncertain;
-        if (!hasLimitNews && !hasLeavingNews && !isCold)
+        if (!hasLimitNews && !hasRejectionLimitNews && !hasLeavingNews && !isCold)
             continue;
         if (isCold && upstream.laterStart != 0 && !upstream.endedAt) {
             SharedStatement started { id, upstream.laterStart, std::nullopt, false, unknownAge };
@@ -378,6 +409,10 @@
         } else if (isCold) {
             statement.coldFor = upstream.coldUntil - now;
         }
+        if (hasRejectionLimitNews) {
+            statement.rejectionLimit = upstream.rejectionLimit;
+            statement.rejectionLimitAge = now - upstream.rejectionLimitStatedAt;
+        }
         statements.push_back(std::move(statement));
     }
     return statements;
--- a/modules/gateway/upstreams/UpstreamTable.h
+++ b/modules/gateway/upstreams/UpstreamTable.h
@@ -61,6 +61,10 @@
     Milliseconds statedAt; /**< Time of its last statement, to this or another VM. */
     Milliseconds limitEndedAt; /**< Time at which its last limit ended; 0 if it had none. */
     int sentSinceLimited = 0; /**< Requests from this VM since its limit began. */
+    /** Rejections in a second above which it fails, by its last statement; empty if it bears any number. */
+    std::optional<double> rejectionLimit;
+    Milliseconds rejectionLimitStatedAt; /**< Time of that statement, to this or another VM; 0 if there was none. */
+    Milliseconds rejectionLimitEndedAt; /**< Time at which its last limit on rejections ended; 0 if it had none. */
     std::optional<Milliseconds> leavingSince; /**< Time at which this VM learned that it is about to end. */
     Milliseconds rejectsUntil; /**< Until then it wants no requests from this VM. */
     std::optional<Milliseconds> goneAt; /**< Set when it disappears from the list: time at which it is removed. */
@@ -118,6 +122,9 @@
         = {}; /**< Time since its process was last known to have ended; empty if it runs. */
     std::optional<Milliseconds> returnedFor = {}; /**< Time since it first answered again; empty if it has not. */
     Milliseconds coldFor = {}; /**< Time for which the process that started last is cold; 0 if it is warm or unknown. */
+    std::optional<double> rejectionLimit = {}; /**< Empty if it states no limit on rejections any more. */
+    /** Time since it last stated a limit on rejections or that it has none; empty if there is no news of it. */
+    std::optional<Milliseconds> rejectionLimitAge = {};
 
     bool operator==(const SharedStatement&) const = default;
 };
@@ -125,6 +132,7 @@
 /** What has changed by a statement. */
 struct StatementChange {
     bool limit = false; /**< Its limit has begun, changed or ended. */
+    bool rejectionLimit = false; /**< The same of its limit on rejections. */
     bool leaving = false; /**< It is known to leave from now on. */
     bool rejecting = false; /**< It wants no requests from this VM for longer than was known. */
 
@@ -237,6 +245,12 @@
        have ended. */
     std::vector<SharedStatement> getSharedStatements(Milliseconds now, const RegionId& region) const;
 
+    /**
+        Records that an upstream rejected a request of this VM. One that states a limit on rejections gets no requests
+        from this VM for a while.
+    */
+    void noteRejection(Milliseconds now, const UpstreamId& id);
+
     /** Records the load that an upstream reported in a response. */
     void noteLoad(Milliseconds now, const UpstreamId& id, const ReportedLoad& load);
 
@@ -301,6 +315,7 @@
         Milliseconds now, KnownUpstream& upstream, std::int64_t startedAt, Milliseconds coldFor);
     static void forgetEnd(KnownUpstream& upstream);
     static bool noteLimit(Milliseconds at, KnownUpstream& upstream, std::optional<double> requestsPerSecond);
+    static bool noteRejectionLimit(Milliseconds at, KnownUpstream& upstream, std::optional<double> rejectionLimit);
     bool isUsable(const KnownUpstream& upstream) const;
 
     std::map<UpstreamId, KnownUpstream> upstreams;
--- a/modules/serving/http/HeaderNames.h
+++ b/modules/serving/http/HeaderNames.h
@@ -20,6 +20,8 @@
     std::string priority; /**< 0 is the most urgent; engines run urgent requests first. */
     std::string load; /**< Running requests, waiting requests and slots, separated by commas. */
     std::string limit; /**< Requests per second that the upstream accepts from all VMs together, as a decimal number. */
+    /** Rejections for want of room in a second above which the upstream fails, as a decimal number. */
+    std::string rejectionLimit;
     std::string leaving; /**< "1" if the upstream is about to end. */
     std::string
         coldFor; /**< Milliseconds for which the upstream accepts only few requests; in answers on its health. */
--- a/modules/serving/process/GatewayProcess.cpp
+++ b/modules/serving/process/GatewayProcess.cpp
@@ -229,6 +229,9 @@
     gauge("papayashelf_limited_upstreams", std::count_if(upstreams.begin(), upstreams.end(), [](const auto& entry) {
         return entry.second.requestsPerSecond.has_value();
     }));
+    gauge("papayashelf_upstreams_that_limit_rejections",
+        std::count_if(upstreams.begin(), upstreams.end(),
+            [](const auto& entry) { return entry.second.rejectionLimit.has_value(); }));
     gauge("papayashelf_leaving_upstreams", std::count_if(upstreams.begin(), upstreams.end(), [](const auto& entry) {
         return entry.second.record.isLeaving || entry.second.leavingSince;
     }));
--- a/modules/serving/request/RequestServer.cpp
+++ b/modules/serving/request/RequestServer.cpp
@@ -733,6 +733,9 @@
     if (change.limit)
         log(statement.requestsPerSecond ? "upstream_limited" : "upstream_unlimited", "per_second",
             statement.requestsPerSecond.value_or(0));
+    if (change.rejectionLimit)
+        log(statement.rejectionLimit ? "upstream_limits_rejections" : "upstream_bears_rejections", "per_second",
+            statement.rejectionLimit.value_or(0));
     if (change.leaving)
         log("upstream_stated_leaving", "started_at", upstream.startedAt);
     if (change.rejecting)
@@ -769,6 +772,8 @@
         // Another upstream now uses the address, so this one no longer exists even if it is still listed.
         if (outcome.head.status == misdirectedRequestStatus)
             table.noteHealthObservation(this->now(), upstream, HealthObservation::Unreachable);
+        else
+            table.noteRejection(this->now(), upstream);
         break;
     case AttemptEnd::CallerDisconnected:
         break;
--- a/modules/serving/upstream/UpstreamAttempt.cpp
+++ b/modules/serving/upstream/UpstreamAttempt.cpp
@@ -587,6 +587,7 @@
 UpstreamStatement UpstreamAttempt::readStatement(const Parser& parser) const
 {
     const HeaderLookup limit = findHeader(parser, this->names.limit);
+    const HeaderLookup rejectionLimit = findHeader(parser, this->names.rejectionLimit);
     UpstreamStatement statement;
     const auto age = std::chrono::steady_clock::now() - this->connection->openedAt;
     statement.connectedFor = Milliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
@@ -595,6 +596,8 @@
     // A limit that cannot be read, or a refusal without one, neither begins nor ends a limit.
     const bool isSealed = hasHeader(parser, this->names.seal);
     statement.isLimitKnown = limit.count == 0 ? isSealed : statement.requestsPerSecond.has_value();
+    statement.rejectionLimit = readDecimal(rejectionLimit.value);
+    statement.isRejectionLimitKnown = rejectionLimit.count == 0 ? isSealed : statement.rejectionLimit.has_value();
     statement.isLeaving = findHeader(parser, this->names.leaving).value == "1";
     if (parser.get().result() == http::status::service_unavailable) {
         const double seconds = readDecimal(findHeader(parser, this->names.retryAfter).value).value_or(0);
--- a/tests/gateway/RecordedMessagesTest.cpp
+++ b/tests/gateway/RecordedMessagesTest.cpp
@@ -41,6 +41,17 @@
     return { limited, leaving, restarted };
 }
 
+/** A report of statements that builds since 002 make. */
+DigestReport makeRejectionLimitReport()
+{
+    SharedStatement limiting { UpstreamId("u-1"), 5, std::nullopt, false, Milliseconds(30) };
+    limiting.rejectionLimit = 4.5;
+    limiting.rejectionLimitAge = Milliseconds(20);
+    SharedStatement ended { UpstreamId("u-2"), 6, std::nullopt, false, Milliseconds(40), Milliseconds(60) };
+    ended.rejectionLimitAge = Milliseconds(10);
+    return { VmId("north-1"), RegionId("north"), false, {}, 12'345, {}, { limiting, ended } };
+}
+
 DigestReport makeReport()
 {
     return { VmId("north-1"), RegionId("north"), true, makeFigures(), 12'345, makeCrashes(), makeStatements(),
@@ -102,6 +113,7 @@
     };
     return Recordings({ makeDatagram("digest-report", makeReport(), &DecodedDigest::report),
         makeDatagram("digest-reply", makeReply(), &DecodedDigest::reply),
+        makeDatagram("digest-rejection-limits", makeRejectionLimitReport(), &DecodedDigest::report),
         makeDatagram("stream-origins", makeOrigins(), &DecodedDigest::origins),
         { "vm-status", encodeVmAnnouncement(makeStatus()), isStatus } });
 }
